--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+# Tools are pinned so that CI gives the same verdict on every machine.
+TOOLS := $(CURDIR)/.tools
+GOFUMPT_VERSION := v0.12.0
+GOLANGCI_VERSION := v2.15.0
+SEED ?= 1
+
+export PATH := $(TOOLS):$(PATH)
+
+.PHONY: demo test build lint format models measure slopes bench tools generate house unit race fuzz
+
+demo: build
+	sh scripts/demo.sh
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test: tools lint house unit race models fuzz
+
+tools: $(TOOLS)/gofumpt-$(GOFUMPT_VERSION) $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+	@command -v spin >/dev/null || (apt-get update -q && apt-get install -y -q spin) >/dev/null
+
+$(TOOLS)/gofumpt-$(GOFUMPT_VERSION):
+	GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+	@touch $@
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@touch $@
+
+format:
+	$(TOOLS)/gofumpt -w $$(git ls-files '*.go')
+
+lint:
+	@test -z "$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))" || \
+		(echo "gofumpt:"; $(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'); exit 1)
+	go vet ./...
+	$(TOOLS)/golangci-lint run ./...
+
+house:
+	@sh scripts/house.sh
+
+unit:
+	go test ./...
+
+race:
+	go test -race -short ./...
+
+models:
+	@sh models/run.sh
+
+fuzz:
+	@sh scripts/fuzz.sh
+
+measure: build
+	bin/marjorammeasure --seed $(SEED)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+generate:
+	cd msentry/entrypb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative entry.proto
