msmeasure: share-error of the scheduler against FIFO

Cause: the target of shares can only be met by measuring it. Ruled out: judging from waiting counts; a request is wanted for as long as it would have run had it started on arrival.

--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -9,7 +9,9 @@
 	"github.com/alecthomas/kong"
 )
 
-var measures = []msmeasure.Measure{}
+var measures = []msmeasure.Measure{
+	msmeasure.ShareError,
+}
 
 type options struct {
 	Seed       uint64 `help:"Seed of the generated demands and failures." default:"1"`
