mssetting: load and check the settings of the daemon

Cause: a daemon needs its name, place, addresses and limits from INI. Ruled out: the library's reflection on structs, which takes unknown keys, doubled keys and quotes in silence and tells no line; it reads the values and our scan of the lines gives the places. Change: Settings, Defaults, Parse, Load, Format and the cross-checks of durations and addresses. msrule exports IsName and Suggest for it.

--- a/msrule/check.go
+++ b/msrule/check.go
@@ -109,7 +109,7 @@
 // refersFrom reports a field that refers to a rule that isn't there.
 func (s subject) refersFrom(field, kind, name string) {
 	if _, ok := s.c.names[ruleID{kind, name}]; !ok {
-		s.fault(field, fmt.Sprintf("there is no %s %q", kind, name), didYouMean(name, s.c.known(kind)))
+		s.fault(field, fmt.Sprintf("there is no %s %q", kind, name), Suggest(name, s.c.known(kind)))
 	}
 }
 
--- a/msrule/check_text.go
+++ b/msrule/check_text.go
@@ -31,8 +31,8 @@
 		unicode.In(c, unicode.Zl, unicode.Zp, unicode.Bidi_Control)
 }
 
-// isName reports whether a name can be written in a rule and in a path of HTTP.
-func isName(name string) bool {
+// IsName reports whether name can be written in a rule and in a path of HTTP.
+func IsName(name string) bool {
 	for i, c := range name {
 		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
 		if !letter && (i == 0 || !strings.ContainsRune("-_.", c)) {
@@ -75,7 +75,7 @@
 }
 
 func (s subject) checkName(field, name string) {
-	if !isName(name) {
+	if !IsName(name) {
 		want := fmt.Sprintf("want 1 to %d letters, digits, - _ or . after a letter or digit", MaxName)
 		s.fault(field, fmt.Sprintf("%q is no name", name), want)
 	}
--- a/msrule/diff.go
+++ b/msrule/diff.go
@@ -1,8 +1,8 @@
 package msrule
 
 import (
-	"bufio"
 	"io"
+	"strings"
 )
 
 // Op is what happened to a rule between two sets.
@@ -49,11 +49,12 @@
 
 // WriteChanges writes one change a line.
 func WriteChanges(w io.Writer, changes []Change) error {
-	b := bufio.NewWriter(w)
+	var b strings.Builder
 	for _, c := range changes {
-		b.WriteString(c.String() + "\n") //nolint:errcheck // Flush returns the error.
+		b.WriteString(c.String() + "\n")
 	}
-	return b.Flush()
+	_, err := io.WriteString(w, b.String())
+	return err
 }
 
 // Diff returns the changes from old to new: first what was added or changed,
--- a/msrule/format.go
+++ b/msrule/format.go
@@ -1,8 +1,8 @@
 package msrule
 
 import (
-	"bufio"
 	"io"
+	"strings"
 )
 
 // Format writes the set as a rules file: by kind, one rule a line. Parse reads
@@ -12,14 +12,15 @@
 	if err := Check(s); err != nil {
 		return err
 	}
-	b := bufio.NewWriter(w)
+	var b strings.Builder
 	kind := ""
 	for _, r := range s.rules() {
 		if kind != "" && r.kind != kind {
-			b.WriteByte('\n') //nolint:errcheck // Flush returns the error.
+			b.WriteByte('\n')
 		}
 		kind = r.kind
-		b.WriteString(r.String() + "\n") //nolint:errcheck // Flush returns the error.
+		b.WriteString(r.String() + "\n")
 	}
-	return b.Flush()
+	_, err := io.WriteString(w, b.String())
+	return err
 }
--- a/msrule/line.go
+++ b/msrule/line.go
@@ -43,7 +43,7 @@
 	k, ok := kinds[words[0].text]
 	if !ok {
 		known := slices.Sorted(maps.Keys(kinds))
-		l.fault(words[0].column, fieldKind, fmt.Sprintf("%q is no kind of rule", words[0].text), didYouMean(words[0].text, known))
+		l.fault(words[0].column, fieldKind, fmt.Sprintf("%q is no kind of rule", words[0].text), Suggest(words[0].text, known))
 		return
 	}
 	l.place = place{l.number, map[string]int{fieldKind: words[0].column}}
@@ -69,7 +69,7 @@
 	case !ok:
 		l.fault(w.column, fieldLine, fmt.Sprintf("%q is no field", w.text), "want key=value")
 	case !slices.Contains(known, name):
-		l.fault(w.column, name, "unknown field", didYouMean(name, known))
+		l.fault(w.column, name, "unknown field", Suggest(name, known))
 	case l.place.columns[name] != 0:
 		l.fault(w.column, name, "the field is given twice", "give it once")
 	default:
--- a/msrule/nearest.go
+++ b/msrule/nearest.go
@@ -13,23 +13,10 @@
 	maxListed = 10
 )
 
-// Nearest returns the known word that word was probably meant to be, or the
-// empty string where none is near.
-func Nearest(word string, known []string) string {
-	best, bestDistance := "", maxTypos+1
-	for _, k := range known {
-		d := distance(word, k)
-		if d < bestDistance && d < len(k) {
-			best, bestDistance = k, d
-		}
-	}
-	return best
-}
-
-// didYouMean returns the advice for an unknown word: the nearest known one, or
+// Suggest returns the advice for an unknown word: the nearest known one, or
 // all of them where they are few.
-func didYouMean(word string, known []string) string {
-	if near := Nearest(word, known); near != "" {
+func Suggest(word string, known []string) string {
+	if near := nearest(word, known); near != "" {
 		return "did you mean " + near + "?"
 	}
 	switch {
@@ -42,6 +29,19 @@
 	}
 }
 
+// nearest returns the known word that word was probably meant to be, or the
+// empty string where none is near.
+func nearest(word string, known []string) string {
+	best, bestDistance := "", maxTypos+1
+	for _, k := range known {
+		d := distance(word, k)
+		if d < bestDistance && d < len(k) {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
 // distance returns the edits (insert, delete, replace) between two words, or
 // more than maxTypos where their lengths already differ by more.
 func distance(a, b string) int {
--- /dev/null
+++ b/mssetting/table.go
@@ -0,0 +1,72 @@
+package mssetting
+
+import "time"
+
+// setting is one key of the file.
+type setting struct {
+	section  string
+	key      string
+	required bool
+	value    value
+}
+
+// value reads and prints a field of Settings.
+type value struct {
+	// set reads text into the field, or returns what is wrong and what would
+	// be right.
+	set func(s *Settings, text string) (reason, want string)
+	// text prints the field so that set reads it back.
+	text func(s *Settings) string
+}
+
+// table is every key that a file may hold, in the order of Format.
+var table = []setting{
+	{"entry", "name", true, name(func(s *Settings) *string { return &s.Entry.Name })},
+	{"entry", "data-centre", true, name(func(s *Settings) *string { return &s.Entry.DataCentre })},
+	{"entry", "rack", true, name(func(s *Settings) *string { return &s.Entry.Rack })},
+	{"entry", "region", false, name(func(s *Settings) *string { return &s.Entry.Region })},
+	{"entry", "listen", true, address(func(s *Settings) *string { return &s.Entry.Listen })},
+	{"entry", "admin-listen", true, address(func(s *Settings) *string { return &s.Entry.AdminListen })},
+	{"entry", "peer-listen", true, address(func(s *Settings) *string { return &s.Entry.PeerListen })},
+	{"entry", "advertise", false, address(func(s *Settings) *string { return &s.Entry.Advertise })},
+	{"log", "address", true, address(func(s *Settings) *string { return &s.Log.Address })},
+	{"log", "timeout", false, duration(func(s *Settings) *time.Duration { return &s.Log.Timeout })},
+	{"log", "stream-prefix", false, name(func(s *Settings) *string { return &s.Log.StreamPrefix })},
+	{"limits", "lease", false, duration(func(s *Settings) *time.Duration { return &s.Limits.Lease })},
+	{"limits", "max-run", false, duration(func(s *Settings) *time.Duration { return &s.Limits.MaxRun })},
+	{"limits", "max-body", false, size(func(s *Settings) *int64 { return &s.Limits.MaxBody })},
+	{"limits", "max-waiting", false, count(func(s *Settings) *int { return &s.Limits.MaxWaiting })},
+	{"limits", "idempotency-window", false, duration(func(s *Settings) *time.Duration { return &s.Limits.IdempotencyWindow })},
+	{"limits", "connections-per-upstream", false, count(func(s *Settings) *int { return &s.Limits.ConnectionsPerUpstream })},
+	{"peers", "heartbeat", false, duration(func(s *Settings) *time.Duration { return &s.Peers.Heartbeat })},
+	{"peers", "exclude-after", false, duration(func(s *Settings) *time.Duration { return &s.Peers.ExcludeAfter })},
+	{"drain", "balancer-lag", false, duration(func(s *Settings) *time.Duration { return &s.Drain.BalancerLag })},
+	{"drain", "grace", false, duration(func(s *Settings) *time.Duration { return &s.Drain.Grace })},
+	{"account", "flush", false, duration(func(s *Settings) *time.Duration { return &s.Account.Flush })},
+	{"log-output", "level", false, level(func(s *Settings) *string { return &s.LogOutput.Level })},
+}
+
+// sectionAudit is known but holds no key yet.
+const sectionAudit = "audit"
+
+// sections returns the names of all sections in their order.
+func sections() []string {
+	var names []string
+	for _, s := range table {
+		if len(names) == 0 || names[len(names)-1] != s.section {
+			names = append(names, s.section)
+		}
+	}
+	return append(names, sectionAudit)
+}
+
+// keys returns the keys of a section in their order.
+func keys(section string) []string {
+	var names []string
+	for _, s := range table {
+		if s.section == section {
+			names = append(names, s.key)
+		}
+	}
+	return names
+}
