--- a/msrule/check_test.go
+++ b/msrule/check_test.go
@@ -82,6 +82,12 @@
 	require.NotEqual(t, secret, other)
 	require.NotEqual(t, digest, otherDigest)
 	require.Zero(t, secretIndex(other))
+	x := NewIndex(Set{Keys: []Key{{ID: "k", Digest: digest}}})
+	k, ok := x.KeyOf(secret)
+	require.True(t, ok)
+	require.Equal(t, "k", k.ID)
+	_, ok = x.KeyOf(other)
+	require.False(t, ok)
 	require.Equal(t, "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad", Digest("abc"))
 
 	secret, digest, err = NewSecret(iotest.ErrReader(errors.ErrUnsupported))
--- a/msrule/index.go
+++ b/msrule/index.go
@@ -71,6 +71,13 @@
 	return k, ok
 }
 
+// KeyOf returns the key that a caller's secret belongs to.
+func (x *Index) KeyOf(secret string) (Key, bool) {
+	digest := digestOf(secret)
+	k, ok := x.keys[string(digest[:])]
+	return k, ok
+}
+
 // Admits reports whether the queue takes work of the team.
 func (q Queue) Admits(team string) bool {
 	return slices.Contains(q.Teams, team)
--- a/msrule/secret.go
+++ b/msrule/secret.go
@@ -53,8 +53,16 @@
 
 // Digest returns the SHA-256 of a secret in lower-case hexadecimal.
 func Digest(secret string) string {
+	digest := digestOf(secret)
+	return string(digest[:])
+}
+
+// digestOf returns the digits of a secret's digest.
+func digestOf(secret string) [digestDigits]byte {
+	var digits [digestDigits]byte
 	sum := sha256.Sum256([]byte(secret))
-	return hex.EncodeToString(sum[:])
+	hex.Encode(digits[:], sum[:])
+	return digits
 }
 
 // secretIndex returns where the first secret in text begins, or -1.
