--- a/msrule/line.go
+++ b/msrule/line.go
@@ -66,7 +66,7 @@
 func (l *lineReader) field(w word, known []string) {
 	name, value, ok := strings.Cut(w.text, "=")
 	switch {
-	case !ok:
+	case !ok || name == "":
 		l.fault(w.column, fieldLine, fmt.Sprintf("%q is no field", w.text), "want key=value")
 	case !slices.Contains(known, name):
 		l.fault(w.column, name, "unknown field", Suggest(name, known))
