--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -21,10 +21,11 @@
 	contended bool // contended: any peer has unmet demand.
 	first     int  // first is the index of the peer that is served first.
 	rotateAt  time.Time
-	peers     []peer // peers are in the order of view.Members.
-	wants     []int  // wants is scratch space for share.
-	targets   []int  // targets are what the peers may hold while there is unmet demand.
-	unheard   int    // unheard counts the peers without an exchange in this generation.
+	keptSince time.Time // keptSince is since when free tokens are kept for this entry's own demand.
+	peers     []peer    // peers are in the order of view.Members.
+	wants     []int     // wants is scratch space for share.
+	targets   []int     // targets are what the peers may hold while there is unmet demand.
+	unheard   int       // unheard counts the peers without an exchange in this generation.
 }
 
 // peer is what the home knows of one holder.
@@ -227,6 +228,7 @@
 		p.first = (p.first + 1) % n
 		a.refresh(l.self)
 	}
+	l.dropStaleWant(a, now)
 	free := max(p.free, 0)
 	for k := range n {
 		i := (p.first + k) % n
@@ -251,6 +253,22 @@
 	return true
 }
 
+// dropStaleWant forgets this entry's own demand if it takes none of the tokens that
+// are free for it.
+func (l *Ledger) dropStaleWant(a *account, now time.Time) {
+	p := a.pool
+	switch {
+	case p.free <= 0 || p.lack(l.self) == 0:
+		p.keptSince = time.Time{}
+	case p.keptSince.IsZero():
+		p.keptSince = now
+	case now.Sub(p.keptSince) >= l.idleAfter():
+		p.keptSince = time.Time{}
+		a.want = 0
+		a.refresh(l.self)
+	}
+}
+
 // call is the item that asks a holder for an exchange.
 func (a *account) call(q *peer, recall int) Item {
 	return Item{Resource: a.resource, Gen: a.gen, Seq: q.seq, Call: true, Recall: recall}
