msteam: a team that waited for a limit token is asked again; limits over pools

Cause: a team once without a limit token kept a target of nothing and starved; a limit that binds across pools was taken as if it bound in one. Change: Next asks may for every waiting team once a tick; waiting work counts as demand also without a token; Limits sums the use over pools; TeamSlots says how many limit tokens to hold. The measure judges against an ideal division at every moment, as one over the whole window is due a team what it asked too late for. Ruled out: forgetting the refusal of a token after a time, which lets the demand swing.

--- a/msmeasure/share.go
+++ b/msmeasure/share.go
@@ -24,10 +24,11 @@
 func runOurs(d Deployment, reqs []request, set func(*msteam.Scheduler)) *shareRun {
 	reqs = slices.Clone(reqs)
 	made := 0
+	limits := make([]msteam.Limits, d.Entries)
 	r := newShareRun(d, reqs, func(p, e int) picker {
 		made++
 		svc := d.Services[p]
-		s := &msteam.Scheduler{Capacity: svc.Instances * svc.Slots}
+		s := &msteam.Scheduler{Capacity: svc.Instances * svc.Slots, Limits: &limits[e]}
 		if set != nil {
 			set(s)
 		}
@@ -44,7 +45,7 @@
 	for _, t := range d.Teams {
 		names = append(names, t.Name)
 	}
-	r := newShareRun(d, reqs, func(int, int) picker { return &fifo{reqs: reqs, teams: names} })
+	r := newShareRun(d, reqs, func(int, int) picker { return &fifo{reqs: reqs, teams: names, asked: make([]int, len(names))} })
 	r.run()
 	return r
 }
--- a/msmeasure/share_error.go
+++ b/msmeasure/share_error.go
@@ -11,8 +11,10 @@
 	slideMS  = 1000
 	// leastDue is the slot time in milliseconds under which a team isn't judged.
 	leastDue = 1000
-	// fullDemand is the part of the capacity that must be asked for.
+	// fullDemand is the part of the capacity that the ideal division must use.
 	fullDemand = 0.99
+	// longestStay is longer than any request waits and runs.
+	longestStay = 60000
 )
 
 // window is one team's part of 10 s of full load, in slot milliseconds.
@@ -48,23 +50,15 @@
 	return true
 }
 
-// window measures what each team got and was due of pool p.
+// window measures what each team got and was due of pool p. It returns nothing
+// where even the ideal division leaves slots unused.
 func (r *shareRun) window(p, from int) []window {
-	to := from + windowMS
-	got, demand, elsewhere := r.tally(p, from, to)
-	capacity := 0.0
-	for _, c := range r.capacity[p][from/stepMS : to/stepMS] {
-		capacity += float64(c * stepMS)
-	}
-	total := 0.0
-	for t, team := range r.d.Teams {
-		demand[t] = min(demand[t], max(got[t], float64(team.Limit*windowMS)-elsewhere[t]))
-		total += demand[t]
-	}
-	if total < capacity*fullDemand {
+	got, limits := r.tally(p, from, from+windowMS)
+	ideal := newIdeal(r, p, from, limits)
+	due, idle := ideal.run()
+	if idle > 1-fullDemand {
 		return nil
 	}
-	due := naiveDue(capacity, r.d.Teams, demand)
 	var out []window
 	for t := range r.d.Teams {
 		if due[t] >= leastDue {
@@ -74,27 +68,38 @@
 	return out
 }
 
-// tally sums by team what it used of pool p, what it would have used if every
-// request had run at once, and what it used of other pools.
-func (r *shareRun) tally(p, from, to int) (got, demand, elsewhere []float64) {
-	n := len(r.d.Teams)
-	got, demand, elsewhere = make([]float64, n), make([]float64, n), make([]float64, n)
-	end, _ := slices.BinarySearchFunc(r.reqs, to, func(q request, ms int) int { return cmp.Compare(q.arrived, ms) })
-	begin, _ := slices.BinarySearchFunc(r.reqs, from-60000, func(q request, ms int) int { return cmp.Compare(q.arrived, ms) })
-	for i := begin; i < end; i++ {
-		q, o := r.reqs[i], r.outs[i]
-		if o.ended >= 0 && o.ended <= from || o.refused && q.arrived < from {
-			continue
+// tally sums by team what it used of pool p, and how many slots its upper limit
+// leaves beside what it used of other pools.
+func (r *shareRun) tally(p, from, to int) (got, limits []float64) {
+	got, limits = make([]float64, len(r.d.Teams)), make([]float64, len(r.d.Teams))
+	for t, team := range r.d.Teams {
+		limits[t] = float64(team.Limit)
+	}
+	for _, i := range r.between(from, to) {
+		q := r.reqs[i]
+		used := float64(r.outs[i].slotTime(q, from, to))
+		if q.pool == p {
+			got[q.team] += used
+		} else {
+			limits[q.team] -= used / float64(to-from)
 		}
-		used := o.slotTime(q, from, to)
-		if q.pool != p {
-			elsewhere[q.team] += float64(used)
+	}
+	return got, limits
+}
+
+// between returns the requests that may have been there between from and to,
+// in order of arrival.
+func (r *shareRun) between(from, to int) []int {
+	var out []int
+	i, _ := slices.BinarySearchFunc(r.reqs, from-longestStay, func(q request, ms int) int { return cmp.Compare(q.arrived, ms) })
+	for ; i < len(r.reqs) && r.reqs[i].arrived < to; i++ {
+		o := r.outs[i]
+		if o.ended >= 0 && o.ended <= from || o.refused && r.reqs[i].arrived < from {
 			continue
 		}
-		got[q.team] += float64(used)
-		demand[q.team] += float64(o.wanted(q, from, to))
+		out = append(out, i)
 	}
-	return got, demand, elsewhere
+	return out
 }
 
 // slotTime is how long the request held a slot between from and to.
@@ -109,20 +114,9 @@
 	return max(0, min(end, to)-max(o.started, from))
 }
 
-// wanted is how long it would have held one, had it started on arrival or at
-// from.
-func (o outcome) wanted(q request, from, to int) int {
-	left := q.run
-	if o.started >= 0 && o.started < from {
-		left -= from - o.started
-	}
-	return max(0, min(left, to-max(q.arrived, from)))
-}
-
 // naiveDue is the weighted max-min division by its definition: in order of
 // demand by weight, each takes the less of its demand and its part of the rest.
-func naiveDue(capacity float64, teams []Team, demand []float64) []float64 {
-	order := make([]int, len(teams))
+func naiveDue(capacity float64, teams []Team, demand, due []float64, order []int) {
 	weights := 0
 	for i, t := range teams {
 		order[i] = i
@@ -131,11 +125,9 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Compare(demand[a]/float64(teams[a].Weight), demand[b]/float64(teams[b].Weight))
 	})
-	due := make([]float64, len(teams))
 	for _, i := range order {
 		due[i] = min(demand[i], capacity*float64(teams[i].Weight)/float64(weights))
 		capacity -= due[i]
 		weights -= teams[i].Weight
 	}
-	return due
 }
--- a/msmeasure/share_loop.go
+++ b/msmeasure/share_loop.go
@@ -28,7 +28,8 @@
 	ended(i int, ran time.Duration, now time.Time)
 	expired(now time.Time) []int
 	waiting() int
-	slots(now time.Time) int // wanted
+	slots(now time.Time) int            // wanted
+	tokens(team int, now time.Time) int // of the team's upper limit, wanted
 }
 
 // outcome is what became of one request; times are -1 until they come.
@@ -94,8 +95,6 @@
 	// capacity is the slots that some entry may use, by pool and step.
 	capacity [][]int
 	make     func(pool, entry int) picker
-	// limitWants is the number of requests of a team by entry: waiting and running.
-	limitWants [][]int
 	// waiting is the number of requests by pool and team.
 	waiting [][]int
 }
@@ -121,7 +120,6 @@
 	for i, t := range d.Teams {
 		r.teamIdx[t.Name] = i
 		r.limits = append(r.limits, newTokens(t.Limit, d.Entries))
-		r.limitWants = append(r.limitWants, make([]int, d.Entries))
 	}
 	for i := range r.outs {
 		r.outs[i] = outcome{started: -1, ended: -1}
@@ -160,7 +158,6 @@
 		r.outs[i].refused = true
 		return
 	}
-	r.limitWants[q.team][q.entry]++
 	r.waiting[q.pool][q.team]++
 }
 
@@ -186,7 +183,6 @@
 		for _, i := range r.lines[p][e].expired(at(ms)) {
 			r.outs[i].expired = true
 			r.outs[i].ended = ms
-			r.limitWants[r.reqs[i].team][e]--
 			r.waiting[p][r.reqs[i].team]--
 		}
 	}
@@ -197,7 +193,11 @@
 		r.slots[p].exchange(e, r.lines[p][e].slots(at(ms)))
 	}
 	for t := range r.limits {
-		r.limits[t].exchange(e, r.limitWants[t][e])
+		wanted := 0
+		for _, p := range r.pools {
+			wanted += r.lines[p][e].tokens(t, at(ms))
+		}
+		r.limits[t].exchange(e, wanted)
 	}
 }
 
@@ -253,13 +253,15 @@
 	r.outs[i].ended = ms
 	r.slots[q.pool].used[q.entry]--
 	r.limits[q.team].used[q.entry]--
-	r.limitWants[q.team][q.entry]--
 	r.lines[q.pool][q.entry].ended(i, time.Duration(q.run)*time.Millisecond, at(ms))
 }
 
 // fail loses an entry, replaces it later, and mints its tokens again.
 func (r *shareRun) fail(ms int) {
 	const entry = 3
+	if r.d.Entries <= entry {
+		return
+	}
 	switch ms {
 	case lostAtMS:
 		r.gone = entry
@@ -300,7 +302,6 @@
 		if o.started < 0 {
 			r.waiting[q.pool][q.team]--
 		}
-		r.limitWants[q.team][e]--
 	}
 }
 
--- a/msmeasure/share_naive.go
+++ b/msmeasure/share_naive.go
@@ -9,10 +9,12 @@
 	reqs  []request
 	teams []string
 	inUse int
+	asked []int // by team, waiting and running
 }
 
 func (f *fifo) add(i int, _ time.Time) bool {
 	f.line = append(f.line, i)
+	f.asked[f.reqs[i].team]++
 	return true
 }
 
@@ -37,10 +39,10 @@
 	return 0, false
 }
 
-func (f *fifo) started(int, time.Time)              { f.inUse++ }
-func (f *fifo) ended(int, time.Duration, time.Time) { f.inUse-- }
-func (f *fifo) waiting() int                        { return len(f.line) }
-func (f *fifo) slots(time.Time) int                 { return f.inUse + len(f.line) }
+func (f *fifo) started(int, time.Time) { f.inUse++ }
+
+func (f *fifo) waiting() int        { return len(f.line) }
+func (f *fifo) slots(time.Time) int { return f.inUse + len(f.line) }
 
 func (f *fifo) expired(now time.Time) []int {
 	var out []int
@@ -48,6 +50,7 @@
 	for _, i := range f.line {
 		if now.After(at(f.reqs[i].deadline)) {
 			out = append(out, i)
+			f.asked[f.reqs[i].team]--
 			continue
 		}
 		kept = append(kept, i)
@@ -55,3 +58,10 @@
 	f.line = kept
 	return out
 }
+
+func (f *fifo) ended(i int, _ time.Duration, _ time.Time) {
+	f.inUse--
+	f.asked[f.reqs[i].team]--
+}
+
+func (f *fifo) tokens(team int, _ time.Time) int { return f.asked[team] }
--- a/msteam/scheduler.go
+++ b/msteam/scheduler.go
@@ -67,6 +67,9 @@
 	MaxWaiting int
 	// Late accepts requests that can't start by their deadline.
 	Late bool
+	// Limits is shared by the schedulers of all pools; nil takes each team's
+	// upper limit as if it used no other pool.
+	Limits *Limits
 
 	teams   []*team // by name
 	byName  map[string]*team
@@ -76,6 +79,7 @@
 	weights float64 // sum over teams
 	ticked  time.Time
 	claims  []Claim // scratch of divide
+	probe   bool    // ask may for every team at the next Next
 	pace    pace    // of all teams together
 }
 
@@ -134,14 +138,15 @@
 			continue
 		}
 		score := t.score(s.runTime(t))
-		if best != nil && score <= high {
+		if best != nil && score <= high && !s.probe {
 			continue
 		}
 		t.blocked = may != nil && !may(t.name)
-		if !t.blocked {
+		if !t.blocked && (best == nil || score > high) {
 			best, high = t, score
 		}
 	}
+	s.probe = false
 	if best == nil {
 		return Waiter{}, false
 	}
@@ -204,6 +209,11 @@
 		s.byName = make(map[string]*team)
 	}
 	t := &team{name: name, weight: 1}
+	if s.Limits != nil {
+		t.everywhere = s.Limits.of(name)
+	} else {
+		t.everywhere = &t.fleetRate
+	}
 	s.byName[name] = t
 	i, _ := slices.BinarySearchFunc(s.teams, name, func(t *team, name string) int { return cmp.Compare(t.name, name) })
 	s.teams = slices.Insert(s.teams, i, t)
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -24,6 +24,24 @@
 	leastPart = 0.1
 )
 
+// Limits sums what each team uses over all pools, so that its upper limit
+// across the fleet bounds what it is due in each. It belongs under the same
+// mutex as the schedulers that share it.
+type Limits struct {
+	used map[string]*float64
+}
+
+// of returns the place of a team's sum.
+func (l *Limits) of(team string) *float64 {
+	if l.used == nil {
+		l.used = make(map[string]*float64)
+	}
+	if l.used[team] == nil {
+		l.used[team] = new(float64)
+	}
+	return l.used[team]
+}
+
 // Claim is one team's part in a division.
 type Claim struct {
 	// Weight is above 0, and Demand in the unit of the capacity.
@@ -82,11 +100,13 @@
 	// The rest is in slots, or slot seconds, at the last division.
 	rate      float64 // in use here
 	fleetRate float64 // in use on all entries
-	demand    float64 // asked for here
-	fleet     float64 // asked for on all entries
-	shortage  float64 // due to the team on all entries, not yet repaid
-	target    float64 // to use here
-	account   float64 // target less use here, summed
+	// everywhere is what is in use on all entries and in all pools.
+	everywhere *float64
+	demand     float64 // asked for here
+	fleet      float64 // asked for on all entries
+	shortage   float64 // due to the team on all entries, not yet repaid
+	target     float64 // to use here
+	account    float64 // target less use here, summed
 }
 
 func (t *team) waiting() int {
@@ -139,12 +159,13 @@
 		t.rate = (t.used - t.folded).Seconds() / dt
 		t.folded = t.used
 		t.pace.decay(dt, t.waiting() > 0)
-		t.demand = t.rate
-		if !t.blocked {
-			t.demand += float64(t.waiting()) * s.runTime(t) / horizon.Seconds()
+		t.demand = t.rate + float64(t.waiting())*s.runTime(t)/horizon.Seconds()
+		if s.Limits != nil {
+			*t.everywhere -= t.fleetRate
 		}
 		t.fleetRate, t.fleet = t.rate, t.demand
 	}
+	s.probe = true
 	s.dropSilent(now)
 	for _, p := range s.peers {
 		for _, u := range p.uses {
@@ -153,6 +174,11 @@
 			t.fleet += u.rate + float64(u.waiting)*s.runTime(t)/horizon.Seconds()
 		}
 	}
+	for _, t := range s.teams {
+		if s.Limits != nil {
+			*t.everywhere += t.fleetRate
+		}
+	}
 }
 
 // divide sets the claims to the division of capacity over the fleet's demands.
@@ -160,7 +186,8 @@
 	for i, t := range s.teams {
 		s.claims[i] = Claim{Weight: t.weight, Demand: t.fleet}
 		if t.limit > 0 {
-			s.claims[i].Demand = min(t.fleet, float64(t.limit))
+			elsewhere := *t.everywhere - t.fleetRate
+			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-elsewhere))
 		}
 	}
 	Divide(capacity, s.claims)
@@ -235,14 +262,37 @@
 // all is full. An entry that holds more gives the rest back as they come free.
 func (s *Scheduler) Slots(now time.Time) int {
 	s.advance(now)
-	wanted, asked, fleet := 0.0, 0, 0.0
+	wanted, asked := 0.0, 0
 	for _, t := range s.teams {
 		wanted += t.target
 		asked += t.running + t.waiting()
-		fleet += t.fleet
 	}
-	if fleet < s.capacity() {
+	if !s.isFull() {
 		return asked
 	}
 	return min(asked, int(math.Ceil(wanted)))
 }
+
+// TeamSlots returns how many of the slots here team should use. Summed over
+// pools, it is how many tokens of the team's upper limit the entry should hold.
+func (s *Scheduler) TeamSlots(team string, now time.Time) int {
+	s.advance(now)
+	t := s.byName[team]
+	if t == nil {
+		return 0
+	}
+	asked := t.running + t.waiting()
+	if !s.isFull() {
+		return asked
+	}
+	return min(asked, int(math.Ceil(t.target)))
+}
+
+// isFull reports whether more is asked of the pool than it has.
+func (s *Scheduler) isFull() bool {
+	fleet := 0.0
+	for _, t := range s.teams {
+		fleet += t.fleet
+	}
+	return fleet >= s.capacity()
+}
