--- a/mssetting/check.go
+++ b/mssetting/check.go
@@ -15,22 +15,22 @@
 
 func (p *parser) checkDurations() {
 	s := p.settings
-	p.atLeast("peers", "exclude-after", s.Peers.ExcludeAfter, s.Limits.Lease, "limits lease: an entry must stop before it is excluded", setRef{"limits", "lease"})
+	p.atLeast("peers", "exclude-after", s.Peers.ExcludeAfter, s.Limits.Lease, "[limits] lease: an entry must stop before it is excluded", setRef{"limits", "lease"})
 	if half := s.Limits.Lease / 2; s.Peers.Heartbeat >= half {
-		p.unfit("peers", "heartbeat", s.Peers.Heartbeat, fmt.Sprintf("want less than %s, half of limits lease", half), setRef{"limits", "lease"})
+		p.unfit("peers", "heartbeat", s.Peers.Heartbeat, fmt.Sprintf("want less than %s, half of [limits] lease", half), setRef{"limits", "lease"})
 	}
 	if s.Log.Timeout >= s.Limits.Lease {
-		p.unfit("log", "timeout", s.Log.Timeout, fmt.Sprintf("want less than %s, the limits lease", s.Limits.Lease), setRef{"limits", "lease"})
+		p.unfit("log", "timeout", s.Log.Timeout, fmt.Sprintf("want less than %s, [limits] lease", s.Limits.Lease), setRef{"limits", "lease"})
 	}
 	stop := s.Drain.BalancerLag + s.Limits.MaxRun
-	p.atLeast("drain", "grace", s.Drain.Grace, stop, "drain balancer-lag and limits max-run together", setRef{"limits", "max-run"}, setRef{"drain", "balancer-lag"})
-	p.atLeast("limits", "idempotency-window", s.Limits.IdempotencyWindow, s.Limits.MaxRun, "limits max-run", setRef{"limits", "max-run"})
+	p.atLeast("drain", "grace", s.Drain.Grace, stop, "[drain] balancer-lag and [limits] max-run together", setRef{"limits", "max-run"}, setRef{"drain", "balancer-lag"})
+	p.atLeast("limits", "idempotency-window", s.Limits.IdempotencyWindow, s.Limits.MaxRun, "[limits] max-run", setRef{"limits", "max-run"})
 }
 
 // atLeast reports a duration below low, which comes from the settings named.
 func (p *parser) atLeast(section, key string, d, low time.Duration, from string, others ...setRef) {
 	if d < low {
-		p.unfit(section, key, d, fmt.Sprintf("want at least %s, the %s", low, from), others...)
+		p.unfit(section, key, d, fmt.Sprintf("want at least %s, %s", low, from), others...)
 	}
 }
 
