msrule: a file of dangling references is checked in linear time

Cause: each fault listed all known names anew. Ruled out: the duplicate checks, which use maps already. Change: the sorted names of a kind are kept once a fault has asked for them.

--- a/msrule/check.go
+++ b/msrule/check.go
@@ -43,11 +43,14 @@
 	names   map[ruleID]rule
 	digests map[string]Key
 	spare   *Pool
+	// sorted are the names of a kind, once a fault has asked for them.
+	sorted map[string][]string
 }
 
 func (c *checker) check() {
 	c.names = map[ruleID]rule{}
 	c.digests = map[string]Key{}
+	c.sorted = map[string][]string{}
 	c.checkNames()
 	for i, d := range c.set.DataCentres {
 		c.subject(d.rule(), i).checkName("region", d.Region)
@@ -115,6 +118,9 @@
 
 // known returns the sorted names of a kind's rules.
 func (c *checker) known(kind string) []string {
+	if names, ok := c.sorted[kind]; ok {
+		return names
+	}
 	var names []string
 	for id := range c.names {
 		if id.kind == kind && id.name != "" {
@@ -122,6 +128,7 @@
 		}
 	}
 	slices.Sort(names)
+	c.sorted[kind] = names
 	return names
 }
 
