mslog: client of the platform's log, and its stand-in

Cause: every other part folds or appends to the platform's log and needs a client and something to test against. Ruled out: retrying in the client, since an append whose answer is lost may have taken effect; HTTP/2, where a long poll and an append would share a connection. Change: Client with errors sorted by what the caller may conclude; Platform stand-in with outages, hangs, lost answers, slowness, retention and a lagging VM list; marjoramstandin platform.

--- /dev/null
+++ b/cmd/marjoramstandin/main.go
@@ -0,0 +1,17 @@
+// Command marjoramstandin serves the stand-ins that take the place of the
+// platform, the upstream VMs and the callers in demos and tests.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Serve the platform's log and its list of VMs."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("marjoramstandin"), kong.Description("Stand-ins for the platform, upstreams and callers."))
+	k.FatalIfErrorf(k.Run())
+}
