--- /dev/null
+++ b/msstate/state_test.go
@@ -0,0 +1,223 @@
+package msstate
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"marjoramspan/mslog"
+	"marjoramspan/msrule"
+)
+
+var digests = []string{strings.Repeat("a", 64), strings.Repeat("b", 64), strings.Repeat("c", 64)}
+
+func rulesOf(limit int, keys ...string) msrule.Set {
+	asked := msrule.Origin{AskedBy: "test"}
+	s := msrule.Set{
+		Pools:  []msrule.Pool{{Name: "p", Size: 1, Slots: 8, Connections: 64, Available: 50, Origin: asked}},
+		VMs:    []msrule.VM{{Name: "vm-1", Pool: "p", Origin: asked}},
+		Teams:  []msrule.Team{{Name: "t", Share: 1, Limit: limit, Origin: asked}},
+		Queues: []msrule.Queue{{Name: "q", Pool: "p", Teams: []string{"t"}, Deadline: time.Second, Origin: asked}},
+	}
+	for _, k := range keys {
+		s.Keys = append(s.Keys, keyNamed(k))
+	}
+	return s
+}
+
+func keyNamed(id string) msrule.Key {
+	return msrule.Key{ID: id, Team: "t", Digest: digests[id[len(id)-1]-'1'], Origin: msrule.Origin{AskedBy: "test"}}
+}
+
+func record(s *State, id string, c Change) mslog.Record {
+	return mslog.Record{Offset: s.Next, ID: id, Time: time.Unix(int64(s.Next), 0).UTC(), Data: c.Encode()}
+}
+
+func apply(t require.TestingT, s *State, id string, c Change) Outcome {
+	out, err := s.Apply(record(s, id, c))
+	require.NoError(t, err)
+	return out
+}
+
+func publish(base uint64, rules msrule.Set) Change {
+	return NewChange(KindRulesPublish, "test", base, RulesPublish{Rules: rules})
+}
+
+func TestOfTwoRacingOperatorsOneIsVoid(t *testing.T) {
+	s := &State{}
+	require.True(t, apply(t, s, "1", publish(0, rulesOf(1))).Accepted)
+	base := s.RulesVersion
+	require.True(t, apply(t, s, "2", publish(base, rulesOf(2))).Accepted)
+	out := apply(t, s, "3", publish(base, rulesOf(3)))
+	require.False(t, out.Accepted)
+	require.Contains(t, out.Reason, "decided on version 1, but version 2")
+	require.Equal(t, 2, s.Rules.Teams[0].Limit)
+}
+
+func TestRepeatedRecordIsVoid(t *testing.T) {
+	s := &State{}
+	apply(t, s, "1", publish(0, rulesOf(1, "k1")))
+	apply(t, s, "2", NewChange(KindKeyWithdraw, "test", 0, KeyWithdraw{ID: "k1"}))
+	out := apply(t, s, "2", NewChange(KindKeyWithdraw, "test", 0, KeyWithdraw{ID: "k1"}))
+	require.Equal(t, "duplicate of an earlier record", out.Reason)
+}
+
+func TestWithdrawnKeyNeverComesBack(t *testing.T) {
+	s := &State{}
+	apply(t, s, "1", publish(0, rulesOf(1, "k1")))
+	stale := s.RulesVersion
+	require.True(t, apply(t, s, "2", NewChange(KindKeyWithdraw, "test", 0, KeyWithdraw{ID: "k1"})).Accepted)
+	require.False(t, apply(t, s, "3", publish(stale, rulesOf(1, "k1"))).Accepted)
+	require.False(t, apply(t, s, "4", publish(s.RulesVersion, rulesOf(1, "k1"))).Accepted)
+	require.False(t, apply(t, s, "5", NewChange(KindKeyGive, "test", 0, KeyGive{Key: keyNamed("k1")})).Accepted)
+	renamed := keyNamed("k1")
+	renamed.ID = "other"
+	require.False(t, apply(t, s, "6", NewChange(KindKeyGive, "test", 0, KeyGive{Key: renamed})).Accepted, "the same secret under another id")
+	require.Empty(t, s.Rules.Keys)
+}
+
+func TestGapIsAnError(t *testing.T) {
+	s := &State{}
+	apply(t, s, "1", publish(0, rulesOf(1)))
+	r := record(s, "2", publish(1, rulesOf(2)))
+	r.Offset++
+	_, err := s.Apply(r)
+	require.ErrorContains(t, err, "expected offset 1")
+	_, err = Boot(3, []mslog.Record{{Offset: 3, ID: "x", Data: r.Data}})
+	require.ErrorContains(t, err, "no snapshot joins up")
+}
+
+func TestDamagedSnapshotIsPassedOver(t *testing.T) {
+	s := &State{}
+	r0 := record(s, "1", publish(0, rulesOf(1)))
+	_, err := s.Apply(r0)
+	require.NoError(t, err)
+	r1 := record(s, "2", NewSnapshot(s, "test"))
+	r1.Data = []byte(strings.Replace(string(r1.Data), `"limit":1`, `"limit":9`, 1))
+	_, err = Restore(r1)
+	require.ErrorContains(t, err, "checksum")
+	_, err = Boot(1, []mslog.Record{r1})
+	require.Error(t, err)
+	booted, err := Boot(0, []mslog.Record{r0, r1})
+	require.NoError(t, err)
+	require.Equal(t, 1, booted.Rules.Teams[0].Limit)
+}
+
+func member(id, name string) Member {
+	return Member{ID: id, Name: name, Peer: "127.0.0.1:1"}
+}
+
+func TestSecondExcluderOfAViewIsVoid(t *testing.T) {
+	s := &State{}
+	for _, id := range []string{"a", "b", "c"} {
+		apply(t, s, id, NewChange(KindMemberJoin, id, 0, MemberJoin{Member: member(id, id)}))
+	}
+	base := s.Epoch
+	require.True(t, apply(t, s, "x1", NewChange(KindMemberExclude, "a", base, MemberEnd{ID: "b"})).Accepted)
+	require.False(t, apply(t, s, "x2", NewChange(KindMemberExclude, "b", base, MemberEnd{ID: "a"})).Accepted, "cut off from each other, both would go")
+	require.Len(t, s.Members, 2)
+	require.Equal(t, "b", s.Lost[0].ID)
+	require.False(t, apply(t, s, "x3", NewChange(KindMemberJoin, "b", 0, MemberJoin{Member: member("b", "b")})).Accepted, "an excluded member comes back under a new id only")
+}
+
+// TestFoldAgrees folds random records by one reader from the start, by one that
+// boots from a snapshot, and by one that reads JSON copies, and expects the
+// same state, versions that only grow, and withdrawn keys that stay so.
+func TestFoldAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &State{}
+		var log []mslog.Record
+		withdrawn := make(map[string]bool)
+		n := rapid.IntRange(1, 40).Draw(t, "records")
+		for range n {
+			r := record(s, fmt.Sprint(rapid.IntRange(0, 60).Draw(t, "id")), drawChange(t, s))
+			before := s.Clone()
+			out, err := s.Apply(r)
+			require.NoError(t, err)
+			log = append(log, r)
+			require.GreaterOrEqual(t, s.RulesVersion, before.RulesVersion)
+			require.GreaterOrEqual(t, s.Epoch, before.Epoch)
+			if !out.Accepted {
+				requireSame(t, before, s)
+			}
+			for _, k := range s.Rules.Keys {
+				require.False(t, withdrawn[k.ID], "key %s came back", k.ID)
+			}
+			for _, w := range s.Withdrawn {
+				withdrawn[w.ID] = true
+			}
+		}
+		first := rapid.IntRange(0, len(log)-1).Draw(t, "first")
+		booted, err := Boot(uint64(first), log[first:])
+		if err == nil {
+			require.Equal(t, s.Checksum(), booted.Checksum())
+		} else {
+			require.Positive(t, first)
+		}
+	})
+}
+
+// requireSame expects that a void record changed nothing but what was read.
+func requireSame(t require.TestingT, before, after *State) {
+	b, a := before.Clone(), after.Clone()
+	a.Next, a.Seen = b.Next, b.Seen
+	require.Equal(t, b.Checksum(), a.Checksum())
+}
+
+func drawChange(t *rapid.T, s *State) Change {
+	base := s.RulesVersion
+	if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+		base = uint64(rapid.IntRange(0, int(s.Next)).Draw(t, "base"))
+	}
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "member")
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	case 0:
+		return publish(base, rulesOf(rapid.IntRange(1, 9).Draw(t, "limit"), key))
+	case 1:
+		return publish(base, rulesOf(1))
+	case 2:
+		return NewChange(KindKeyGive, "test", base, KeyGive{Key: keyNamed(key)})
+	case 3:
+		return NewChange(KindKeyWithdraw, "test", base, KeyWithdraw{ID: key})
+	case 4:
+		return NewChange(KindMemberJoin, "test", 0, MemberJoin{Member: member(fmt.Sprint(id, s.Next), id)})
+	case 5:
+		return NewChange(KindMemberExclude, "test", s.Epoch, MemberEnd{ID: firstMember(s)})
+	case 6:
+		return NewChange(KindMemberLeave, "test", s.Epoch, MemberEnd{ID: firstMember(s)})
+	case 7:
+		return NewSnapshot(s, "test")
+	default:
+		return Change{Kind: "strange", By: "test"}
+	}
+}
+
+func firstMember(s *State) string {
+	if len(s.Members) == 0 {
+		return ""
+	}
+	return s.Members[0].ID
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"kind":"rules-publish","by":"x","body":{"rules":{}}}`))
+	f.Add([]byte(`{"kind":"member-join","body":{"member":{"id":"a","name":"a","peer":"x"}}}`))
+	f.Add([]byte(`{"kind":"key-give","body":7}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := &State{}
+		apply(t, s, "0", publish(0, rulesOf(3, "k1")))
+		before := s.Clone()
+		out, err := s.Apply(mslog.Record{Offset: s.Next, ID: "f", Data: json.RawMessage(data)})
+		require.NoError(t, err)
+		require.Equal(t, before.Next+1, s.Next)
+		if !out.Accepted {
+			requireSame(t, before, s)
+		}
+	})
+}
