msmember: freshness, proof of an outage, silent members

Cause: an entry must stop on old rules within seconds, yet an outage of the log must not refuse all work. Ruled out: a lease on the log alone (refuses everything in an outage); a majority of peers (a change accepted by the minority would not be heard). Change: own proof, peer's proof with its age, or every member cut off. Seen failing: outage not needing each member, proofs of records not folded.

--- /dev/null
+++ b/msmember/view_test.go
@@ -0,0 +1,129 @@
+package msmember
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msstate"
+)
+
+const second = time.Second
+
+var zero = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time {
+	return zero.Add(d)
+}
+
+func newView(members ...string) *View {
+	v := &View{Self: "a", Lease: 4 * second, CutAfter: 2 * second, ExcludeAfter: 5 * second}
+	v.Start(zero)
+	s := &msstate.State{Next: 10}
+	for _, m := range members {
+		s.Members = append(s.Members, msstate.Member{ID: m})
+	}
+	v.SetState(s, zero)
+	return v
+}
+
+func fresh(v *View, d time.Duration) bool {
+	ok, _ := v.Fresh(at(d))
+	return ok
+}
+
+func TestOwnProofLastsOneLeaseFromItsBeginning(t *testing.T) {
+	v := newView("a")
+	v.Proved(at(0), 10)
+	require.True(t, fresh(v, 4*second))
+	// The only member, once cut off, knows that nobody reads the log.
+	w := newView("a", "b")
+	w.Proved(at(0), 10)
+	require.True(t, fresh(w, 4*second))
+	require.False(t, fresh(w, 4*second+1))
+}
+
+func TestProofOfUnfoldedRecordsDoesNotCount(t *testing.T) {
+	v := newView("a", "b")
+	v.Proved(at(0), 11)
+	require.False(t, fresh(v, 0))
+	v.SetState(&msstate.State{Next: 11, Members: []msstate.Member{{ID: "a"}, {ID: "b"}}}, at(second))
+	require.True(t, fresh(v, second))
+}
+
+func TestPeerProofCountsWithItsAge(t *testing.T) {
+	v := newView("a", "b")
+	v.Heard(Status{Member: "b", Next: 10, HasProof: true, ProofAge: 3 * second}, at(10*second), at(11*second))
+	require.True(t, fresh(v, 11*second))
+	require.False(t, fresh(v, 11*second+1))
+}
+
+func TestPeerAheadIsNoProofButSaysSo(t *testing.T) {
+	v := newView("a", "b")
+	ahead := v.Heard(Status{Member: "b", Next: 12, HasProof: true}, at(0), at(0))
+	require.EqualValues(t, 12, ahead)
+	require.False(t, fresh(v, 0))
+}
+
+func TestOutageNeedsEveryMember(t *testing.T) {
+	v := newView("a", "b", "c")
+	cut := func(id string, d time.Duration) { v.Heard(Status{Member: id, Next: 10, Cut: true}, at(d), at(d)) }
+	cut("b", 10*second)
+	require.False(t, fresh(v, 10*second), "c may read the log")
+	cut("c", 11*second)
+	require.True(t, fresh(v, 11*second))
+	require.True(t, v.Outage(at(11*second)))
+	require.False(t, fresh(v, 14*second+1), "what b said is older than a lease")
+	v.Heard(Status{Member: "b", Next: 10}, at(15*second), at(15*second))
+	cut("c", 15*second)
+	require.False(t, fresh(v, 15*second), "b reads the log again")
+}
+
+func TestOutageIsNotProvedByOneThatIsAhead(t *testing.T) {
+	v := newView("a", "b")
+	v.Heard(Status{Member: "b", Next: 11, Cut: true}, at(10*second), at(10*second))
+	require.False(t, fresh(v, 10*second))
+}
+
+func TestEndedProcessCountsAsCut(t *testing.T) {
+	v := newView("a", "b", "c")
+	v.Heard(Status{Member: "b", Next: 10, Cut: true}, at(10*second), at(10*second))
+	v.Refused("c", at(10*second))
+	require.True(t, fresh(v, 11*second))
+}
+
+func TestExcludedEntryIsNeverFresh(t *testing.T) {
+	v := newView("a", "b")
+	v.Proved(at(0), 10)
+	v.SetState(&msstate.State{Next: 11, Members: []msstate.Member{{ID: "b"}}}, at(second))
+	v.Proved(at(second), 11)
+	require.False(t, fresh(v, second))
+}
+
+func TestSilentMemberIsNamedOnlyWhereNobodyHearsIt(t *testing.T) {
+	v := newView("a", "b", "c")
+	v.Heard(Status{Member: "b", Next: 10}, at(0), at(0))
+	v.Heard(Status{Member: "c", Next: 10, Hears: []string{"b"}}, at(6*second), at(6*second))
+	v.Proved(at(6*second), 10)
+	require.Empty(t, v.Silent(at(6*second)))
+	v.Heard(Status{Member: "c", Next: 10}, at(6*second), at(6*second))
+	v.Heard(Status{Member: "c", Next: 10}, at(7*second), at(7*second))
+	require.Equal(t, []string{"b"}, v.Silent(at(7*second)))
+	require.Empty(t, v.Silent(at(9*second)), "an entry that can't read the log excludes nobody")
+}
+
+func TestCleanNeedsAnUnbrokenLog(t *testing.T) {
+	v := newView("a", "b")
+	v.Proved(at(0), 10)
+	v.Proved(at(second), 10)
+	v.Heard(Status{Member: "b", Next: 10}, at(second), at(second))
+	v.Proved(at(2*second), 10)
+	require.True(t, v.Clean("b", at(3*second)))
+	require.False(t, v.Clean("c", at(3*second)))
+	v.Proved(at(9*second), 10)
+	require.False(t, v.Clean("b", at(9*second)), "the log was out of reach between")
+	v.Heard(Status{Member: "b", Next: 10, Unlogged: 1}, at(10*second), at(10*second))
+	v.Proved(at(10*second), 10)
+	require.False(t, v.Clean("b", at(10*second)))
+}
