msrequest: claims of idempotency keys, by the stream or from memory

Cause: a retry may land on another entry while the first is paused or lost. Ruled out: claims by the log alone (refuses all such work in an outage); claims by an owner in memory alone (a new owner can't know old claims). A second by reading: a late release of a refused claim freed a key that had been granted from memory; mended by FromMemory, with a test.

--- /dev/null
+++ b/msrequest/claims.go
@@ -0,0 +1,256 @@
+// Package msrequest keeps a request that is not idempotent from running twice.
+//
+// The caller names such a request by an idempotency key. Before the request may
+// leave for an upstream it is claimed: a record with the key goes onto the
+// claims stream of the platform's log, and the claim is granted only to the
+// first record of its key in the order of the stream. Every entry folds that
+// stream into a Table. All claims of one key are brought to one entry, the
+// key's home, which groups them into few appends.
+//
+// While the log is down for every entry nobody can append, and the view can't
+// change either. The home then grants claims from memory and appends them when
+// the log returns. A home that took over from one that was lost can't know such
+// claims; it answers unknown for every key that may be older than itself.
+package msrequest
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Verdict is the home's answer to a claim.
+type Verdict string
+
+// The verdicts.
+const (
+	// Granted lets the request run, this once.
+	Granted Verdict = "granted"
+	// Running says that another request with this key is under way.
+	Running Verdict = "running"
+	// Done says that a request with this key has run to its end.
+	Done Verdict = "done"
+	// Unknown says that a request with this key may have run.
+	Unknown Verdict = "unknown"
+	// Mismatch says that the key was used for a request that asked for something else.
+	Mismatch Verdict = "mismatch"
+	// NotHome says that the entry asked can't grant the key at present.
+	NotHome Verdict = "not-home"
+)
+
+// Outcome is what became of a claimed request.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeDone is a request that was answered by its upstream.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotRun is a request of which nothing reached an upstream.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown is a request that may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Claim is one try to run a keyed request.
+type Claim struct {
+	Team string `json:"team"`
+	Key  string `json:"key"`
+	// Request is the id of the caller's request at the entry that took it.
+	Request string `json:"request"`
+	// Digest is a hash of what the request asks for.
+	Digest string `json:"digest,omitempty"`
+}
+
+// Event is one record of the claims stream.
+type Event struct {
+	Claim Claim `json:"claim"`
+	// Outcome is empty where the event claims the key, and else settles it.
+	Outcome Outcome `json:"outcome,omitempty"`
+	// Status is the HTTP status of the answer, where the outcome is done.
+	Status int `json:"status,omitempty"`
+	// FromMemory marks a claim that was granted while the log was down. It holds
+	// the key whatever stands before it on the stream, for it may have run.
+	FromMemory bool `json:"from-memory,omitempty"`
+}
+
+// Table is the fold of the claims stream, with the claims of this entry that
+// have not reached the stream. The zero value is empty and keeps claims for
+// DefaultWindow. It is safe for concurrent use.
+type Table struct {
+	// Window is how long a key is kept after its last event.
+	Window time.Duration
+
+	mu sync.Mutex
+	// The rest is guarded by mu.
+	claims   map[id]*entry
+	order    []expiry
+	unlogged int
+}
+
+// DefaultWindow is how long a key is kept where no other time is set.
+const DefaultWindow = 10 * time.Minute
+
+type id struct {
+	team, key string
+}
+
+type entry struct {
+	claim    Claim
+	outcome  Outcome
+	status   int
+	last     time.Time
+	unlogged bool
+}
+
+type expiry struct {
+	id id
+	at time.Time
+}
+
+// Answer is a verdict with what belongs to it.
+type Answer struct {
+	Verdict Verdict
+	// Status is the HTTP status of the first answer, where the verdict is Done.
+	Status int
+}
+
+// Apply folds an event that was read from the stream. A claim of a key that is
+// already claimed changes nothing, and neither does a late settlement of a
+// request that doesn't hold the key.
+func (t *Table) Apply(e Event, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := id{e.Claim.Team, e.Claim.Key}
+	held := t.claims[k]
+	if held != nil && held.unlogged && held.claim.Request == e.Claim.Request && held.outcome == e.Outcome {
+		held.unlogged = false
+		t.unlogged--
+	}
+	if e.Outcome != "" {
+		t.settle(k, e, now)
+		return
+	}
+	free := held == nil || held.outcome == OutcomeNotRun
+	taken := e.FromMemory && held != nil && held.outcome != OutcomeDone && held.claim.Request != e.Claim.Request
+	if free || taken {
+		t.put(k, &entry{claim: e.Claim, last: now})
+	}
+}
+
+// settleHeld settles a claim that has not reached the stream, and reports
+// whether there is one.
+func (t *Table) settleHeld(e Event, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := id{e.Claim.Team, e.Claim.Key}
+	held := t.claims[k]
+	if held == nil || !held.unlogged || held.claim.Request != e.Claim.Request {
+		return false
+	}
+	t.settle(k, e, now)
+	return true
+}
+
+func (t *Table) settle(k id, e Event, now time.Time) {
+	held := t.claims[k]
+	if held == nil || held.claim.Request != e.Claim.Request || held.outcome == OutcomeDone {
+		return
+	}
+	held.outcome = e.Outcome
+	held.status = e.Status
+	held.last = now
+	t.order = append(t.order, expiry{id: k, at: now})
+}
+
+func (t *Table) put(k id, e *entry) {
+	if t.claims == nil {
+		t.claims = make(map[id]*entry)
+	}
+	t.claims[k] = e
+	t.order = append(t.order, expiry{id: k, at: e.last})
+}
+
+// Look says what is known of the claim's key: Granted where the claim holds it
+// already, and ok is false where nothing bars a new claim.
+func (t *Table) Look(c Claim) (a Answer, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.claims[id{c.Team, c.Key}]
+	if e == nil || e.outcome == OutcomeNotRun {
+		return Answer{}, false
+	}
+	switch {
+	case e.claim.Request == c.Request && e.outcome == "":
+		return Answer{Verdict: Granted}, true
+	case e.claim.Digest != c.Digest:
+		return Answer{Verdict: Mismatch}, true
+	case e.outcome == OutcomeDone:
+		return Answer{Verdict: Done, Status: e.status}, true
+	case e.outcome == OutcomeUnknown:
+		return Answer{Verdict: Unknown}, true
+	default:
+		return Answer{Verdict: Running}, true
+	}
+}
+
+// Hold claims the key in memory alone, and reports whether it was free.
+func (t *Table) Hold(c Claim, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := id{c.Team, c.Key}
+	old := t.claims[k]
+	if old != nil && old.outcome != OutcomeNotRun {
+		return false
+	}
+	if old != nil && old.unlogged {
+		t.unlogged--
+	}
+	t.put(k, &entry{claim: c, last: now, unlogged: true})
+	t.unlogged++
+	return true
+}
+
+// Unlogged returns how many claims the entry holds that have not reached the
+// stream.
+func (t *Table) Unlogged() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unlogged
+}
+
+// Expire drops the keys whose last event is older than the window.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	window := t.Window
+	if window == 0 {
+		window = DefaultWindow
+	}
+	n := 0
+	for ; n < len(t.order) && now.Sub(t.order[n].at) > window; n++ {
+		k := t.order[n].id
+		if e := t.claims[k]; e != nil && now.Sub(e.last) > window && !e.unlogged {
+			delete(t.claims, k)
+		}
+	}
+	t.order = t.order[n:]
+}
+
+// Len returns how many keys the table holds.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.claims)
+}
+
+// KeyTime returns when an idempotency key was made, where the key is a UUID of
+// version 7, and false for every other key.
+func KeyTime(key string) (time.Time, bool) {
+	u, err := uuid.Parse(key)
+	if err != nil || u.Version() != 7 {
+		return time.Time{}, false
+	}
+	sec, nsec := u.Time().UnixTime()
+	return time.Unix(sec, nsec), true
+}
