--- a/Makefile
+++ b/Makefile
@@ -59,4 +59,4 @@
 	go test -run '^$$' -bench . -benchmem ./...
 
 generate:
-	cd msentry/entrypb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative entry.proto
+	cd mspeer && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
