--- a/mspool/ownership.go
+++ b/mspool/ownership.go
@@ -10,6 +10,9 @@
 	Through uint64 `json:"through"`
 	// VMs holds each VM ever assigned, by name.
 	VMs map[string]Holding `json:"vms,omitempty"`
+	// Taken is, by pool, the offset of the last record that took a VM out of
+	// service there.
+	Taken map[string]uint64 `json:"taken,omitempty"`
 }
 
 // Holding is what the log says of one VM. The VM belongs to Pool at each moment
@@ -66,6 +69,10 @@
 	VM   string `json:"vm"`
 	// Base is the offset of the VM's last change that the writer knew, 0 for none.
 	Base uint64 `json:"base"`
+	// Seen is the offset through which the writer had folded the log. Two writers
+	// who each take a VM from one pool could break its budget together, so the
+	// one that had not seen the other's record is void.
+	Seen uint64 `json:"seen,omitempty"`
 	From string `json:"from,omitempty"`
 	To   string `json:"to,omitempty"`
 	// By names the operator or entry that asked.
@@ -85,6 +92,9 @@
 	DuplicateID VoidReason = "duplicate-id"
 	// StaleBase means that the VM has changed since the record was decided.
 	StaleBase VoidReason = "stale-base"
+	// StaleBudget means that another VM of the pool has been taken out of service
+	// since the record was decided.
+	StaleBudget VoidReason = "stale-budget"
 	// WrongState means that the VM is not where the record takes it from.
 	WrongState VoidReason = "wrong-state"
 )
@@ -112,9 +122,15 @@
 	}
 	o.Through = r.Offset
 	next, reason := now.after(r)
+	if reason == "" && r.takes(now) && !o.CanTake(now.Pool, r.Seen) {
+		reason = StaleBudget
+	}
 	if reason != "" {
 		return &VoidError{Reason: reason, Record: r, Now: now}
 	}
+	if r.takes(now) {
+		o.Take(now.Pool, r.Offset)
+	}
 	if o.VMs == nil {
 		o.VMs = make(map[string]Holding)
 	}
@@ -122,6 +138,26 @@
 	return nil
 }
 
+// CanTake reports whether a record decided on the state through seen may still
+// take a VM of pool out of service.
+func (o *Ownership) CanTake(pool string, seen uint64) bool {
+	return seen >= o.Taken[pool]
+}
+
+// Take notes that the record at offset took a VM of pool out of service.
+// Maintenance calls it for the VMs that it drains.
+func (o *Ownership) Take(pool string, offset uint64) {
+	if o.Taken == nil {
+		o.Taken = make(map[string]uint64)
+	}
+	o.Taken[pool] = offset
+}
+
+// takes reports whether r takes a VM out of service that is in service by h.
+func (r Record) takes(h Holding) bool {
+	return h.Phase == InPool && (r.Kind == VMMoveOut || r.Kind == VMRetire)
+}
+
 // PoolOf returns the pool that owns vm, and whether vm may take new work there.
 func (o *Ownership) PoolOf(vm string) (pool string, open bool) {
 	h := o.VMs[vm]
--- a/mspool/table.go
+++ b/mspool/table.go
@@ -29,6 +29,8 @@
 	LastMaintained time.Time
 	// Running is how many requests the VM last reported.
 	Running int
+	// BootID changes with every boot.
+	BootID string
 	// Changed is the offset of the VM's last ownership record.
 	Changed uint64
 }
@@ -55,7 +57,8 @@
 	Size int
 	// Slots is how many requests one VM runs at a time.
 	Slots int
-	// Available is the lowest part of Size that must serve, in percent.
+	// Available is the lowest part of Size that must serve, in percent. The
+	// spare pool usually has 0.
 	Available int
 	// Spare marks the pool that lends VMs to the others.
 	Spare bool
@@ -63,12 +66,8 @@
 
 const percent = 100
 
-// Needed returns how many VMs have to serve for the budget to hold. The spare
-// pool serves nobody and needs none.
+// Needed returns how many VMs have to serve for the budget to hold.
 func (p Pool) Needed() int {
-	if p.Spare {
-		return 0
-	}
 	return (p.Size*p.Available + percent - 1) / percent
 }
 
@@ -94,6 +93,9 @@
 	pool Pool
 	all  []int
 	up   []int
+	// serving is the number of VMs up; a Guard lowers it for what it takes.
+	serving int
+	needed  int
 	// arriving are VMs of other pools on their way in.
 	arriving []int
 	// leaving counts members on their way out.
@@ -130,6 +132,7 @@
 	}
 	if v.Up() {
 		m.up = append(m.up, i)
+		m.serving++
 		m.racks[v.Rack]++
 		m.centres[v.DataCentre]++
 	}
