--- a/mspool/guard.go
+++ b/mspool/guard.go
@@ -8,13 +8,15 @@
 	pools map[string]*members
 }
 
-// NewGuard counts t. The spare pool keeps keepSpare VMs up.
+// NewGuard counts t. The spare pool keeps keepSpare VMs up, or as many as still
+// let one of its VMs go.
 func NewGuard(t Table, keepSpare int) *Guard {
 	x := newIndex(t)
 	for _, m := range x.pools {
 		m.needed = m.pool.Needed()
 		if m.pool.Spare {
-			m.needed = max(m.needed, keepSpare)
+			free := len(m.all) - 1 - worst(m.racks, 0).Serving
+			m.needed = max(m.needed, min(keepSpare, free))
 		}
 	}
 	return &Guard{pools: x.byName}
@@ -58,6 +60,13 @@
 	return true
 }
 
+// Safe reports whether the budget of pool holds and would still hold without
+// its worst rack.
+func (g *Guard) Safe(pool string) bool {
+	m := g.pools[pool]
+	return m == nil || worst(m.racks, m.serving-m.needed).Margin >= 0
+}
+
 // Shortage returns how many more serving VMs the pool of v needs before v may
 // go, 0 where it may go now.
 func (g *Guard) Shortage(v VM) int {
--- a/mspool/table.go
+++ b/mspool/table.go
@@ -27,8 +27,10 @@
 	// LastMaintained is when the VM last came back from a maintenance reboot or
 	// from a repair.
 	LastMaintained time.Time
-	// Running is how many requests the VM last reported.
-	Running int
+	// Running is how many requests the VM ran when it last reported, at
+	// ReportedAt.
+	Running    int
+	ReportedAt time.Time
 	// BootID changes with every boot.
 	BootID string
 	// Changed is the offset of the VM's last ownership record.
