--- a/mspool/ownership.go
+++ b/mspool/ownership.go
@@ -22,6 +22,9 @@
 	Phase Phase  `json:"phase"`
 	// To is the pool that a move under way leads to.
 	To string `json:"to,omitempty"`
+	// Lent says that the VM, of the spare pool, runs the platform's jobs until it
+	// is recalled.
+	Lent bool `json:"lent,omitempty"`
 	// Changed is the offset of the VM's last accepted record, which the next one
 	// has to name as its base.
 	Changed uint64 `json:"changed"`
@@ -54,6 +57,10 @@
 	// VMMoveIn puts the VM into pool To. A drained VM may go into any pool; one
 	// that is still moving out may only go back, which cancels its move.
 	VMMoveIn Kind = "vm-move-in"
+	// VMLend lets the platform's jobs use a VM that its pool doesn't need.
+	VMLend Kind = "vm-lend"
+	// VMRecall takes a lent VM back. It may be moved at once, and drains first.
+	VMRecall Kind = "vm-recall"
 	// VMRetire takes the VM out of the fleet. Its entry stays, so that a late
 	// copy of an old record finds its base stale.
 	VMRetire Kind = "vm-retire"
@@ -155,7 +162,10 @@
 
 // takes reports whether r takes a VM out of service that is in service by h.
 func (r Record) takes(h Holding) bool {
-	return h.Phase == InPool && (r.Kind == VMMoveOut || r.Kind == VMRetire)
+	if h.Phase != InPool || h.Lent {
+		return false
+	}
+	return r.Kind == VMMoveOut || r.Kind == VMRetire || r.Kind == VMLend
 }
 
 // PoolOf returns the pool that owns vm, and whether vm may take new work there.
@@ -164,6 +174,13 @@
 	if h.Phase == Retired {
 		return "", false
 	}
+	return h.Pool, h.Phase == InPool && !h.Lent
+}
+
+// Stays returns the pool that owns vm, and whether no move of it is under way, so
+// that maintenance may take it.
+func (o *Ownership) Stays(vm string) (pool string, stays bool) {
+	h := o.VMs[vm]
 	return h.Pool, h.Phase == InPool
 }
 
@@ -184,6 +201,8 @@
 	case VMDrained:
 		next.Phase = Drained
 		next.To = h.To
+	case VMLend:
+		next.Lent = true
 	case VMRetire:
 		next.Pool = ""
 		next.Phase = Retired
@@ -214,7 +233,7 @@
 		return r.To != ""
 	case VMMoveOut:
 		return r.From != "" && r.To != "" && r.From != r.To
-	case VMDrained, VMRetire:
+	case VMDrained, VMRetire, VMLend, VMRecall:
 		return true
 	}
 	return false
@@ -225,7 +244,11 @@
 	case VMAssign:
 		return h.Phase == "" || h.Phase == Retired
 	case VMMoveOut:
-		return h.Phase == InPool && h.Pool == r.From
+		return h.Phase == InPool && h.Pool == r.From && !h.Lent
+	case VMLend:
+		return h.Phase == InPool && !h.Lent
+	case VMRecall:
+		return h.Lent
 	case VMDrained:
 		return h.Phase == MovingOut
 	case VMMoveIn:
--- a/mspool/table.go
+++ b/mspool/table.go
@@ -22,8 +22,12 @@
 	Since time.Time
 	// Moving is the target of a move under way.
 	Moving string
+	// MovingSince is the time of the record that began the move.
+	MovingSince time.Time
 	// MoveDrained says that the move's VMDrained record is accepted.
 	MoveDrained bool
+	// Lent says that the platform's jobs use the VM.
+	Lent bool
 	// LastMaintained is when the VM last came back from a maintenance reboot or
 	// from a repair.
 	LastMaintained time.Time
@@ -76,12 +80,19 @@
 // Up reports whether the VM counts for the budget of its pool now: it serves,
 // or waits in the spare pool, and no move has begun.
 func (v VM) Up() bool {
-	if v.Pool == "" || v.Moving != "" {
+	if v.Pool == "" || v.Moving != "" || v.Lent {
 		return false
 	}
 	return v.State == Serving || v.State == Idle
 }
 
+// Runs reports whether the VM is up and in a pool, lent or not, so that
+// maintenance can take it.
+func (v VM) Runs() bool {
+	v.Lent = false
+	return v.Up()
+}
+
 // index is a Table's pools with their members, built in one pass.
 type index struct {
 	pools  []*members
@@ -100,10 +111,8 @@
 	needed  int
 	// arriving are VMs of other pools on their way in.
 	arriving []int
-	// leaving counts members on their way out.
-	leaving int
-	racks   map[string]int
-	centres map[string]int
+	racks    map[string]int
+	centres  map[string]int
 }
 
 func newIndex(t Table) *index {
@@ -129,9 +138,6 @@
 		return
 	}
 	m.all = append(m.all, i)
-	if v.Moving != "" {
-		m.leaving++
-	}
 	if v.Up() {
 		m.up = append(m.up, i)
 		m.serving++
--- a/mswave/fold.go
+++ b/mswave/fold.go
@@ -63,14 +63,14 @@
 	if !s.allowsVM(r.Kind, target) {
 		return mspool.WrongState
 	}
-	pool, open := own.PoolOf(target.VM)
+	pool, stays := own.Stays(target.VM)
 	if r.Kind == Discard && pool != "" {
 		return mspool.WrongState
 	}
 	if r.Kind != Drain {
 		return ""
 	}
-	if !open || pool != target.Pool {
+	if !stays || pool != target.Pool {
 		return mspool.WrongState
 	}
 	if !own.CanTake(pool, r.Seen) {
--- a/mswave/plan.go
+++ b/mswave/plan.go
@@ -45,7 +45,7 @@
 	if len(t.Pools) == 0 {
 		return Forecast{}, &PlanError{Wave: name, Reason: "the table has no pool"}
 	}
-	due := func(v mspool.VM) bool { return v.Up() && isDue(cfg, v) }
+	due := func(v mspool.VM) bool { return v.Runs() && isDue(cfg, v) }
 	f := Forecast{Loans: loans(t, cfg, due)}
 	q := newQueues(t, due)
 	returned := 0
--- a/mswave/rules.go
+++ b/mswave/rules.go
@@ -43,7 +43,7 @@
 
 // isDue reports whether the wave has yet to take v, and can.
 func (w *work) isDue(v mspool.VM) bool {
-	if w.state.VMs[v.Name].Phase != "" || !v.Up() {
+	if w.state.VMs[v.Name].Phase != "" || !v.Runs() {
 		return false
 	}
 	return isDue(w.cfg, v)
@@ -63,6 +63,13 @@
 	return max(0, limit-out)
 }
 
+const percent = 100
+
+// stopAt returns how many lost VMs stop the wave.
+func (w *work) stopAt() int {
+	return w.cfg.StopAfter + w.cfg.StopPercent*w.state.count(Returned)/percent
+}
+
 func (w *work) lost() []Target {
 	var out []Target
 	for _, v := range w.view.Table.VMs {
--- a/mswave/settings.go
+++ b/mswave/settings.go
@@ -14,9 +14,12 @@
 	// Canary is how many VMs go before any has returned, 1 where it is 0. Later
 	// no more VMs go at a time than twice those that have returned.
 	Canary int `json:"canary,omitempty"`
-	// StopAfter is how many VMs that did not come back stop the wave, 2 where
-	// it is 0.
-	StopAfter int `json:"stop-after,omitempty"`
+	// StopAfter is how many VMs that did not come back stop the wave while few
+	// have returned, 2 where it is 0. StopPercent of those that have returned is
+	// added to it, 10 where it is 0: a bad image shows in the first VMs, and a
+	// large wave always loses some.
+	StopAfter   int `json:"stop-after,omitempty"`
+	StopPercent int `json:"stop-percent,omitempty"`
 	// KeepSpare is how many VMs the spare pool keeps in service.
 	KeepSpare int `json:"keep-spare,omitempty"`
 	// Lease is how long an entry may send work after it last read the log.
@@ -37,6 +40,7 @@
 const (
 	DefaultCanary      = 1
 	DefaultStopAfter   = 2
+	DefaultStopPercent = 10
 	DefaultLease       = 4 * time.Second
 	DefaultMaxRun      = 5 * time.Minute
 	DefaultBootTimeout = 15 * time.Minute
@@ -52,6 +56,7 @@
 func (s Settings) filled() Settings {
 	s.Canary = orInt(s.Canary, DefaultCanary)
 	s.StopAfter = orInt(s.StopAfter, DefaultStopAfter)
+	s.StopPercent = orInt(s.StopPercent, DefaultStopPercent)
 	s.Lease = orTime(s.Lease, DefaultLease)
 	s.MaxRun = orTime(s.MaxRun, DefaultMaxRun)
 	s.BootTimeout = orTime(s.BootTimeout, DefaultBootTimeout)
--- a/mswave/why.go
+++ b/mswave/why.go
@@ -85,7 +85,7 @@
 	if v.Moving != "" {
 		return []Reason{reason(Moving, "moving from pool %s to %s", v.Pool, v.Moving)}
 	}
-	if !marked.Up() {
+	if !marked.Runs() {
 		return []Reason{reason(NotUp, "it is %s in pool %q", v.State, v.Pool)}
 	}
 	var out []Reason
