--- a/mspool/guard.go
+++ b/mspool/guard.go
@@ -8,15 +8,14 @@
 	pools map[string]*members
 }
 
-// NewGuard counts t. The spare pool keeps keepSpare VMs up, or as many as still
-// let one of its VMs go.
+// NewGuard counts t. The spare pool also keeps keepSpare VMs up, or as many as
+// still let one of its VMs go; that is no budget, and a rack may break it.
 func NewGuard(t Table, keepSpare int) *Guard {
 	x := newIndex(t)
 	for _, m := range x.pools {
 		m.needed = m.pool.Needed()
 		if m.pool.Spare {
-			free := len(m.all) - 1 - worst(m.racks, 0).Serving
-			m.needed = max(m.needed, min(keepSpare, free))
+			m.keep = min(keepSpare, len(m.all)-1)
 		}
 	}
 	return &Guard{pools: x.byName}
@@ -44,7 +43,7 @@
 	l := worst(m.racks, left.Up-left.Needed)
 	m.racks[v.Rack]++
 	left.Rack, left.Lost = l.Domain, l.Serving
-	left.OK = l.Margin >= 0
+	left.OK = l.Margin >= 0 && left.Up >= m.keep
 	return left
 }
 
--- a/mspool/moves.go
+++ b/mspool/moves.go
@@ -124,15 +124,15 @@
 // inflow returns how many VMs t is to get now.
 func (p *planner) inflow(t *tally) int {
 	lack := t.want - t.present
+	short := t.short()
 	if lack > 0 {
-		urgent := max(t.short(), p.patches(t), t.loan)
-		return max(0, min(lack, urgent))
+		return max(0, min(lack, max(short, p.patches(t), t.loan)))
 	}
 	crowded := worst(t.racks, 0).Serving
 	if crowded < 2 {
 		return 0
 	}
-	return max(0, min(t.short(), crowded-1+lack))
+	return max(0, min(short, crowded-1+lack))
 }
 
 // patches counts members that have been failed for so long that they are
@@ -178,11 +178,11 @@
 func (p *planner) surplus(t *tally) []int {
 	var out []int
 	for _, from := range p.pools {
-		if from == t || from.pool.Spare || from.present <= from.want {
+		if from == t || from.pool.Spare {
 			continue
 		}
 		for _, i := range from.up {
-			if !p.used[i] && p.guard.Check(p.table.VMs[i]).OK {
+			if p.canGive(from, i) {
 				out = append(out, i)
 			}
 		}
@@ -190,6 +190,19 @@
 	return out
 }
 
+// canGive reports whether t has VM i beyond its size and would not ask for one
+// in its place, so that VMs never go round in a circle.
+func (p *planner) canGive(t *tally, i int) bool {
+	v := p.table.VMs[i]
+	if p.used[i] || t.present <= t.want || !p.guard.Check(v).OK {
+		return false
+	}
+	t.remove(v)
+	short := t.short()
+	t.add(v)
+	return short <= 0
+}
+
 // spares returns the VMs of the spare pool that are ready.
 func (p *planner) spares() []int {
 	if p.spare == nil {
--- a/mspool/plan.go
+++ b/mspool/plan.go
@@ -37,7 +37,9 @@
 // ClockSkew is allowed for between the writer of a record and its reader.
 const ClockSkew = 2 * time.Second
 
-// Loan is a number of spare VMs that a pool is to have beyond its size.
+// Loan is what a pool needs while a wave waits to take its VMs: so many spare
+// VMs beyond its size, and its failed VMs replaced at once where one VM less
+// would keep the wave from going on.
 type Loan struct {
 	Pool string `json:"pool"`
 	VMs  int    `json:"vms"`
@@ -114,6 +116,8 @@
 	present int
 	want    int
 	loan    int
+	// inWave says that a wave waits for VMs of the pool.
+	inWave  bool
 	racks   map[string]int
 	centres map[string]int
 }
@@ -142,6 +146,7 @@
 		if one := p.byName[l.Pool]; one != nil {
 			one.want += l.VMs
 			one.loan = l.VMs
+			one.inWave = true
 		}
 	}
 	return p
@@ -172,9 +177,13 @@
 }
 
 // short returns how many more VMs the pool needs to keep its budget with its
-// worst rack gone.
+// worst rack gone, and with one VM out where a wave waits for it.
 func (t *tally) short() int {
-	return t.pool.Needed() + worst(t.racks, 0).Serving - t.present
+	short := t.pool.Needed() + worst(t.racks, 0).Serving - t.present
+	if t.inWave {
+		short++
+	}
+	return short
 }
 
 func (p *planner) decide(i int, k Kind, to, reason string) {
--- a/mspool/plan_test.go
+++ b/mspool/plan_test.go
@@ -115,6 +115,11 @@
 		f := newFleet(t, testPoolsOf(4), 50, 13)
 		cfg := Settings{Lend: rapid.Bool().Draw(t, "lend"), Hold: rapid.IntRange(0, 4).Draw(t, "hold")}
 		f.settle(cfg)
+		for _, p := range f.table.Pools {
+			if !p.Spare && rapid.Bool().Draw(t, "wave") {
+				cfg.Loans = append(cfg.Loans, Loan{Pool: p.Name, VMs: rapid.IntRange(0, 1).Draw(t, "loan")})
+			}
+		}
 		for range rapid.IntRange(1, 12).Draw(t, "events") {
 			f.event(t)
 			for range rapid.IntRange(0, 20).Draw(t, "minutes") {
--- a/mspool/spare.go
+++ b/mspool/spare.go
@@ -61,7 +61,7 @@
 		return
 	}
 	for _, t := range p.pools {
-		if t.pool.Spare || t.present <= t.want {
+		if t.pool.Spare {
 			continue
 		}
 		if i, ok := p.mostCrowded(t); ok {
@@ -78,7 +78,7 @@
 	at := -1
 	for _, i := range t.up {
 		v := p.table.VMs[i]
-		if p.used[i] || !p.guard.Check(v).OK {
+		if !p.canGive(t, i) {
 			continue
 		}
 		if at < 0 || t.spreadsMore(p.table.VMs[at], v) {
--- a/mspool/table.go
+++ b/mspool/table.go
@@ -109,6 +109,8 @@
 	// serving is the number of VMs up; a Guard lowers it for what it takes.
 	serving int
 	needed  int
+	// keep is how many VMs a Guard keeps up beside the budget.
+	keep int
 	// arriving are VMs of other pools on their way in.
 	arriving []int
 	racks    map[string]int
--- a/mswave/plan.go
+++ b/mswave/plan.go
@@ -46,7 +46,7 @@
 		return Forecast{}, &PlanError{Wave: name, Reason: "the table has no pool"}
 	}
 	due := func(v mspool.VM) bool { return v.Runs() && isDue(cfg, v) }
-	f := Forecast{Loans: loans(t, cfg, due)}
+	f := Forecast{Loans: lending(loans(t, cfg, due))}
 	q := newQueues(t, due)
 	returned := 0
 	for q.left() > 0 {
@@ -69,10 +69,9 @@
 	return f, nil
 }
 
-// Loans returns the spare VMs that pools need before the wave can take any of
-// their VMs. The caller hands them to mspool.Plan, which moves them in, and out
-// again once the pool asks for none. A pool that can do without asks for none:
-// a loan is two moves.
+// Loans returns a loan for each pool that the wave has yet to take VMs of. Most
+// are of 0 VMs: a pool asks for spare VMs only where none of its VMs could ever
+// go without, as a VM lent is two moves. The caller hands them to mspool.Plan.
 func Loans(s *State, view View, now time.Time) []mspool.Loan {
 	if s.Status != Running && s.Status != Stopped {
 		return nil
@@ -85,6 +84,17 @@
 	return loans(view.Table, w.cfg, pending)
 }
 
+// lending returns the loans of one VM or more.
+func lending(all []mspool.Loan) []mspool.Loan {
+	var out []mspool.Loan
+	for _, l := range all {
+		if l.VMs > 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // loans counts what would be missing if every member were up: what is down now
 // comes back without a loan.
 func loans(t mspool.Table, cfg Settings, due func(mspool.VM) bool) []mspool.Loan {
@@ -104,8 +114,8 @@
 	}
 	var out []mspool.Loan
 	for _, p := range t.Pools {
-		if n := need[p.Name]; n > 0 && waiting[p.Name] && !p.Spare {
-			out = append(out, mspool.Loan{Pool: p.Name, VMs: n})
+		if waiting[p.Name] && !p.Spare {
+			out = append(out, mspool.Loan{Pool: p.Name, VMs: need[p.Name]})
 		}
 	}
 	return out
--- a/mswave/rules.go
+++ b/mswave/rules.go
@@ -70,6 +70,30 @@
 	return w.cfg.StopAfter + w.cfg.StopPercent*w.state.count(Returned)/percent
 }
 
+// weight returns how much the lost VMs speak against the wave. A rack that is
+// down as a whole counts once: a bad image would spare what has not rebooted.
+func (w *work) weight(lost []Target) int {
+	down := make(map[string]bool)
+	rackOf := make(map[string]string, len(w.view.Table.VMs))
+	for _, v := range w.view.Table.VMs {
+		rackOf[v.Name] = v.Rack
+		was, seen := down[v.Rack]
+		down[v.Rack] = v.State == mspool.Failed && (was || !seen)
+	}
+	n := 0
+	counted := make(map[string]bool)
+	for _, target := range lost {
+		rack := rackOf[target.VM]
+		whole := down[rack] && rack != ""
+		if whole && counted[rack] {
+			continue
+		}
+		counted[rack] = whole
+		n++
+	}
+	return n
+}
+
 func (w *work) lost() []Target {
 	var out []Target
 	for _, v := range w.view.Table.VMs {
--- a/mswave/step.go
+++ b/mswave/step.go
@@ -113,7 +113,7 @@
 // decide returns the most urgent record of this step.
 func (w *work) decide() (Record, bool) {
 	if w.state.Status == Running {
-		if lost := w.lost(); len(lost) >= w.stopAt() {
+		if lost := w.lost(); w.weight(lost) >= w.stopAt() {
 			r := w.record(Stop, nil)
 			r.Reason = fmt.Sprintf("%d VMs did not come back or failed soon after, %s among them", len(lost), lost[0].VM)
 			return r, true
@@ -155,7 +155,7 @@
 	if w.state.Held || w.now.Sub(w.state.StoppedAt) < w.cfg.Quiet {
 		return Record{}, false
 	}
-	if len(w.lost()) >= w.stopAt() {
+	if w.weight(w.lost()) >= w.stopAt() {
 		return Record{}, false
 	}
 	return w.record(Resume, nil), true
