--- a/mslog/errors.go
+++ b/mslog/errors.go
@@ -38,6 +38,9 @@
 // ErrTimeout is the cause of a request that was given up at its timeout.
 var ErrTimeout = errors.New("no answer within the timeout")
 
+// ErrGap is the cause when records that would have told the outcome expired.
+var ErrGap = errors.New("records expired before they were read")
+
 // Error is what every operation of this package returns when it fails.
 type Error struct {
 	// Op is the operation: append, read or vms.
