--- /dev/null
+++ b/msentry/claims.go
@@ -0,0 +1,257 @@
+package msentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/mslog"
+	"marjoramspan/mspeer"
+	"marjoramspan/msrequest"
+	"marjoramspan/mstoken"
+)
+
+// claims is the entry's part in keeping keyed requests from running twice: the
+// fold of the claims stream, and the home of the keys that fall to this entry.
+type claims struct {
+	e       *Entry
+	table   *msrequest.Table
+	home    *msrequest.Home
+	batcher *mslog.Batcher
+
+	mu sync.Mutex
+	// The rest is guarded by mu. folded is closed and replaced when next moves.
+	next     uint64
+	folded   chan struct{}
+	turnedAt time.Time
+	epoch    uint64
+	proved   time.Time
+}
+
+const (
+	// claimTimeout bounds a claim, the append and its read-back included.
+	claimTimeout = 2 * time.Second
+	// claimDelay is how long a batch of claims waits for more.
+	claimDelay = 10 * time.Millisecond
+	// claimBatch is the most claims in one append.
+	claimBatch = 500
+	// settleTries is how often an entry tells a home what became of a claim.
+	settleTries = 5
+	// claimRest is the pause between two looks at what has to be flushed.
+	claimRest = 500 * time.Millisecond
+)
+
+var errBehind = errors.New("the claims stream has not been read back")
+
+func newClaims(e *Entry) *claims {
+	c := &claims{e: e, folded: make(chan struct{})}
+	c.table = &msrequest.Table{Window: e.Settings.Limits.IdempotencyWindow}
+	c.batcher = &mslog.Batcher{
+		Client:   e.log,
+		Clock:    e.Clock,
+		Jitter:   e.random.Float64,
+		Stream:   StreamClaims,
+		MaxBatch: claimBatch,
+		MaxDelay: claimDelay,
+	}
+	c.home = &msrequest.Home{
+		Table:  c.table,
+		Clock:  e.Clock,
+		Append: c.append,
+		Caught: c.caught,
+		Outage: func() bool { return e.view.Outage(e.now()) },
+		Logged: func() bool { return e.view.Logged(e.now()) },
+		Unsure: e.unsure,
+	}
+	return c
+}
+
+// turned notes a new view, in which the homes of keys may be others.
+func (c *claims) turned(epoch uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch != c.epoch {
+		c.epoch = epoch
+		c.turnedAt = now
+	}
+}
+
+// caught says whether the stream was read to its end after the lease of any home
+// of an earlier view had lapsed.
+func (c *claims) caught() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proved.After(c.turnedAt.Add(c.e.Settings.Limits.Lease))
+}
+
+// append puts events on the stream and waits until they have been folded here.
+func (c *claims) append(ctx context.Context, es []msrequest.Event) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	data, err := json.Marshal(es)
+	if err != nil {
+		return err
+	}
+	r, err := c.batcher.Add(ctx, mslog.Record{ID: uuid.NewString(), Data: data})
+	if err != nil {
+		return err
+	}
+	for {
+		c.mu.Lock()
+		next, folded := c.next, c.folded
+		c.mu.Unlock()
+		if next > r.Offset {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errBehind
+		case <-folded:
+		}
+	}
+}
+
+// apply folds one record of the stream.
+func (c *claims) apply(r mslog.Record) {
+	var es []msrequest.Event
+	if err := json.Unmarshal(r.Data, &es); err != nil {
+		c.e.Log.Error("claims record can't be read", zap.Uint64("offset", r.Offset), zap.Error(err))
+	}
+	now := c.e.now()
+	for _, ev := range es {
+		c.table.Apply(ev, now)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = r.Offset + 1
+	close(c.folded)
+	c.folded = make(chan struct{})
+}
+
+func (c *claims) prove(start time.Time, _ uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proved = start
+}
+
+// follow folds the stream until ctx is done.
+func (c *claims) follow(ctx context.Context) error {
+	t := &mslog.Tail{
+		Client: c.e.log,
+		Clock:  c.e.Clock,
+		Jitter: c.e.random.Float64,
+		Stream: StreamClaims,
+		Apply:  c.apply,
+		Proof:  c.prove,
+	}
+	t.Expired = func(first uint64) { t.From = first }
+	return t.Run(ctx)
+}
+
+// flush brings what was granted during an outage onto the stream, and forgets
+// old keys, until ctx is done.
+func (c *claims) flush(ctx context.Context) error {
+	for {
+		if err := msclock.Sleep(ctx, c.e.Clock, claimRest); err != nil {
+			return nil
+		}
+		c.table.Expire(c.e.now())
+		if c.home.Pending() == 0 || c.e.view.Cut(c.e.now()) {
+			continue
+		}
+		if err := c.home.Flush(ctx); err != nil {
+			c.e.Log.Warn("claims wait for the log", zap.Int("pending", c.home.Pending()), zap.Error(err))
+		}
+	}
+}
+
+// homeOf returns the member that is the home of a claim.
+func (c *claims) homeOf(team, key string) string {
+	s := c.e.fold.tables().state
+	ids := make([]string, 0, len(s.Members))
+	for _, m := range s.Members {
+		ids = append(ids, m.ID)
+	}
+	return mstoken.Home(ids, "claim/"+team+"/"+key)
+}
+
+// ask brings a claim to its home. Without an answer the request must not run.
+func (c *claims) ask(ctx context.Context, cl msrequest.Claim) msrequest.Answer {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout+time.Second)
+	defer cancel()
+	home := c.homeOf(cl.Team, cl.Key)
+	if home == c.e.id {
+		return c.answer(ctx, cl)
+	}
+	l := c.e.links.get(home)
+	if l == nil {
+		return msrequest.Answer{Verdict: msrequest.NotHome}
+	}
+	req := &mspeer.ClaimRequest{Member: c.e.id, Team: cl.Team, Key: cl.Key, Request: cl.Request, Digest: cl.Digest}
+	a := msrequest.Answer{Verdict: msrequest.NotHome}
+	err := l.Call(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
+		reply, err := p.Claim(ctx, req)
+		if err == nil {
+			a = msrequest.Answer{Verdict: msrequest.Verdict(reply.GetVerdict()), Status: int(reply.GetStatus())}
+		}
+		return err
+	})
+	if err != nil {
+		c.e.Log.Warn("no answer to a claim", zap.String("home", home), zap.Error(err))
+	}
+	return a
+}
+
+// answer is what this entry says to a claim as its home.
+func (c *claims) answer(ctx context.Context, cl msrequest.Claim) msrequest.Answer {
+	fresh, _ := c.e.view.Fresh(c.e.now())
+	if !fresh || c.homeOf(cl.Team, cl.Key) != c.e.id {
+		return msrequest.Answer{Verdict: msrequest.NotHome}
+	}
+	return c.home.Claim(ctx, cl)
+}
+
+// settle tells the home what became of a claim, a few times if need be.
+func (c *claims) settle(ctx context.Context, ev msrequest.Event) {
+	for range settleTries {
+		if c.settleOnce(ctx, ev) {
+			return
+		}
+		if err := msclock.Sleep(ctx, c.e.Clock, claimRest); err != nil {
+			return
+		}
+	}
+	c.e.Log.Warn("claim not settled", zap.String("request", ev.Claim.Request), zap.String("outcome", string(ev.Outcome)))
+}
+
+func (c *claims) settleOnce(ctx context.Context, ev msrequest.Event) bool {
+	home := c.homeOf(ev.Claim.Team, ev.Claim.Key)
+	if home == c.e.id {
+		c.home.Settle(ctx, ev)
+		return true
+	}
+	l := c.e.links.get(home)
+	if l == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := l.Call(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
+		_, err := p.Settle(ctx, &mspeer.SettleRequest{
+			Member:  c.e.id,
+			Team:    ev.Claim.Team,
+			Key:     ev.Claim.Key,
+			Request: ev.Claim.Request,
+			Outcome: string(ev.Outcome),
+			Status:  int32(ev.Status),
+		})
+		return err
+	})
+	return err == nil
+}
--- /dev/null
+++ b/msentry/daemon.go
@@ -0,0 +1,196 @@
+package msentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msstate"
+)
+
+const (
+	// maxHeader bounds the headers of a caller's request, in bytes.
+	maxHeader = 16 << 10
+	// headerTimeout bounds the wait for a caller's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes a caller's connection on which nothing is asked.
+	idleTimeout = 2 * time.Minute
+	// drainPoll is the pause between two looks for what still runs.
+	drainPoll = 20 * time.Millisecond
+)
+
+// listeners are the three doors of an entry.
+type listeners struct {
+	caller, admin, peer net.Listener
+}
+
+func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	var ls []net.Listener
+	for _, a := range addresses {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a)
+		if err != nil {
+			for _, open := range ls {
+				_ = open.Close()
+			}
+			return nil, &Error{Op: "listen", Err: err}
+		}
+		ls = append(ls, l)
+	}
+	return ls, nil
+}
+
+// Run serves until ctx is done and the entry has stopped gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	e.prepare()
+	set := e.Settings.Entry
+	ls, err := listen(ctx, set.Listen, set.AdminListen, set.PeerListen)
+	if err != nil {
+		return err
+	}
+	doors := listeners{caller: ls[0], admin: ls[1], peer: ls[2]}
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	admin := e.adminServer()
+	go func() { _ = admin.Serve(doors.admin) }()
+	defer func() { _ = admin.Close() }()
+	if err := e.boot(ctx); err != nil {
+		_ = doors.caller.Close()
+		_ = doors.peer.Close()
+		return err
+	}
+	defer e.links.close()
+	return e.group(ctx, base, doors).Run()
+}
+
+func (e *Entry) adminServer() *http.Server {
+	return &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// group is everything that an entry runs side by side. When one part ends, all do.
+func (e *Entry) group(ctx, base context.Context, doors listeners) *run.Group {
+	g := &run.Group{}
+	e.add(base, g, e.follow)
+	e.add(base, g, e.claims.follow)
+	e.add(base, g, e.claims.batcher.Run)
+	e.add(base, g, e.claims.flush)
+	e.add(base, g, e.followVMs)
+	e.add(base, g, func(ctx context.Context) error { return e.servePeers(ctx, doors.peer) })
+	e.add(base, g, e.exchange)
+	e.add(base, g, e.beat)
+	e.add(base, g, e.maintain)
+	e.add(base, g, e.flushAccount)
+	e.add(base, g, (&driver{e: e}).run)
+	srv := e.callerServer(doors.caller)
+	e.add(base, g, func(inner context.Context) error { return e.serveCallers(ctx, inner, srv) })
+	return g
+}
+
+func (e *Entry) add(base context.Context, g *run.Group, part func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(base)
+	g.Add(func() error { return part(ctx) }, func(error) { cancel() })
+}
+
+func (e *Entry) callerServer(l net.Listener) *khttp.Server {
+	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+	srv.HandlePrefix(PathQueues, e)
+	srv.MaxHeaderBytes = maxHeader
+	srv.ReadHeaderTimeout = headerTimeout
+	srv.IdleTimeout = idleTimeout
+	return srv
+}
+
+// serveCallers joins the view and takes callers' requests, until outer is done
+// or the entry is excluded. Then it drains. It ends at once with inner.
+func (e *Entry) serveCallers(outer, inner context.Context, srv *khttp.Server) error {
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Start(context.WithoutCancel(inner)) }()
+	joining, cancel := context.WithCancel(inner)
+	defer cancel()
+	joined := make(chan error, 1)
+	go func() { joined <- e.join(joining) }()
+	for {
+		select {
+		case err := <-joined:
+			if err != nil {
+				return err
+			}
+			joined = nil
+		case err := <-failed:
+			return &Error{Op: "serve callers", Err: err}
+		case <-inner.Done():
+			_ = srv.Close()
+			return nil
+		case <-e.excluded:
+			e.Log.Warn("excluded from the view")
+			e.drain(inner, srv, 0)
+			return ErrExcluded
+		case <-outer.Done():
+			e.drain(inner, srv, e.Settings.Drain.BalancerLag)
+			e.leave(inner)
+			return nil
+		}
+	}
+}
+
+// drain answers for as long as the balancer may still send, then takes no more
+// and finishes what it has.
+func (e *Entry) drain(ctx context.Context, srv *khttp.Server, lag time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, e.drainTime(lag))
+	defer cancel()
+	e.draining.Store(true)
+	e.Log.Info("draining")
+	if err := msclock.Sleep(ctx, e.Clock, lag); err != nil {
+		return
+	}
+	if err := srv.Stop(ctx); err != nil {
+		e.Log.Warn("requests were still open", zap.Error(err))
+	}
+	for e.running() && ctx.Err() == nil {
+		_ = msclock.Sleep(ctx, e.Clock, drainPoll)
+	}
+}
+
+// drainTime is how long a drain may take: long enough for the slowest request
+// that may arrive while the balancer still sends.
+func (e *Entry) drainTime(lag time.Duration) time.Duration {
+	most := e.Settings.Drain.Grace
+	for _, q := range e.fold.tables().state.Rules.Queues {
+		most = max(most, lag+q.Deadline+lateAnswer)
+	}
+	return most
+}
+
+// running says whether any work that this entry started may still run.
+func (e *Entry) running() bool {
+	for _, t := range e.fold.tables().state.Totals {
+		if e.ledger.Counts(t.Resource).Running > 0 {
+			return true
+		}
+	}
+	return e.claims.home.Pending() > 0
+}
+
+// leave ends the account and takes the entry out of the view. An entry that may
+// still run work doesn't leave; it is excluded later, which waits for that work.
+func (e *Entry) leave(ctx context.Context) {
+	e.appendAccount(ctx, true)
+	if !e.joined.Load() || e.running() {
+		return
+	}
+	s := e.fold.tables().state
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Peers.ExcludeAfter)
+	defer cancel()
+	c := msstate.NewChange(msstate.KindMemberLeave, e.by(), s.Epoch, msstate.MemberEnd{ID: e.id})
+	if _, err := e.write(ctx, c); err != nil && !errors.Is(err, context.Canceled) {
+		e.Log.Warn("could not leave the view", zap.Error(err))
+		return
+	}
+	e.Log.Info("left the view")
+}
--- /dev/null
+++ b/msentry/fleet.go
@@ -0,0 +1,169 @@
+package msentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/mslog"
+	"marjoramspan/mspool"
+	"marjoramspan/msstate"
+	"marjoramspan/mswave"
+)
+
+// fleetRest is the pause between two looks at the pools and the wave.
+const fleetRest = 500 * time.Millisecond
+
+// dutyFleet is the duty of keeping pools and driving the wave. The entry that
+// has it decides; a record of another that decided on the same state is void.
+const dutyFleet = "fleet"
+
+// driver keeps the pools and drives the maintenance wave. It holds nothing that
+// lasts: a new holder of the duty goes on from the state and the reports.
+type driver struct {
+	e *Entry
+	// ordered is when each VM was last told to reboot. It is owned by run.
+	ordered map[string]time.Time
+}
+
+// run drives until ctx is done.
+func (d *driver) run(ctx context.Context) error {
+	d.ordered = make(map[string]time.Time)
+	for {
+		if err := msclock.Sleep(ctx, d.e.Clock, fleetRest); err != nil {
+			return nil
+		}
+		if d.e.draining.Load() || !d.e.joined.Load() || !d.e.hasDuty(dutyFleet) {
+			continue
+		}
+		d.step(ctx)
+	}
+}
+
+// step does what is to be done now. Nothing is done on a state that may be old,
+// nor on a list of VMs that can't be read.
+func (d *driver) step(ctx context.Context) {
+	e := d.e
+	now := e.now()
+	fresh, _ := e.view.Fresh(now)
+	reports, at := e.vms.reports()
+	if !fresh || e.view.Cut(now) || now.Sub(at) > e.Settings.Limits.Lease {
+		return
+	}
+	t := e.fold.tables()
+	view := mswave.View{
+		Table:   FleetTable(t.state, reports),
+		ReadAt:  e.view.OwnProof(),
+		Through: t.state.Next,
+	}
+	for _, a := range mswave.Step(&t.state.Wave, view, now) {
+		d.act(ctx, a, now)
+	}
+	d.keepPools(ctx, t.state, view, now)
+}
+
+func (d *driver) act(ctx context.Context, a mswave.Action, now time.Time) {
+	e := d.e
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Log.Timeout)
+	defer cancel()
+	var err error
+	switch a.Kind {
+	case mswave.Append:
+		r := a.Record
+		r.By = e.by()
+		e.change(ctx, msstate.WaveChange(r))
+	case mswave.DriveDrain:
+		err = e.log.DrainVM(ctx, a.VM)
+	case mswave.DriveOpen:
+		err = e.log.OpenVM(ctx, a.VM)
+	case mswave.DriveReboot:
+		if now.Sub(d.ordered[a.VM]) < rebootAgain {
+			return
+		}
+		d.ordered[a.VM] = now
+		err = e.log.RebootVM(ctx, a.VM, a.BootID)
+	}
+	if err != nil {
+		e.Log.Warn("VM not driven", zap.String("vm", a.VM), zap.String("action", string(a.Kind)), zap.Error(err))
+	}
+}
+
+// rebootAgain is how long an order to reboot is given to take effect.
+const rebootAgain = time.Minute
+
+// keepPools writes the first change that the pools need. The next one waits for
+// the next look, which sees this one's effect.
+func (d *driver) keepPools(ctx context.Context, s *msstate.State, view mswave.View, now time.Time) {
+	e := d.e
+	cfg := mspool.Settings{
+		Loans:  mswave.Loans(&s.Wave, view, now),
+		Lease:  e.Settings.Limits.Lease,
+		MaxRun: e.Settings.Limits.MaxRun,
+	}
+	for _, dec := range mspool.Plan(s.Wave.Mark(view.Table), cfg, now) {
+		r := dec.Record(uuid.NewString(), e.by(), s.Next)
+		e.Log.Info("pool change", zap.String("vm", dec.VM), zap.String("kind", string(dec.Kind)), zap.String("to", dec.To), zap.String("reason", dec.Reason))
+		e.change(ctx, msstate.VMChange(r))
+		return
+	}
+}
+
+// FleetTable joins the state with the platform's list of VMs. A VM that the
+// state owns and the list lacks counts as failed.
+func FleetTable(s *msstate.State, reports []mslog.VM) mspool.Table {
+	t := mspool.Table{}
+	for _, p := range s.Rules.Pools {
+		t.Pools = append(t.Pools, mspool.Pool{Name: p.Name, Size: p.Size, Slots: p.Slots, Available: p.Available, Spare: p.Spare})
+	}
+	listed := make(map[string]bool, len(reports))
+	for _, vm := range reports {
+		listed[vm.Name] = true
+		if h, ok := s.Ownership.VMs[vm.Name]; ok && h.Phase != mspool.Retired {
+			t.VMs = append(t.VMs, fleetVM(s, h, vm))
+		}
+	}
+	for name, h := range s.Ownership.VMs {
+		if !listed[name] && h.Phase != mspool.Retired {
+			t.VMs = append(t.VMs, fleetVM(s, h, mslog.VM{Name: name, State: mslog.VMFailed}))
+		}
+	}
+	return t
+}
+
+func fleetVM(s *msstate.State, h mspool.Holding, vm mslog.VM) mspool.VM {
+	v := mspool.VM{
+		Name:        vm.Name,
+		DataCentre:  vm.DataCentre,
+		Rack:        vm.Rack,
+		Region:      vm.Region,
+		Pool:        h.Pool,
+		State:       fleetState(vm.State),
+		Since:       vm.Since,
+		Moving:      h.To,
+		MoveDrained: h.Phase == mspool.Drained,
+		Lent:        h.Lent,
+		Running:     vm.Running,
+		ReportedAt:  vm.ReportedAt,
+		BootID:      vm.BootID,
+		Changed:     h.Changed,
+	}
+	v.MovingSince = s.MoveTimes[vm.Name]
+	return v
+}
+
+func fleetState(s mslog.VMState) mspool.State {
+	switch s {
+	case mslog.VMLive:
+		return mspool.Serving
+	case mslog.VMDraining:
+		return mspool.Draining
+	case mslog.VMRebooting:
+		return mspool.Rebooting
+	case mslog.VMLeaving:
+		return mspool.Leaving
+	}
+	return mspool.Failed
+}
--- /dev/null
+++ b/msentry/maintain.go
@@ -0,0 +1,217 @@
+package msentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/mslog"
+	"marjoramspan/msstate"
+	"marjoramspan/mstoken"
+)
+
+// snapshotEvery is how many state records lie between two snapshots.
+const snapshotEvery = 1000
+
+// write puts a change on the state stream, once, and returns it as read back.
+func (e *Entry) write(ctx context.Context, c msstate.Change) (mslog.Record, error) {
+	r := mslog.Record{ID: uuid.NewString(), Data: c.Encode()}
+	return e.append.AppendOnce(ctx, StreamState, e.fold.next(), r)
+}
+
+func (e *Entry) by() string {
+	return "entry " + e.id
+}
+
+// follow folds the state stream until ctx is done.
+func (e *Entry) follow(ctx context.Context) error {
+	failed := make(chan error, 1)
+	t := &mslog.Tail{
+		Client: e.log,
+		Clock:  e.Clock,
+		Jitter: e.random.Float64,
+		Stream: StreamState,
+		From:   e.fold.next(),
+		Proof:  e.view.Proved,
+	}
+	t.Apply = func(r mslog.Record) {
+		if err := e.fold.apply(r); err != nil {
+			report(failed, err)
+		}
+	}
+	t.Expired = func(first uint64) {
+		report(failed, &msstate.Error{Op: "follow", Offset: first, Reason: "records expired before this entry had read them"})
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case err := <-failed:
+			cancel(err)
+		case <-ctx.Done():
+		}
+	}()
+	err := t.Run(ctx)
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return &Error{Op: "follow the state", Err: cause}
+	}
+	return err
+}
+
+func report(ch chan error, err error) {
+	select {
+	case ch <- err:
+	default:
+	}
+}
+
+// join adds the entry to the view.
+func (e *Entry) join(ctx context.Context) error {
+	set := e.Settings.Entry
+	m := msstate.Member{
+		ID:         e.id,
+		Name:       set.Name,
+		DataCentre: set.DataCentre,
+		Rack:       set.Rack,
+		Region:     set.Region,
+		Peer:       set.Advertise,
+		Caller:     set.Listen,
+		Admin:      set.AdminListen,
+	}
+	c := msstate.NewChange(msstate.KindMemberJoin, e.by(), 0, msstate.MemberJoin{Member: m})
+	r := mslog.Record{ID: uuid.NewString(), Data: c.Encode()}
+	for {
+		_, err := e.append.AppendOnce(ctx, StreamState, e.fold.next(), r)
+		if err == nil {
+			return e.awaitJoin(ctx)
+		}
+		e.Log.Warn("can't join yet", zap.Error(err))
+		if err := msclock.Sleep(ctx, e.Clock, bootPause); err != nil {
+			return &Error{Op: "join", Err: err}
+		}
+	}
+}
+
+// joinPoll is the pause between two looks for the entry's own membership.
+const joinPoll = 20 * time.Millisecond
+
+func (e *Entry) awaitJoin(ctx context.Context) error {
+	for {
+		if _, ok := e.fold.tables().state.Member(e.id); ok {
+			e.joined.Store(true)
+			e.Log.Info("joined")
+			return nil
+		}
+		if err := msclock.Sleep(ctx, e.Clock, joinPoll); err != nil {
+			return &Error{Op: "join", Err: err}
+		}
+	}
+}
+
+// maintain keeps the view and the stream in order, once each heartbeat, until
+// ctx is done: it excludes silent members, settles lost ones, vouches for them
+// and writes snapshots.
+func (e *Entry) maintain(ctx context.Context) error {
+	for {
+		if err := msclock.Sleep(ctx, e.Clock, e.Settings.Peers.Heartbeat); err != nil {
+			return nil
+		}
+		now := e.now()
+		if fresh, _ := e.view.Fresh(now); !fresh || e.view.Cut(now) {
+			continue
+		}
+		s := e.fold.tables().state
+		e.excludeSilent(ctx, s, now)
+		e.settleLost(ctx, s, now)
+		e.vouch(ctx, s, now)
+		e.snapshot(ctx, s)
+	}
+}
+
+func (e *Entry) excludeSilent(ctx context.Context, s *msstate.State, now time.Time) {
+	for _, id := range e.view.Silent(now) {
+		e.change(ctx, msstate.NewChange(msstate.KindMemberExclude, e.by(), s.Epoch, msstate.MemberEnd{ID: id}))
+	}
+}
+
+// settleLost drops the members that can run nothing any more. One member does
+// it; where another takes over meanwhile the second record is void.
+func (e *Entry) settleLost(ctx context.Context, s *msstate.State, now time.Time) {
+	for _, m := range s.Lost {
+		since := e.sawLost(m.ID, now)
+		done := now.Sub(since) > e.Settings.Limits.Lease+e.Settings.Limits.MaxRun
+		if done && e.hasDuty("settle/"+m.ID) {
+			e.change(ctx, msstate.NewChange(msstate.KindMemberSettle, e.by(), s.Epoch, msstate.MemberEnd{ID: m.ID}))
+		}
+	}
+}
+
+func (e *Entry) vouch(ctx context.Context, s *msstate.State, now time.Time) {
+	for _, u := range s.Unsure {
+		if e.view.Clean(u.ID, now) && now.Sub(u.At) < e.Settings.Limits.IdempotencyWindow {
+			e.change(ctx, msstate.NewChange(msstate.KindMemberVouch, e.by(), s.Epoch, msstate.MemberEnd{ID: u.ID}))
+		}
+	}
+}
+
+// snapshot writes the state whole, well before the records that it stands for
+// expire. Racing snapshots are harmless.
+func (e *Entry) snapshot(ctx context.Context, s *msstate.State) {
+	if s.Next < s.SnapshotAt+snapshotEvery || !e.hasDuty("snapshot") {
+		return
+	}
+	e.change(ctx, msstate.NewSnapshot(s, e.by()))
+}
+
+func (e *Entry) change(ctx context.Context, c msstate.Change) {
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Peers.ExcludeAfter)
+	defer cancel()
+	if _, err := e.write(ctx, c); err != nil {
+		e.Log.Warn("change not written", zap.String("kind", string(c.Kind)), zap.Error(err))
+	}
+}
+
+// hasDuty says whether a duty falls to this entry in the present view.
+func (e *Entry) hasDuty(duty string) bool {
+	s := e.fold.tables().state
+	ids := make([]string, 0, len(s.Members))
+	for _, m := range s.Members {
+		ids = append(ids, m.ID)
+	}
+	return mstoken.Home(ids, "duty/"+duty) == e.id
+}
+
+// flushAccount appends the counts until ctx is done.
+func (e *Entry) flushAccount(ctx context.Context) error {
+	for {
+		if err := msclock.Sleep(ctx, e.Clock, e.Settings.Account.Flush); err != nil {
+			return nil
+		}
+		e.appendAccount(ctx, false)
+	}
+}
+
+func (e *Entry) appendAccount(ctx context.Context, last bool) {
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Account.Flush)
+	defer cancel()
+	reports := e.account.Close(e.now(), last)
+	for _, r := range reports {
+		data, err := json.Marshal(r)
+		if err != nil {
+			e.Log.Error("account report can't be written", zap.Error(err))
+			return
+		}
+		// A report that stands on the stream twice is counted once, by its number.
+		rec := mslog.Record{ID: uuid.NewString(), Data: data}
+		if _, err := e.log.Append(ctx, StreamAccount, []mslog.Record{rec}); err != nil {
+			e.Log.Warn("account waits for the log", zap.Int("reports", len(reports)), zap.Error(err))
+			return
+		}
+		e.account.Confirm(r.Seq)
+	}
+}
--- /dev/null
+++ b/msentry/peers.go
@@ -0,0 +1,270 @@
+package msentry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"marjoramspan/msclock"
+	"marjoramspan/mspeer"
+	"marjoramspan/msrequest"
+	"marjoramspan/msstate"
+	"marjoramspan/msteam"
+	"marjoramspan/mstoken"
+)
+
+const (
+	// exchangeTimeout bounds one exchange of tokens.
+	exchangeTimeout = 500 * time.Millisecond
+	// exchangeRest is the longest pause between two looks at what is due.
+	exchangeRest = 50 * time.Millisecond
+	// recordsMost is how many records a peer hands over at a time.
+	recordsMost = 500
+	// stopWait is how long open calls of peers may take at the end.
+	stopWait = time.Second
+)
+
+// links holds the way to each other member.
+type links struct {
+	mu sync.Mutex
+	// byID is guarded by mu.
+	byID map[string]*mspeer.Link
+}
+
+func (ls *links) get(id string) *mspeer.Link {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.byID[id]
+}
+
+// set brings the links in line with the members.
+func (ls *links) set(members []msstate.Member, e *Entry) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	kept := make(map[string]*mspeer.Link, len(members))
+	for _, m := range members {
+		if m.ID == e.id {
+			continue
+		}
+		l := ls.byID[m.ID]
+		if l == nil {
+			l = &mspeer.Link{Address: m.Peer, OnRefused: func() { e.view.Refused(m.ID, e.now()) }}
+		}
+		kept[m.ID] = l
+		delete(ls.byID, m.ID)
+	}
+	for _, l := range ls.byID {
+		go l.Close()
+	}
+	ls.byID = kept
+}
+
+func (ls *links) close() {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, l := range ls.byID {
+		l.Close()
+	}
+	ls.byID = nil
+}
+
+// beat tells the other members how this entry is, once each heartbeat.
+func (e *Entry) beat(ctx context.Context) error {
+	for {
+		for _, m := range e.fold.tables().state.Members {
+			if l := e.links.get(m.ID); l != nil {
+				go e.beatOne(ctx, m.ID, l)
+			}
+		}
+		if err := msclock.Sleep(ctx, e.Clock, e.Settings.Peers.Heartbeat); err != nil {
+			return nil
+		}
+		e.pumpAll()
+	}
+}
+
+func (e *Entry) beatOne(ctx context.Context, id string, l *mspeer.Link) {
+	asked := e.now()
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Peers.Heartbeat)
+	defer cancel()
+	var reply *mspeer.Status
+	err := l.Call(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
+		var err error
+		reply, err = p.Beat(ctx, e.status())
+		return err
+	})
+	if err != nil {
+		e.Log.Debug("no heartbeat", zap.Error(err))
+		return
+	}
+	if reply.GetMember() != id {
+		// Another process has the member's address, so the member has ended.
+		e.view.Refused(id, e.now())
+	}
+	e.hear(ctx, l, reply, asked)
+}
+
+// status is what this entry says of itself in a heartbeat.
+func (e *Entry) status() *mspeer.Status {
+	now := e.now()
+	st := e.view.Status(now)
+	st.Unlogged = e.claims.home.Pending()
+	m := mspeer.FromStatus(st)
+	m.Epoch = e.fold.tables().state.Epoch
+	var used []mspeer.PoolUse
+	for _, p := range e.pools.all() {
+		for _, u := range p.used() {
+			used = append(used, mspeer.PoolUse{Pool: p.name, Use: u})
+		}
+	}
+	m.Used = mspeer.FromUses(used)
+	m.Leaving = e.vms.leavingNow(now)
+	return m
+}
+
+// hear takes in a peer's answer to a heartbeat that was sent at asked.
+func (e *Entry) hear(ctx context.Context, l *mspeer.Link, m *mspeer.Status, asked time.Time) {
+	now := e.now()
+	ahead := e.view.Heard(mspeer.ToStatus(m), asked, now)
+	for _, vm := range m.GetLeaving() {
+		e.vms.setLeaving(vm, now)
+	}
+	byPool := make(map[string][]msteam.Use)
+	for _, u := range mspeer.ToUses(m.GetUsed()) {
+		byPool[u.Pool] = append(byPool[u.Pool], u.Use)
+	}
+	for _, p := range e.pools.all() {
+		p.setRemote(m.GetMember(), byPool[p.name], now)
+	}
+	if ahead > 0 {
+		e.catchUp(ctx, l)
+	}
+}
+
+// catchUp folds the records that a peer has and this entry lacks.
+func (e *Entry) catchUp(ctx context.Context, l *mspeer.Link) {
+	for {
+		var reply *mspeer.RecordsReply
+		err := l.Call(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
+			var err error
+			reply, err = p.Records(ctx, &mspeer.RecordsRequest{From: e.fold.next(), Max: recordsMost})
+			return err
+		})
+		if err != nil || len(reply.GetRecords()) == 0 {
+			return
+		}
+		for _, r := range mspeer.ToRecords(reply.GetRecords()) {
+			if err := e.fold.apply(r); err != nil {
+				e.Log.Warn("a peer's record does not fit", zap.Error(err))
+				return
+			}
+		}
+	}
+}
+
+// exchange carries tokens until ctx is done.
+func (e *Entry) exchange(ctx context.Context) error {
+	for {
+		for _, b := range e.ledger.Outgoing(e.now()) {
+			go e.exchangeOne(ctx, b)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.kick:
+		case <-e.Clock.After(exchangeRest):
+		}
+	}
+}
+
+func (e *Entry) exchangeOne(ctx context.Context, b mstoken.Batch) {
+	l := e.links.get(b.To)
+	if l == nil {
+		e.ledger.Expire(b.To, b.Items, e.now())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	req := &mspeer.ExchangeRequest{Member: e.id, Items: mspeer.FromItems(b.Items)}
+	var reply *mspeer.ExchangeReply
+	err := l.Call(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
+		var err error
+		reply, err = p.Exchange(ctx, req)
+		return err
+	})
+	if err != nil {
+		e.ledger.Expire(b.To, b.Items, e.now())
+		return
+	}
+	e.ledger.HandleGifts(b.To, mspeer.ToGifts(reply.GetGifts()), e.now())
+	e.pumpAll()
+}
+
+// peerServer answers the other entries.
+type peerServer struct {
+	mspeer.UnimplementedPeerServer
+	e *Entry
+}
+
+// Beat answers a heartbeat.
+func (s *peerServer) Beat(_ context.Context, _ *mspeer.Status) (*mspeer.Status, error) {
+	return s.e.status(), nil
+}
+
+// Exchange answers as the home of the resources named, and takes calls from
+// the homes of others.
+func (s *peerServer) Exchange(_ context.Context, m *mspeer.ExchangeRequest) (*mspeer.ExchangeReply, error) {
+	gifts := s.e.ledger.HandleExchange(m.GetMember(), mspeer.ToItems(m.GetItems()), s.e.now())
+	s.e.pumpAll()
+	return &mspeer.ExchangeReply{Gifts: mspeer.FromGifts(gifts)}, nil
+}
+
+// Claim answers as the home of a key.
+func (s *peerServer) Claim(ctx context.Context, m *mspeer.ClaimRequest) (*mspeer.ClaimReply, error) {
+	a := s.e.claims.answer(ctx, msrequest.Claim{Team: m.GetTeam(), Key: m.GetKey(), Request: m.GetRequest(), Digest: m.GetDigest()})
+	return &mspeer.ClaimReply{Verdict: string(a.Verdict), Status: int32(a.Status)}, nil
+}
+
+// Settle takes in what became of a claim.
+func (s *peerServer) Settle(ctx context.Context, m *mspeer.SettleRequest) (*mspeer.SettleReply, error) {
+	s.e.claims.home.Settle(context.WithoutCancel(ctx), msrequest.Event{
+		Claim:   msrequest.Claim{Team: m.GetTeam(), Key: m.GetKey(), Request: m.GetRequest()},
+		Outcome: msrequest.Outcome(m.GetOutcome()),
+		Status:  int(m.GetStatus()),
+	})
+	return &mspeer.SettleReply{}, nil
+}
+
+// Records hands over records of the state stream.
+func (s *peerServer) Records(_ context.Context, m *mspeer.RecordsRequest) (*mspeer.RecordsReply, error) {
+	rs, next := s.e.fold.since(m.GetFrom(), min(int(m.GetMax()), recordsMost))
+	return &mspeer.RecordsReply{Next: next, Records: mspeer.FromRecords(rs)}, nil
+}
+
+// servePeers answers other entries on l until ctx is done.
+func (e *Entry) servePeers(ctx context.Context, l net.Listener) error {
+	srv := grpc.NewServer()
+	mspeer.RegisterPeerServer(srv, &peerServer{e: e})
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(l) }()
+	select {
+	case err := <-failed:
+		return &Error{Op: "serve peers", Err: err}
+	case <-ctx.Done():
+	}
+	stopped := make(chan struct{})
+	go func() {
+		srv.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-e.Clock.After(stopWait):
+		srv.Stop()
+	}
+	return nil
+}
--- /dev/null
+++ b/msentry/pool_test.go
@@ -0,0 +1,149 @@
+package msentry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"marjoramspan/mslog"
+	"marjoramspan/msstate"
+	"marjoramspan/msteam"
+	"marjoramspan/mstoken"
+)
+
+// TestPoolKeepsItsTokens drives a pool of a lone entry by random arrivals,
+// ends, callers that go away, and VMs that leave and return. No VM has more
+// running than its slots, no team more than its limit, every request gets
+// exactly one grant or expiry, and at the end every token is back.
+func TestPoolKeepsItsTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newPoolHarness()
+		id := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				id++
+				w := msteam.Waiter{ID: id, Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Arrived: h.now}
+				w.Deadline = h.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "deadline")) * time.Second)
+				if ticket, err := h.p.enter(w, h.now); err == nil {
+					h.waiting = append(h.waiting, ticket)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(h.running) > 0 {
+					h.end(rapid.IntRange(0, len(h.running)-1).Draw(t, "which"))
+				}
+			},
+			"abandon": func(t *rapid.T) {
+				if len(h.waiting) > 0 {
+					i := rapid.IntRange(0, len(h.waiting)-1).Draw(t, "which")
+					h.p.abandon(h.waiting[i], h.now)
+					h.waiting = append(h.waiting[:i], h.waiting[i+1:]...)
+				}
+			},
+			"leave": func(t *rapid.T) {
+				h.p.vms.setLeaving(rapid.SampledFrom(h.p.names).Draw(t, "vm"), h.now)
+			},
+			"tick": func(t *rapid.T) {
+				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+				h.p.poke(h.now)
+			},
+			"": func(t *rapid.T) {
+				h.collect()
+				h.check(t)
+			},
+		})
+		h.settle()
+		for _, name := range []string{"slot/vm-1", "slot/vm-2", "team/a", "team/b"} {
+			require.Zero(t, h.p.ledger.Counts(name).Running, "%s is not back", name)
+		}
+		require.Empty(t, h.p.waiting)
+	})
+}
+
+type poolHarness struct {
+	p       *pool
+	now     time.Time
+	waiting []*ticket
+	running []started
+}
+
+type started struct {
+	team, vm string
+}
+
+func newPoolHarness() *poolHarness {
+	h := &poolHarness{now: time.Unix(1000, 0)}
+	l := &mstoken.Ledger{Self: "e", Reclaim: time.Second}
+	l.Turn(mstoken.View{Epoch: 1, Members: []string{"e"}}, h.now)
+	vms := &vmTable{}
+	vms.set([]mslog.VM{{Name: "vm-1", Address: "x", State: mslog.VMLive}, {Name: "vm-2", Address: "y", State: mslog.VMLive}}, h.now)
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		l.SetTotal(msstate.SlotResource(vm), 2, 1, h.now)
+	}
+	l.SetTotal(msstate.TeamResource("a"), 3, 1, h.now)
+	l.SetTotal(msstate.TeamResource("b"), 1, 1, h.now)
+	l.Outgoing(h.now)
+	h.p = &pool{name: "p", ledger: l, vms: vms, demand: &demand{}}
+	h.p.configure([]string{"vm-1", "vm-2"}, 2, []msteam.Share{{Team: "a", Weight: 1, Limit: 3}, {Team: "b", Weight: 2, Limit: 1}}, 100)
+	return h
+}
+
+// collect takes in the grants of those that wait.
+func (h *poolHarness) collect() {
+	kept := h.waiting[:0]
+	for _, t := range h.waiting {
+		select {
+		case g := <-t.ready:
+			if !g.expired {
+				h.running = append(h.running, started{team: t.team, vm: g.vm.Name})
+			}
+		default:
+			kept = append(kept, t)
+		}
+	}
+	h.waiting = kept
+}
+
+func (h *poolHarness) check(t *rapid.T) {
+	count := make(map[string]int)
+	for _, s := range h.running {
+		count[s.team]++
+		count[s.vm]++
+	}
+	for name, most := range map[string]int{"a": 3, "b": 1, "vm-1": 2, "vm-2": 2} {
+		require.LessOrEqual(t, count[name], most, fmt.Sprint(name, " is over its limit"))
+	}
+	require.Len(t, h.waiting, len(h.p.waiting))
+}
+
+func (h *poolHarness) end(i int) {
+	s := h.running[i]
+	h.running = append(h.running[:i], h.running[i+1:]...)
+	h.p.end(s.team, s.vm, time.Second, h.now)
+}
+
+// settle ends all that runs and waits.
+func (h *poolHarness) settle() {
+	h.now = h.now.Add(time.Hour)
+	h.p.poke(h.now)
+	h.collect()
+	for len(h.running) > 0 {
+		h.end(0)
+		h.collect()
+	}
+}
+
+func TestLeavingVMGetsNoNewWork(t *testing.T) {
+	h := newPoolHarness()
+	h.p.vms.setLeaving("vm-1", h.now)
+	for id := range uint64(4) {
+		ticket, err := h.p.enter(msteam.Waiter{ID: id + 1, Team: "a", Arrived: h.now}, h.now)
+		require.NoError(t, err)
+		h.waiting = append(h.waiting, ticket)
+	}
+	h.collect()
+	require.Equal(t, []started{{"a", "vm-2"}, {"a", "vm-2"}}, h.running)
+}
--- /dev/null
+++ b/msentry/tables.go
@@ -0,0 +1,102 @@
+package msentry
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"marjoramspan/mslog"
+	"marjoramspan/msrule"
+	"marjoramspan/msstate"
+)
+
+// tables is what the entry decides on: the state at one offset, with its rules
+// by name. It is never changed once it is published.
+type tables struct {
+	state *msstate.State
+	rules *msrule.Index
+	// pools holds the VMs of each pool, by name, in order.
+	pools map[string][]string
+}
+
+func newTables(s *msstate.State) *tables {
+	return &tables{state: s, rules: msrule.NewIndex(s.Rules), pools: s.InService()}
+}
+
+// fold applies the state stream and publishes tables. Its zero value is not
+// ready: start sets the first state.
+type fold struct {
+	// changed is called after each record, under no lock but in order.
+	changed func(t *tables, out msstate.Outcome)
+
+	now atomic.Pointer[tables]
+
+	mu sync.Mutex
+	// state and recent are guarded by mu. recent holds the newest records for
+	// peers that are behind.
+	state  *msstate.State
+	recent []mslog.Record
+}
+
+// maxRecent is how many records are kept for peers.
+const maxRecent = 2048
+
+func (f *fold) start(s *msstate.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state = s
+	f.now.Store(newTables(s.Clone()))
+}
+
+// tables returns the tables in force, or nil before the start.
+func (f *fold) tables() *tables {
+	return f.now.Load()
+}
+
+// apply folds r, unless it has been folded already or records before it are
+// missing.
+func (f *fold) apply(r mslog.Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Offset < f.state.Next {
+		return nil
+	}
+	out, err := f.state.Apply(r)
+	if err != nil {
+		return err
+	}
+	f.recent = append(f.recent, r)
+	if len(f.recent) > maxRecent {
+		f.recent = slices.Clone(f.recent[len(f.recent)-maxRecent:])
+	}
+	t := newTables(f.state.Clone())
+	f.now.Store(t)
+	f.changed(t, out)
+	return nil
+}
+
+// next returns the offset of the next record to apply.
+func (f *fold) next() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return 0
+	}
+	return f.state.Next
+}
+
+// since returns the records from offset from on, at most n, and the offset
+// after the newest. It returns none where from is older than what is kept.
+func (f *fold) since(from uint64, n int) ([]mslog.Record, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return nil, 0
+	}
+	i := sort.Search(len(f.recent), func(i int) bool { return f.recent[i].Offset >= from })
+	if i == len(f.recent) || f.recent[i].Offset != from {
+		return nil, f.state.Next
+	}
+	return slices.Clone(f.recent[i:min(len(f.recent), i+n)]), f.state.Next
+}
--- a/mslog/record.go
+++ b/mslog/record.go
@@ -39,6 +39,13 @@
 	Rack       string  `json:"rack"`
 	Region     string  `json:"region"`
 	State      VMState `json:"state"`
+	// Since is when the VM came into State.
+	Since time.Time `json:"since,omitzero"`
+	// BootID changes with every boot.
+	BootID string `json:"boot-id,omitempty"`
+	// Running is how many requests the VM ran when it last reported, at ReportedAt.
+	Running    int       `json:"running,omitempty"`
+	ReportedAt time.Time `json:"reported-at,omitzero"`
 }
 
 // VMState says whether a VM may be given work.
@@ -46,8 +53,11 @@
 
 // The states of a VM.
 const (
-	VMLive    VMState = "live"
-	VMLeaving VMState = "leaving"
+	VMLive      VMState = "live"
+	VMLeaving   VMState = "leaving"
+	VMDraining  VMState = "draining"
+	VMRebooting VMState = "rebooting"
+	VMFailed    VMState = "failed"
 )
 
 type vmList struct {
--- a/msmeasure/share.go
+++ b/msmeasure/share.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"marjoramspan/msteam"
 	"slices"
+
+	"marjoramspan/msteam"
 )
 
 // shareTarget is the highest share error that is wanted.
--- a/msmember/view.go
+++ b/msmember/view.go
@@ -210,6 +210,13 @@
 	return true
 }
 
+// OwnProof returns when the entry's own last read to the end of the log began.
+func (v *View) OwnProof() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.own
+}
+
 // Fresh says whether the entry may start work, and otherwise for how long it
 // has not been fresh.
 func (v *View) Fresh(now time.Time) (bool, time.Duration) {
--- /dev/null
+++ b/mspeer/convert.go
@@ -0,0 +1,173 @@
+package mspeer
+
+import (
+	"time"
+
+	"marjoramspan/mslog"
+	"marjoramspan/msmember"
+	"marjoramspan/msteam"
+	"marjoramspan/mstoken"
+)
+
+// FromStatus returns st as a message.
+func FromStatus(st msmember.Status) *Status {
+	m := &Status{
+		Member:     st.Member,
+		Epoch:      st.Epoch,
+		Next:       st.Next,
+		ProofAgeNs: -1,
+		Cut:        st.Cut,
+		Unlogged:   uint32(st.Unlogged),
+		Hears:      st.Hears,
+	}
+	if st.HasProof {
+		m.ProofAgeNs = int64(st.ProofAge)
+	}
+	return m
+}
+
+// ToStatus returns the message as what its sender knows.
+func ToStatus(m *Status) msmember.Status {
+	return msmember.Status{
+		Member:   m.GetMember(),
+		Epoch:    m.GetEpoch(),
+		Next:     m.GetNext(),
+		ProofAge: time.Duration(m.GetProofAgeNs()),
+		HasProof: m.GetProofAgeNs() >= 0,
+		Cut:      m.GetCut(),
+		Unlogged: int(m.GetUnlogged()),
+		Hears:    m.GetHears(),
+	}
+}
+
+// PoolUse is what one team uses of one pool.
+type PoolUse struct {
+	Pool string
+	Use  msteam.Use
+}
+
+// FromUses returns the use of teams as messages.
+func FromUses(us []PoolUse) []*Use {
+	ms := make([]*Use, 0, len(us))
+	for _, u := range us {
+		ms = append(ms, &Use{
+			Team:    u.Use.Team,
+			Pool:    u.Pool,
+			SlotNs:  int64(u.Use.Slot),
+			Running: int32(u.Use.Running),
+			Waiting: int32(u.Use.Waiting),
+		})
+	}
+	return ms
+}
+
+// ToUses returns the messages as the use of teams.
+func ToUses(ms []*Use) []PoolUse {
+	us := make([]PoolUse, 0, len(ms))
+	for _, m := range ms {
+		us = append(us, PoolUse{Pool: m.GetPool(), Use: msteam.Use{
+			Team:    m.GetTeam(),
+			Slot:    time.Duration(m.GetSlotNs()),
+			Running: int(m.GetRunning()),
+			Waiting: int(m.GetWaiting()),
+		}})
+	}
+	return us
+}
+
+// FromItems returns the items of an exchange as messages.
+func FromItems(items []mstoken.Item) []*Item {
+	ms := make([]*Item, 0, len(items))
+	for _, i := range items {
+		ms = append(ms, &Item{
+			Resource: i.Resource,
+			Epoch:    i.Gen.Epoch,
+			Version:  i.Gen.Version,
+			Seq:      i.Seq,
+			Held:     int32(i.Held),
+			Want:     int32(i.Want),
+			Ceiling:  int32(i.Ceiling),
+			Call:     i.Call,
+			Recall:   int32(i.Recall),
+		})
+	}
+	return ms
+}
+
+// ToItems returns the messages as items of an exchange.
+func ToItems(ms []*Item) []mstoken.Item {
+	items := make([]mstoken.Item, 0, len(ms))
+	for _, m := range ms {
+		items = append(items, mstoken.Item{
+			Resource: m.GetResource(),
+			Gen:      mstoken.Generation{Epoch: m.GetEpoch(), Version: m.GetVersion()},
+			Seq:      m.GetSeq(),
+			Held:     int(m.GetHeld()),
+			Want:     int(m.GetWant()),
+			Ceiling:  int(m.GetCeiling()),
+			Call:     m.GetCall(),
+			Recall:   int(m.GetRecall()),
+		})
+	}
+	return items
+}
+
+// FromGifts returns the gifts of a home as messages.
+func FromGifts(gifts []mstoken.Gift) []*Gift {
+	ms := make([]*Gift, 0, len(gifts))
+	for _, g := range gifts {
+		ms = append(ms, &Gift{
+			Resource: g.Resource,
+			Epoch:    g.Gen.Epoch,
+			Version:  g.Gen.Version,
+			Seq:      g.Seq,
+			N:        int32(g.N),
+			Refused:  g.Refused,
+			Recall:   int32(g.Recall),
+			Settled:  g.Settled,
+			Ceiling:  int32(g.Ceiling),
+		})
+	}
+	return ms
+}
+
+// ToGifts returns the messages as gifts of a home.
+func ToGifts(ms []*Gift) []mstoken.Gift {
+	gifts := make([]mstoken.Gift, 0, len(ms))
+	for _, m := range ms {
+		gifts = append(gifts, mstoken.Gift{
+			Resource: m.GetResource(),
+			Gen:      mstoken.Generation{Epoch: m.GetEpoch(), Version: m.GetVersion()},
+			Seq:      m.GetSeq(),
+			N:        int(m.GetN()),
+			Refused:  m.GetRefused(),
+			Recall:   int(m.GetRecall()),
+			Settled:  m.GetSettled(),
+			Ceiling:  int(m.GetCeiling()),
+		})
+	}
+	return gifts
+}
+
+// FromRecords returns log records as messages.
+func FromRecords(rs []mslog.Record) []*StateRecord {
+	ms := make([]*StateRecord, 0, len(rs))
+	for _, r := range rs {
+		ms = append(ms, &StateRecord{Offset: r.Offset, TimeUnixNano: r.Time.UnixNano(), Id: r.ID, Data: r.Data})
+	}
+	return ms
+}
+
+// ToRecords returns the messages as log records.
+func ToRecords(ms []*StateRecord) []mslog.Record {
+	rs := make([]mslog.Record, 0, len(ms))
+	for _, m := range ms {
+		rs = append(rs, mslog.Record{
+			Offset: m.GetOffset(),
+			Time:   time.Unix(0, m.GetTimeUnixNano()).UTC(),
+			ID:     m.GetId(),
+			Data:   m.GetData(),
+		})
+	}
+	return rs
+}
--- a/msstate/apply.go
+++ b/msstate/apply.go
@@ -7,11 +7,11 @@
 	"sort"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"marjoramspan/mslog"
+	"marjoramspan/mspool"
 	"marjoramspan/msrule"
 )
 
@@ -58,7 +58,7 @@
 	case s.seen(r.ID):
 		reason = "duplicate of an earlier record"
 	default:
-		reason = s.change(out.Change, out.Version, r.Time)
+		reason = s.change(out.Change, r)
 	}
 	s.remember(r.ID, r.Offset)
 	s.Next = r.Offset + 1
@@ -67,7 +67,8 @@
 	return out, nil
 }
 
-func (s *State) change(c Change, version uint64, at time.Time) void {
+func (s *State) change(c Change, r mslog.Record) void {
+	version, at := r.Offset+1, r.Time
 	switch c.Kind {
 	case KindRulesPublish:
 		return s.publish(c, version)
@@ -88,9 +89,14 @@
 	case KindSnapshot:
 		s.SnapshotAt = version
 		return accepted
-	default:
-		return void("unknown kind " + string(c.Kind))
 	}
+	switch {
+	case strings.HasPrefix(string(c.Kind), prefixVM):
+		return s.moveVM(c, r)
+	case strings.HasPrefix(string(c.Kind), prefixWave):
+		return s.changeWave(c, r)
+	}
+	return void("unknown kind " + string(c.Kind))
 }
 
 func (s *State) publish(c Change, version uint64) void {
@@ -168,19 +174,6 @@
 	return accepted
 }
 
-func (s *State) assignVMs(version uint64) {
-	wanted := make([]Owner, 0, len(s.Rules.VMs))
-	for _, vm := range s.Rules.VMs {
-		o := Owner{VM: vm.Name, Pool: vm.Pool, Version: version}
-		if i := s.ownerIndex(vm.Name); i < len(s.Owners) && s.Owners[i].VM == vm.Name {
-			o = s.Owners[i]
-		}
-		wanted = append(wanted, o)
-	}
-	sort.Slice(wanted, func(i, j int) bool { return wanted[i].VM < wanted[j].VM })
-	s.Owners = wanted
-}
-
 // resize sets the total of each counted resource from the rules, and the
 // version of those that changed.
 func (s *State) resize(version uint64) {
@@ -188,9 +181,11 @@
 	for _, p := range s.Rules.Pools {
 		slots[p.Name] = p.Slots
 	}
-	totals := make([]Total, 0, len(s.Rules.Teams)+len(s.Owners))
-	for _, o := range s.Owners {
-		totals = append(totals, s.total(SlotResource(o.VM), slots[o.Pool], version))
+	totals := make([]Total, 0, len(s.Rules.Teams)+len(s.Ownership.VMs))
+	for vm, h := range s.Ownership.VMs {
+		if h.Phase != mspool.Retired {
+			totals = append(totals, s.total(SlotResource(vm), slots[h.Pool], version))
+		}
 	}
 	for _, t := range s.Rules.Teams {
 		totals = append(totals, s.total(TeamResource(t.Name), t.Limit, version))
--- a/msstate/state.go
+++ b/msstate/state.go
@@ -12,10 +12,14 @@
 package msstate
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
+	"marjoramspan/mspool"
 	"marjoramspan/msrule"
+	"marjoramspan/mswave"
 )
 
 // SeenWindow is how many of the newest records are kept in mind by their ids.
@@ -42,8 +46,12 @@
 	// Unsure are lost members that may have granted claims which never reached
 	// the log.
 	Unsure []Unsure `json:"unsure,omitempty"`
-	// Owners holds the pool of each VM, by VM.
-	Owners []Owner `json:"owners,omitempty"`
+	// Ownership holds the pool of each VM, and its moves.
+	Ownership mspool.Ownership `json:"ownership"`
+	// MoveTimes is when the log took the record that began each move under way, by VM.
+	MoveTimes map[string]time.Time `json:"move-times,omitempty"`
+	// Wave is the maintenance wave under way, or the last one.
+	Wave mswave.State `json:"wave"`
 	// SnapshotAt is the version of the newest snapshot record.
 	SnapshotAt uint64 `json:"snapshot-at,omitempty"`
 	// Seen holds the ids of the newest records.
@@ -89,13 +97,6 @@
 	Version  uint64 `json:"version"`
 }
 
-// Owner is the pool that a VM belongs to.
-type Owner struct {
-	VM      string `json:"vm"`
-	Pool    string `json:"pool"`
-	Version uint64 `json:"version"`
-}
-
 // SeenID is the id of a record that was applied.
 type SeenID struct {
 	ID     string `json:"id"`
@@ -121,17 +122,18 @@
 	return Member{}, false
 }
 
-// Pool returns the pool that owns vm.
-func (s *State) Pool(vm string) (string, bool) {
-	i := s.ownerIndex(vm)
-	if i < len(s.Owners) && s.Owners[i].VM == vm {
-		return s.Owners[i].Pool, true
+// InService returns the VMs that may be given work, by pool, each in order.
+func (s *State) InService() map[string][]string {
+	pools := make(map[string][]string)
+	for vm := range s.Ownership.VMs {
+		if pool, open := s.Ownership.PoolOf(vm); open && !s.Wave.Out(vm) {
+			pools[pool] = append(pools[pool], vm)
+		}
 	}
-	return "", false
-}
-
-func (s *State) ownerIndex(vm string) int {
-	return sort.Search(len(s.Owners), func(i int) bool { return s.Owners[i].VM >= vm })
+	for _, vms := range pools {
+		slices.Sort(vms)
+	}
+	return pools
 }
 
 // Clone returns a copy that shares nothing that Apply changes in place.
@@ -142,7 +144,10 @@
 	c.Members = append([]Member(nil), s.Members...)
 	c.Lost = append([]Member(nil), s.Lost...)
 	c.Unsure = append([]Unsure(nil), s.Unsure...)
-	c.Owners = append([]Owner(nil), s.Owners...)
+	c.Ownership.VMs = maps.Clone(s.Ownership.VMs)
+	c.Ownership.Taken = maps.Clone(s.Ownership.Taken)
+	c.MoveTimes = maps.Clone(s.MoveTimes)
+	c.Wave.VMs = maps.Clone(s.Wave.VMs)
 	c.Seen = append([]SeenID(nil), s.Seen...)
 	c.Rules.Keys = append([]msrule.Key(nil), s.Rules.Keys...)
 	return &c
