--- a/mslog/faults_test.go
+++ b/mslog/faults_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -297,22 +298,37 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		began := time.Now()
-		var proofs []time.Duration
+		var mu sync.Mutex
+		var starts []time.Duration
 		failures := 0
-		tail := &mslog.Tail{Client: directClient(p), Stream: "s", Failed: func(error) { failures++ }}
-		tail.Proof = func(start time.Time, _ uint64) { proofs = append(proofs, start.Sub(began)) }
+		proofs := func() []time.Duration {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(starts)
+		}
+		tail := &mslog.Tail{Client: directClient(p), Stream: "s"}
+		tail.Proof = func(start time.Time, _ uint64) {
+			mu.Lock()
+			defer mu.Unlock()
+			starts = append(starts, start.Sub(began))
+		}
+		tail.Failed = func(error) {
+			mu.Lock()
+			defer mu.Unlock()
+			failures++
+		}
 		go tail.Run(ctx)
 		time.Sleep(1700 * time.Millisecond)
-		synctest.Wait()
-		require.Equal(t, []time.Duration{0, 500 * time.Millisecond, time.Second}, proofs)
+		require.Equal(t, []time.Duration{0, 500 * time.Millisecond, time.Second}, proofs())
 		p.SetFault(msstandin.Fault{Mode: msstandin.FaultHang})
 		time.Sleep(10 * time.Second)
-		synctest.Wait()
-		require.Len(t, proofs, 3)
+		require.Len(t, proofs(), 3)
+		mu.Lock()
 		require.Positive(t, failures)
+		mu.Unlock()
 		p.SetFault(msstandin.Fault{})
 		time.Sleep(5 * time.Second)
-		synctest.Wait()
-		require.Greater(t, len(proofs), 3)
+		require.Greater(t, len(proofs()), 3)
 	})
 }
