--- a/cmd/marjoramstandin/main.go
+++ b/cmd/marjoramstandin/main.go
@@ -8,6 +8,7 @@
 
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the platform's log and its list of VMs."`
+	Upstream upstreamCommand `cmd:"" help:"Serve an upstream VM."`
 }
 
 func main() {
--- a/cmd/marjoramstandin/platform.go
+++ b/cmd/marjoramstandin/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"time"
 
 	"marjoramspan/msstandin"
@@ -14,5 +15,6 @@
 
 // Run serves the platform until it is told to stop.
 func (c *platformCommand) Run() error {
-	return serve(c.Listen, &msstandin.Platform{RetainRecords: c.RetainRecords, ListLag: c.ListLag})
+	p := &msstandin.Platform{RetainRecords: c.RetainRecords, ListLag: c.ListLag}
+	return serve(c.Listen, &http.Server{Handler: p})
 }
--- a/cmd/marjoramstandin/serve.go
+++ b/cmd/marjoramstandin/serve.go
@@ -13,17 +13,17 @@
 )
 
 // stopTimeout bounds how long a stand-in waits for its requests at its end.
-const stopTimeout = 2 * time.Second
+const stopTimeout = 10 * time.Second
 
-// serve answers requests at listen with h until SIGTERM or SIGINT.
-func serve(listen string, h http.Handler) error {
+// serve answers requests at listen with s until SIGTERM or SIGINT.
+func serve(listen string, s *http.Server) error {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &http.Server{Handler: h, BaseContext: func(net.Listener) context.Context { return ctx }}
+	s.BaseContext = func(net.Listener) context.Context { return ctx }
 	var g run.Group
 	g.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
 	g.Add(func() error {
