demo: the whole path and a wave by separate processes, counted

Cause: nothing showed the whole path under kills, a withdrawn key, an outage of the log and a maintenance wave. A long poll of half the lease made an entry count as cut off for moments, so that nobody vouched for a killed entry; polls now take an eighth of the lease. A refused try after one that may have run made the request 'not run'; it stays unknown now. Change: orders to VMs in the platform stand-in, reboots of the upstream stand-in, fleet-judge, scripts/demo.sh, commands pool, vm, wave and why.

--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -41,6 +41,10 @@
 	Settings settingsCmd `cmd:"" help:"Check or show the daemon's settings."`
 	Rules    rulesCmd    `cmd:"" help:"Check, compare, publish or show the rules."`
 	Keys     keysCmd     `cmd:"" help:"Give, withdraw or list keys."`
+	Pool     poolCmd     `cmd:"" help:"Show the pools."`
+	VM       vmCmd       `cmd:"" name:"vm" help:"Move VMs between pools."`
+	Wave     waveCmd     `cmd:"" help:"Plan, start, pause, resume or show a maintenance wave."`
+	Why      whyCmd      `cmd:"" help:"Say why something is as it is."`
 	Status   statusCmd   `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
 	Refusals refusalsCmd `cmd:"" help:"Show what was refused, by minute, team, pool, queue and reason, with gaps marked."`
 	Audit    auditCmd    `cmd:"" help:"Show every change, who asked for it and what became of it."`
--- a/msentry/claims.go
+++ b/msentry/claims.go
@@ -149,6 +149,7 @@
 		Stream: StreamClaims,
 		Apply:  c.apply,
 		Proof:  c.prove,
+		Wait:   c.e.Settings.Limits.Lease / pollPart,
 	}
 	t.Expired = func(first uint64) { t.From = first }
 	return t.Run(ctx)
--- a/msentry/maintain.go
+++ b/msentry/maintain.go
@@ -18,6 +18,10 @@
 // snapshotEvery is how many state records lie between two snapshots.
 const snapshotEvery = 1000
 
+// pollPart is the part of the lease that one long poll of the log may take, so
+// that several proofs fall into the time after which an entry counts as cut.
+const pollPart = 8
+
 // write puts a change on the state stream, once, and returns it as read back.
 func (e *Entry) write(ctx context.Context, c msstate.Change) (mslog.Record, error) {
 	r := mslog.Record{ID: uuid.NewString(), Data: c.Encode()}
@@ -38,6 +42,7 @@
 		Stream: StreamState,
 		From:   e.fold.next(),
 		Proof:  e.view.Proved,
+		Wait:   e.Settings.Limits.Lease / pollPart,
 	}
 	t.Apply = func(r mslog.Record) {
 		if err := e.fold.apply(r); err != nil {
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -49,7 +49,10 @@
 		if err == nil {
 			return
 		}
-		last = upstreamFailure(err)
+		if last == nil || last.outcome != OutcomeUnknown {
+			// Once a try may have run, no later refusal makes the request not run.
+			last = upstreamFailure(err)
+		}
 		if !rq.mayRetry(err, try) {
 			break
 		}
--- a/msrequest/claims_test.go
+++ b/msrequest/claims_test.go
@@ -213,6 +213,8 @@
 	claim := func(key string) Verdict {
 		return w.homes[0].Claim(context.Background(), Claim{Team: "t", Key: key, Request: key}).Verdict
 	}
+	require.Equal(t, NotHome, claim("opaque"), "another member may still vouch")
+	w.clock.Advance(VouchWait)
 	require.Equal(t, Unknown, claim("opaque"))
 	require.Equal(t, Unknown, claim(keyOf(t, w.clock.Now().Add(-time.Minute))))
 	w.clock.Advance(2 * time.Minute)
--- a/msrequest/home.go
+++ b/msrequest/home.go
@@ -45,8 +45,8 @@
 	if h.Outage() {
 		return h.hold(c)
 	}
-	if h.mayBeOlder(c.Key) {
-		return Answer{Verdict: Unknown}
+	if v := h.older(c.Key); v != "" {
+		return Answer{Verdict: v}
 	}
 	if !h.Logged() {
 		return Answer{Verdict: NotHome}
@@ -70,8 +70,8 @@
 }
 
 func (h *Home) hold(c Claim) Answer {
-	if h.mayBeOlder(c.Key) {
-		return Answer{Verdict: Unknown}
+	if v := h.older(c.Key); v != "" {
+		return Answer{Verdict: v}
 	}
 	if !h.Caught() || !h.Logged() {
 		return Answer{Verdict: NotHome}
@@ -86,19 +86,27 @@
 	return a
 }
 
-// mayBeOlder says whether the key may have been granted by a lost member that
-// could not append its claims.
-func (h *Home) mayBeOlder(key string) bool {
+// VouchWait is how long after a loss another member may still vouch for the lost
+// one. Meanwhile a key that may be older is refused rather than unknown.
+const VouchWait = 3 * time.Second
+
+// older returns the verdict on a key that may have been granted by a lost member
+// that could not append its claims, and "" for every other key.
+func (h *Home) older(key string) Verdict {
 	lost, ok := h.Unsure()
 	if !ok {
-		return false
+		return ""
 	}
+	now := h.Clock.Now()
 	made, ok := KeyTime(key)
-	if !ok {
-		return true
+	tooNew := made.After(now.Add(KeySkew))
+	if ok && !tooNew && !made.Before(lost.Add(KeySkew)) {
+		return ""
+	}
+	if now.Sub(lost) < VouchWait {
+		return NotHome
 	}
-	tooNew := made.After(h.Clock.Now().Add(KeySkew))
-	return tooNew || made.Before(lost.Add(KeySkew))
+	return Unknown
 }
 
 // Settle records what became of a claimed request. A claim that is on the
--- a/msstandin/journal.go
+++ b/msstandin/journal.go
@@ -11,9 +11,13 @@
 	Name  string `json:"name"`
 	Slots int    `json:"slots"`
 	// MostRunning is the highest number of requests that ran at a time.
-	MostRunning        int `json:"most-running"`
-	RefusedFull        int `json:"refused-full"`
-	RefusedLeaving     int `json:"refused-leaving"`
+	MostRunning     int `json:"most-running"`
+	RefusedFull     int `json:"refused-full"`
+	RefusedLeaving  int `json:"refused-leaving"`
+	RefusedDraining int `json:"refused-draining"`
+	// Reboots counts planned reboots, Cut the requests that ran when one came.
+	Reboots            int `json:"reboots"`
+	Cut                int `json:"cut"`
 	Connections        int `json:"connections"`
 	MostConnections    int `json:"most-connections"`
 	RefusedConnections int `json:"refused-connections"`
@@ -26,6 +30,7 @@
 	RequestID string    `json:"request-id"`
 	Team      string    `json:"team"`
 	Key       string    `json:"idempotency-key,omitempty"`
+	Path      string    `json:"path"`
 	Start     time.Time `json:"start"`
 	// End is nil while the request runs.
 	End    *time.Time `json:"end,omitempty"`
--- a/msstandin/platform.go
+++ b/msstandin/platform.go
@@ -43,7 +43,9 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	vms     vmTable
-	faults  faultState
+	// controls holds the VMs that report themselves.
+	controls controls
+	faults   faultState
 	// changed is closed, and made anew, when a stream grows or a fault is set.
 	changed chan struct{}
 }
@@ -102,6 +104,7 @@
 	p.mux.HandleFunc("GET /v1/vms", p.serveVMs)
 	p.mux.HandleFunc("PUT /v1/vms/{name}", p.servePutVM)
 	p.mux.HandleFunc("DELETE /v1/vms/{name}", p.serveDeleteVM)
+	p.controlRoutes()
 	p.mux.HandleFunc("POST /v1/list-lag", p.serveListLag)
 	p.mux.HandleFunc("POST /v1/fault", p.serveFault)
 	p.mux.HandleFunc("POST /v1/retain", p.serveRetain)
--- a/msstandin/upstream.go
+++ b/msstandin/upstream.go
@@ -29,8 +29,9 @@
 
 // The reasons in HeaderNotRun.
 const (
-	NotRunLeaving = "leaving"
-	NotRunFull    = "full"
+	NotRunLeaving  = "leaving"
+	NotRunFull     = "full"
+	NotRunDraining = "draining"
 )
 
 const (
@@ -61,8 +62,10 @@
 	rng     *rand.Rand
 	journal Journal
 	running int
-	byTeam  map[string]int
-	conns   map[net.Conn]bool
+	// draining refuses what has not started, until the VM is opened again.
+	draining bool
+	byTeam   map[string]int
+	conns    map[net.Conn]bool
 	// silenced counts the orders to go silent. A connection that is older than
 	// the last one is silent.
 	silenced int
@@ -171,6 +174,10 @@
 		u.journal.RefusedLeaving++
 		return NotRunLeaving
 	}
+	if u.draining {
+		u.journal.RefusedDraining++
+		return NotRunDraining
+	}
 	if u.running >= u.Slots {
 		u.journal.RefusedFull++
 		return NotRunFull
@@ -196,6 +203,7 @@
 		RequestID:   r.Header.Get(HeaderRequestID),
 		Team:        team,
 		Key:         r.Header.Get(HeaderKey),
+		Path:        r.URL.Path,
 		Start:       u.Clock.Now(),
 		Running:     u.running,
 		TeamRunning: u.byTeam[team],
--- a/msstandin/vmlist.go
+++ b/msstandin/vmlist.go
@@ -72,6 +72,7 @@
 	p.mu.Lock()
 	p.vms.apply(p.Clock.Now())
 	list := append([]mslog.VM{}, p.vms.shown...)
+	list = append(list, p.controls.list(p.Clock.Now())...)
 	p.mu.Unlock()
 	writeJSON(w, http.StatusOK, vmListAnswer{VMs: list})
 }
