mslog, msstandin: one timeout leaves every silent connection; callers can resend

Cause: what silences one open connection silences the others, and each idle one would cost a timeout; a caller's retry after an unknown outcome is what at most once has to stand. Ruled out: no idle connections at all, which costs a dial per append. Change: a timeout closes the client's idle connections; Plan.ResendUnknown sends again with the same key, and a later refusal does not settle an earlier unknown; the stand-in drops expired records without copying the rest. Conclusion: go test -race passes for both packages.

--- a/mslog/client.go
+++ b/mslog/client.go
@@ -16,6 +16,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -171,12 +172,29 @@
 	}
 	resp, err := c.client().Do(req)
 	if err != nil {
-		return answer{sent: sent.Load()}, causeOf(ctx, err)
+		return answer{sent: sent.Load()}, c.gaveUp(ctx, err)
 	}
 	defer resp.Body.Close()
 	a := answer{sent: true, status: resp.StatusCode}
 	a.body, err = io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
-	return a, causeOf(ctx, err)
+	if err != nil {
+		return a, c.gaveUp(ctx, err)
+	}
+	return a, nil
+}
+
+// gaveUp returns the reason why a request with context ctx ended in err. After
+// a timeout it closes the idle connections: what made one connection silent
+// has often silenced the others, and each would cost a timeout of its own.
+func (c *Client) gaveUp(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	cause := context.Cause(ctx)
+	if errors.Is(cause, ErrTimeout) {
+		c.client().CloseIdleConnections()
+	}
+	return cause
 }
 
 func (c *Client) recordsURL(stream string, v url.Values) string {
--- a/mslog/client_test.go
+++ b/mslog/client_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -190,6 +192,58 @@
 	require.NotEqual(t, dead, <-entered)
 }
 
+// TestOneTimeoutLeavesAllSilentConnections opens two connections, lets both go
+// silent and allows for one timeout.
+func TestOneTimeoutLeavesAllSilentConnections(t *testing.T) {
+	p := &msstandin.Platform{}
+	var mu sync.Mutex
+	silenced := map[string]bool{}
+	seen := map[string]bool{}
+	silent := false
+	entered := make(chan struct{}, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen[r.RemoteAddr] = true
+		hang := silent && silenced[r.RemoteAddr]
+		mu.Unlock()
+		entered <- struct{}{}
+		if hang {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		p.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	clock := msclock.NewFake(time.Unix(0, 0))
+	c := &mslog.Client{Address: s.Listener.Addr().String(), Clock: clock, Timeout: time.Second}
+	ctx := context.Background()
+	polled := make(chan error, 1)
+	go func() {
+		_, err := c.Read(ctx, mslog.Query{Stream: "s", Wait: hung})
+		polled <- err
+	}()
+	<-entered
+	_, err := c.Append(ctx, "s", records("a"))
+	require.NoError(t, err)
+	<-entered
+	require.NoError(t, <-polled)
+	mu.Lock()
+	require.Len(t, seen, 2)
+	maps.Copy(silenced, seen)
+	silent = true
+	mu.Unlock()
+	go func() {
+		_, err := c.Append(ctx, "s", records("b"))
+		polled <- err
+	}()
+	<-entered
+	clock.Advance(time.Second)
+	require.ErrorIs(t, <-polled, mslog.ErrTimeout)
+	_, err = c.Append(ctx, "s", records("b"))
+	require.NoError(t, err)
+}
+
 func TestVMListLags(t *testing.T) {
 	clock := msclock.NewFake(time.Unix(0, 0))
 	p := &msstandin.Platform{Clock: clock, ListLag: time.Second}
--- a/mslog/faults_test.go
+++ b/mslog/faults_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,6 +94,8 @@
 	stream []mslog.Record
 	tail   []mslog.Record
 	proofs int
+	// wrong counts proofs of an end that the tail had not applied up to.
+	wrong int
 }
 
 const (
@@ -109,7 +112,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	add := newAdd(ctx, c)
-	tail := &mslog.Tail{Client: c, Stream: "s", Max: 3, Proof: func(time.Time, uint64) { h.proofs++ }}
+	tail := &mslog.Tail{Client: c, Stream: "s", Max: 3}
+	tail.Proof = func(_ time.Time, end uint64) {
+		h.proofs++
+		if end != uint64(len(h.tail)) {
+			h.wrong++
+		}
+	}
 	tail.Apply = func(r mslog.Record) { h.tail = append(h.tail, r) }
 	go tail.Run(ctx)
 	var wg sync.WaitGroup
@@ -141,6 +150,7 @@
 func check(t *rapid.T, h history, phases []phase) {
 	require.Equal(t, idsOf(h.stream), idsOf(h.tail), "the tail is the stream")
 	require.Positive(t, h.proofs)
+	require.Zero(t, h.wrong)
 	count := map[string]int{}
 	for i, r := range h.stream {
 		require.Equal(t, uint64(i), h.tail[i].Offset)
@@ -206,27 +216,32 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		appends := 0
+		var appends, open, most atomic.Int64
 		p := &msstandin.Platform{}
 		c := directClient(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodPost {
-				appends++
+				appends.Add(1)
+				most.Store(max(most.Load(), open.Add(1)))
 				time.Sleep(10 * time.Millisecond)
+				open.Add(-1)
 			}
 			p.ServeHTTP(w, r)
 		}))
-		b := &mslog.Batcher{Client: c, Stream: "s", MaxDelay: time.Millisecond}
+		b := &mslog.Batcher{Client: c, Stream: "s", MaxBatch: 60, MaxDelay: time.Millisecond}
 		go b.Run(ctx)
 		var wg sync.WaitGroup
-		for i := range 100 {
+		for i := range 200 {
 			wg.Go(func() {
+				time.Sleep(time.Duration(i/100) * 5 * time.Millisecond)
 				_, err := b.Add(ctx, records(fmt.Sprint(i))[0])
 				require.NoError(t, err)
 			})
 		}
 		wg.Wait()
-		require.Equal(t, 1, appends)
-		require.Len(t, p.Records("s"), 100)
+		// Batches of 60, 60, 60 and 20.
+		require.Equal(t, int64(4), appends.Load())
+		require.Equal(t, int64(1), most.Load(), "one batch in flight")
+		require.Len(t, p.Records("s"), 200)
 	})
 }
 
--- a/mslog/timeout.go
+++ b/mslog/timeout.go
@@ -21,11 +21,3 @@
 	}()
 	return ctx, func() { cancel(context.Canceled) }
 }
-
-// causeOf returns the reason that ctx ended, if it did before err came of it.
-func causeOf(ctx context.Context, err error) error {
-	if err == nil || ctx.Err() == nil {
-		return err
-	}
-	return context.Cause(ctx)
-}
--- a/msstandin/callers.go
+++ b/msstandin/callers.go
@@ -26,8 +26,9 @@
 
 // The values of HeaderOutcome that callers act on.
 const (
-	entryAnswered = "answered"
-	entryNotRun   = "not-run"
+	entryAnswered  = "answered"
+	entryNotRun    = "not-run"
+	entryDuplicate = "duplicate"
 )
 
 // Outcome is what a caller concludes about a request.
@@ -59,7 +60,8 @@
 }
 
 // Callers make the requests of a plan and record what they are told. A request
-// is sent again, to another entry, only after it was refused as not run.
+// is sent again, to another entry, after it was refused as not run, and under
+// Plan.ResendUnknown after an unknown outcome.
 type Callers struct {
 	Plan Plan
 	// HTTP sends the requests. The default keeps connections to each entry.
@@ -132,17 +134,23 @@
 func (c *Callers) make(ctx context.Context, cl call) error {
 	began := c.Clock.Now()
 	r := CallerRecord{ID: cl.id, Key: cl.key, Team: cl.team.Name, Queue: cl.queue.Name}
+	unsettled := false
 	for r.Tries < c.Plan.tries() {
 		entry := c.Plan.Entries[(cl.entry+r.Tries)%len(c.Plan.Entries)]
 		r.Tries++
-		c.try(entry, cl, &r)
-		if r.Outcome != OutcomeRefused || r.Tries == c.Plan.tries() {
+		again := c.try(entry, cl, &r)
+		unsettled = unsettled || r.Outcome == OutcomeUnknown
+		if !again || r.Tries == c.Plan.tries() {
 			break
 		}
 		if msclock.Sleep(ctx, c.Clock, c.Plan.pause()) != nil {
 			break
 		}
 	}
+	// A refusal of a later try says nothing about an earlier one.
+	if unsettled && r.Outcome == OutcomeRefused {
+		r.Outcome = OutcomeUnknown
+	}
 	r.TookMS = c.Clock.Now().Sub(began).Milliseconds()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,26 +160,28 @@
 	return c.Record(r)
 }
 
-// try sends a call to one entry and notes in r what came of it.
-func (c *Callers) try(entry string, cl call, r *CallerRecord) {
+// try sends a call to one entry, notes in r what came of it, and says whether
+// the call may be sent again.
+func (c *Callers) try(entry string, cl call, r *CallerRecord) bool {
 	r.Status, r.Reason, r.Whole = 0, "", false
 	ctx, cancel := context.WithTimeout(context.Background(), c.Plan.timeout())
 	defer cancel()
 	req, err := cl.request(ctx, entry)
 	if err != nil {
 		r.Outcome, r.Reason = OutcomeRefused, err.Error()
-		return
+		return false
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		r.Outcome, r.Reason = outcomeOf(err), err.Error()
-		return
+		return c.maySendAgain(r.Outcome)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	r.Status = resp.StatusCode
 	r.Reason = resp.Header.Get(HeaderReason)
-	switch outcome := resp.Header.Get(HeaderOutcome); {
+	outcome := resp.Header.Get(HeaderOutcome)
+	switch {
 	case err != nil:
 		r.Outcome, r.Reason = OutcomeUnknown, "the answer broke off: "+err.Error()
 	case outcome == entryAnswered:
@@ -182,6 +192,11 @@
 	default:
 		r.Outcome = OutcomeUnknown
 	}
+	return outcome != entryDuplicate && c.maySendAgain(r.Outcome)
+}
+
+func (c *Callers) maySendAgain(o Outcome) bool {
+	return o == OutcomeRefused || (o == OutcomeUnknown && c.Plan.ResendUnknown)
 }
 
 // outcomeOf tells a request that never had a connection from one that may have
--- a/msstandin/judge_test.go
+++ b/msstandin/judge_test.go
@@ -202,6 +202,37 @@
 	}
 }
 
+// TestResentRequestStaysUnknown lets the first try be lost and the second be
+// refused: the refusal must not settle the first.
+func TestResentRequestStaysUnknown(t *testing.T) {
+	for outcome, want := range map[string]Outcome{"not-run": OutcomeUnknown, "duplicate": OutcomeUnknown, "answered": OutcomeAnswered} {
+		keys := make(chan string, 10)
+		first := true
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			keys <- r.Header.Get(HeaderKey)
+			_, _ = io.Copy(io.Discard, r.Body)
+			if first {
+				first = false
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set(HeaderOutcome, outcome)
+		}))
+		p := Plan{
+			Requests: 1, PauseMS: 1, Tries: 4, ResendUnknown: true, Entries: []string{s.Listener.Addr().String()},
+			Teams:  []PlanTeam{{Name: "t", Limit: 1, Queues: []string{"booth"}}},
+			Queues: []PlanQueue{{Name: "booth"}},
+		}
+		var got CallerRecord
+		c := &Callers{Plan: p, Record: func(r CallerRecord) error { got = r; return nil }}
+		require.NoError(t, c.Run(context.Background()))
+		s.Close()
+		require.Equal(t, want, got.Outcome, outcome)
+		require.Len(t, keys, got.Tries)
+		require.Equal(t, outcome == "not-run", got.Tries == 4)
+		require.Equal(t, <-keys, <-keys, "the same key again")
+	}
+}
+
 func TestPlanNamesWhatItLacks(t *testing.T) {
 	err := Plan{Teams: []PlanTeam{{Name: "t", Limit: 1, Queues: []string{"no"}}}}.Check()
 	for _, s := range []string{"requests", "entries", "unknown queue no"} {
--- a/msstandin/plan.go
+++ b/msstandin/plan.go
@@ -21,6 +21,9 @@
 	TimeoutMS int64 `json:"timeout-ms"`
 	// Tries is how often a request is sent while it is refused as not run.
 	Tries int `json:"tries"`
+	// ResendUnknown sends a request again after an unknown outcome too, with the
+	// same idempotency key. Entries then have to run it at most once.
+	ResendUnknown bool `json:"resend-unknown,omitempty"`
 	// PauseMS is the pause before another try, in milliseconds.
 	PauseMS int64       `json:"pause-ms"`
 	Entries []string    `json:"entries"`
--- a/msstandin/platform.go
+++ b/msstandin/platform.go
@@ -63,7 +63,9 @@
 	if first <= s.first {
 		return
 	}
-	s.records = append([]mslog.Record(nil), s.records[first-s.first:]...)
+	n := first - s.first
+	clear(s.records[:n])
+	s.records = s.records[n:]
 	s.first = first
 }
 
