--- a/mslog/script_test.go
+++ b/mslog/script_test.go
@@ -170,3 +170,33 @@
 		require.Equal(t, 2, appends)
 	})
 }
+
+// TestAppenderReturnsTheEarliest lets a try that was given up take effect
+// between the look and the next try.
+func TestAppenderReturnsTheEarliest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		delays := make(chan time.Duration, 2)
+		delays <- mslog.DefaultTimeout * 3 / 2
+		delays <- mslog.DefaultTimeout * 3 / 4
+		p := &msstandin.Platform{}
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				time.Sleep(<-delays)
+			}
+			p.ServeHTTP(w, r)
+		})
+		a := &mslog.Appender{Client: directClient(h)}
+		r, err := a.AppendOnce(context.Background(), "s", 0, records("a")[0])
+		require.NoError(t, err)
+		require.Equal(t, []string{"a", "a"}, idsOf(p.Records("s")))
+		require.Equal(t, uint64(0), r.Offset)
+	})
+}
+
+func TestWaitComesOnTopOfTheTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := directClient(&msstandin.Platform{})
+		_, err := c.Read(context.Background(), mslog.Query{Stream: "s", Wait: 2 * mslog.DefaultTimeout})
+		require.NoError(t, err)
+	})
+}
--- a/msstandin/upstream_test.go
+++ b/msstandin/upstream_test.go
@@ -78,6 +78,8 @@
 	j := u.ReadJournal()
 	require.Len(t, j.Entries, 2, "what was refused did not start")
 	require.Equal(t, 2, j.MostRunning)
+	require.Equal(t, 2, j.Entries[1].Running)
+	require.Equal(t, 2, j.Entries[1].TeamRunning)
 }
 
 func TestSilentConnectionHangsWhileNewOnesWork(t *testing.T) {
