--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -7,6 +7,7 @@
 
 const (
 	callAfter   = 100 * time.Millisecond // callAfter is the wait before a call is repeated.
+	fetchAfter  = time.Second            // fetchAfter is the time to fetch free tokens before others are served.
 	rotateAfter = 250 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
 )
 
@@ -21,6 +22,7 @@
 	contended bool // contended: any peer has unmet demand.
 	first     int  // first is the index of the peer that is served first.
 	rotateAt  time.Time
+	turning   bool      // turning: first has moved, and not all that are due tokens have them.
 	keptSince time.Time // keptSince is since when free tokens are kept for this entry's own demand.
 	peers     []peer    // peers are in the order of view.Members.
 	wants     []int     // wants is scratch space for share.
@@ -204,6 +206,7 @@
 		q.out += n
 		q.want -= n
 		a.refresh(l.self)
+		p.served(now)
 	}
 	g := Gift{N: n, Settled: p.free >= 0, Ceiling: a.ceiling}
 	if p.contended {
@@ -223,9 +226,7 @@
 		return false
 	}
 	n := len(p.peers)
-	if !now.Before(p.rotateAt) {
-		p.rotateAt = now.Add(rotateAfter)
-		p.first = (p.first + 1) % n
+	if p.rotate(now) {
 		a.refresh(l.self)
 	}
 	l.dropStaleWant(a, now)
@@ -253,6 +254,39 @@
 	return true
 }
 
+// rotate moves first on, to the next peer with demand, once all that are due tokens
+// have had them for a while, or one that is due does not fetch them.
+func (p *pool) rotate(now time.Time) bool {
+	at := p.rotateAt
+	switch {
+	case p.unmet > 0 && p.free <= 0:
+		p.rotateAt = now.Add(rotateAfter)
+		return false
+	case p.unmet > 0:
+		at = at.Add(fetchAfter)
+	}
+	if now.Before(at) {
+		return false
+	}
+	p.rotateAt = now.Add(rotateAfter)
+	p.turning = true
+	for range p.peers {
+		p.first = (p.first + 1) % len(p.peers)
+		if p.wants[p.first] > 0 {
+			break
+		}
+	}
+	return true
+}
+
+// served gives the peers that first has moved to their time.
+func (p *pool) served(now time.Time) {
+	if p.turning && p.unmet == 0 {
+		p.turning = false
+		p.rotateAt = now.Add(rotateAfter)
+	}
+}
+
 // dropStaleWant forgets this entry's own demand if it takes none of the tokens that
 // are free for it.
 func (l *Ledger) dropStaleWant(a *account, now time.Time) {
