msteam: Slots tells what is due and what is wanted

Cause: an entry that holds only its due leaves slots idle while the pool is full, since the entries' views of the due differ by a second. Change: Slots and TeamSlots return due and wanted. A home gives first what others lack of their due, then what is left to whoever wants it; an entry sheds only while another is short. Early refusal takes the faster of the pace seen and the target, as slots are on their way when a turn begins. Conclusion: the token home has to know two numbers, due and wanted.

--- a/msmeasure/share_loop.go
+++ b/msmeasure/share_loop.go
@@ -28,8 +28,8 @@
 	ended(i int, ran time.Duration, now time.Time)
 	expired(now time.Time) []int
 	waiting() int
-	slots(now time.Time) int            // wanted
-	tokens(team int, now time.Time) int // of the team's upper limit, wanted
+	slots(now time.Time) (due, wanted int)
+	tokens(team int, now time.Time) (due, wanted int) // of its upper limit
 }
 
 // outcome is what became of one request; times are -1 until they come.
@@ -45,10 +45,14 @@
 type tokens struct {
 	free, lost int
 	held, used []int
+	// short is, by entry, how many it lacked of its due at its last exchange.
+	short []int
+	// shed is, by entry, how many it is to give up as they come free.
+	shed []int
 }
 
 func newTokens(total, entries int) *tokens {
-	t := &tokens{held: make([]int, entries), used: make([]int, entries)}
+	t := &tokens{held: make([]int, entries), used: make([]int, entries), short: make([]int, entries), shed: make([]int, entries)}
 	for e := range entries {
 		t.held[e] = total / entries
 	}
@@ -56,26 +60,39 @@
 	return t
 }
 
-// exchange gives back what entry e holds idle beyond wanted, or takes what is
-// free up to it.
-func (t *tokens) exchange(e, wanted int) {
+// exchange gives back what entry e holds idle beyond wanted, and beyond due
+// where others are short of theirs. It takes what it lacks of its due, and what
+// is free beyond what others lack.
+func (t *tokens) exchange(e, due, wanted int) {
+	t.short[e] = 0
+	lacking := sum(t.short)
 	idle := t.held[e] - t.used[e]
-	if over := min(idle, t.held[e]-wanted); over > 0 {
-		t.held[e] -= over
-		t.free += over
-		return
+	back := min(idle, t.held[e]-wanted)
+	t.shed[e] = max(0, min(t.held[e]-due, lacking-t.free))
+	back = max(0, back, min(idle, t.shed[e]))
+	t.shed[e] = max(0, t.shed[e]-back)
+	got := min(max(0, due-t.held[e]), t.free)
+	got += min(max(0, wanted-t.held[e]-got), max(0, t.free-got-lacking))
+	t.held[e] += got - back
+	t.free -= got - back
+	t.short[e] = max(0, due-t.held[e])
+}
+
+// allowed returns how many entry e may have in use.
+func (t *tokens) allowed(e int) int {
+	return t.held[e] - t.shed[e]
+}
+
+func sum(ns []int) int {
+	total := 0
+	for _, n := range ns {
+		total += n
 	}
-	got := min(max(0, wanted-t.held[e]), t.free)
-	t.held[e] += got
-	t.free -= got
+	return total
 }
 
 func (t *tokens) inUse() int {
-	n := 0
-	for _, u := range t.used {
-		n += u
-	}
-	return n
+	return sum(t.used)
 }
 
 // shareRun drives one policy over the requests.
@@ -190,17 +207,30 @@
 
 func (r *shareRun) exchange(e, ms int) {
 	for _, p := range r.pools {
-		r.slots[p].exchange(e, r.lines[p][e].slots(at(ms)))
+		due, wanted := r.lines[p][e].slots(at(ms))
+		r.slots[p].exchange(e, due, wanted)
 	}
 	for t := range r.limits {
-		wanted := 0
+		due, wanted := 0, r.spareTokens(t, e)
 		for _, p := range r.pools {
-			wanted += r.lines[p][e].tokens(t, at(ms))
+			d, w := r.lines[p][e].tokens(t, at(ms))
+			due += d
+			wanted += w
 		}
-		r.limits[t].exchange(e, wanted)
+		r.limits[t].exchange(e, due, wanted)
 	}
 }
 
+// spareTokens is an entry's equal part of a limit's tokens that nobody uses.
+func (r *shareRun) spareTokens(t, e int) int {
+	l, ok := r.lines[r.pools[0]][e].(*shares)
+	if !ok {
+		return 0
+	}
+	spare := float64(r.d.Teams[t].Limit) - l.s.Limits.Used(r.d.Teams[t].Name)
+	return int(max(0, spare) / float64(r.d.Entries))
+}
+
 // report sends e's use to its peers where its policy has something to report.
 func (r *shareRun) report(e, ms int) {
 	for _, p := range r.pools {
@@ -221,9 +251,9 @@
 	l := r.lines[p][e]
 	may := func(team string) bool {
 		t := r.limits[r.teamIdx[team]]
-		return t.used[e] < t.held[e]
+		return t.used[e] < t.allowed(e)
 	}
-	for l.waiting() > 0 && r.slots[p].used[e] < r.allowed(p, e, ms) {
+	for l.waiting() > 0 && r.slots[p].used[e] < r.slots[p].allowed(e) {
 		i, ok := l.next(at(ms), may)
 		if !ok {
 			return
@@ -239,12 +269,6 @@
 	}
 }
 
-// allowed returns how many slots the entry may have in use: what it holds, less
-// what it is about to give back.
-func (r *shareRun) allowed(p, e, ms int) int {
-	return min(r.slots[p].held[e], r.lines[p][e].slots(at(ms)))
-}
-
 func (r *shareRun) end(i, ms int) {
 	if r.outs[i].lost {
 		return
@@ -292,6 +316,7 @@
 func (r *shareRun) lose(e, ms int) {
 	for _, t := range r.resources() {
 		t.lost, t.held[e], t.used[e] = t.held[e], 0, 0
+		t.short[e], t.shed[e] = 0, 0
 	}
 	for i := range r.outs {
 		q, o := &r.reqs[i], &r.outs[i]
--- a/msmeasure/share_naive.go
+++ b/msmeasure/share_naive.go
@@ -41,8 +41,7 @@
 
 func (f *fifo) started(int, time.Time) { f.inUse++ }
 
-func (f *fifo) waiting() int        { return len(f.line) }
-func (f *fifo) slots(time.Time) int { return f.inUse + len(f.line) }
+func (f *fifo) waiting() int { return len(f.line) }
 
 func (f *fifo) expired(now time.Time) []int {
 	var out []int
@@ -64,4 +63,11 @@
 	f.asked[f.reqs[i].team]--
 }
 
-func (f *fifo) tokens(team int, _ time.Time) int { return f.asked[team] }
+func (f *fifo) slots(time.Time) (due, wanted int) {
+	n := f.inUse + len(f.line)
+	return n, n
+}
+
+func (f *fifo) tokens(team int, _ time.Time) (due, wanted int) {
+	return f.asked[team], f.asked[team]
+}
--- a/msmeasure/share_ours.go
+++ b/msmeasure/share_ours.go
@@ -50,8 +50,8 @@
 	return out
 }
 
-func (s *shares) waiting() int            { return s.n }
-func (s *shares) slots(now time.Time) int { return s.s.Slots(now) }
-func (s *shares) tokens(team int, now time.Time) int {
+func (s *shares) waiting() int                          { return s.n }
+func (s *shares) slots(now time.Time) (due, wanted int) { return s.s.Slots(now) }
+func (s *shares) tokens(team int, now time.Time) (due, wanted int) {
 	return s.s.TeamSlots(s.d.Teams[team].Name, now)
 }
--- a/msteam/estimate.go
+++ b/msteam/estimate.go
@@ -54,14 +54,14 @@
 	}
 	if t.waiting() >= s.bound(t) {
 		r.Reason = ReasonLineFull
-		r.Wait, _ = t.wait(t.ahead(w.Urgent))
+		r.Wait, _ = s.wait(t, t.ahead(w.Urgent))
 		return r
 	}
 	if w.Deadline.IsZero() {
 		return nil
 	}
 	left := w.Deadline.Sub(now)
-	wait, ok := t.wait(t.ahead(w.Urgent))
+	wait, ok := s.wait(t, t.ahead(w.Urgent))
 	if left >= 0 && (s.Late || !ok || wait <= left) {
 		return nil
 	}
@@ -87,7 +87,7 @@
 	if t == nil {
 		return 0, false
 	}
-	return t.wait(t.waiting())
+	return s.wait(t, t.waiting())
 }
 
 // ahead returns how many would start before a new waiter.
@@ -98,15 +98,17 @@
 	return t.waiting()
 }
 
-// wait returns how long it takes until n waiters and one more have started.
-func (t *team) wait(n int) (time.Duration, bool) {
-	if n == 0 {
-		return 0, t.pace.waited >= leastSeen.Seconds()
-	}
+// wait returns how long it takes until n waiters of t and one more have
+// started: by the pace that was seen, or by the target where that is faster,
+// as slots are still on their way here when a queue's turn begins.
+func (s *Scheduler) wait(t *team, n int) (time.Duration, bool) {
 	if t.pace.waited < leastSeen.Seconds() {
 		return 0, false
 	}
 	perStart := t.pace.waited / max(1, t.pace.starts)
+	if t.target > 0 {
+		perStart = min(perStart, s.runTime(t)/t.target)
+	}
 	return time.Duration(float64(n) * perStart * float64(time.Second)), true
 }
 
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -31,6 +31,14 @@
 	used map[string]*float64
 }
 
+// Used returns how many slots team uses on all entries and in all pools.
+func (l *Limits) Used(team string) float64 {
+	if l.used[team] == nil {
+		return 0
+	}
+	return *l.used[team]
+}
+
 // of returns the place of a team's sum.
 func (l *Limits) of(team string) *float64 {
 	if l.used == nil {
@@ -257,42 +265,46 @@
 	}
 }
 
-// Slots returns how many slots of the pool this entry should hold: all that
-// its callers ask for while the pool has room, and its part of their due once
-// all is full. An entry that holds more gives the rest back as they come free.
-func (s *Scheduler) Slots(now time.Time) int {
+// Slots returns how many slots of the pool this entry should hold. due is its
+// part once all is full, and the entry gives up what it holds beyond while some
+// other holds less than its due. wanted is what it can use or keep ready: all
+// that its callers ask for, and an equal part of the slots that nobody asks for.
+func (s *Scheduler) Slots(now time.Time) (due, wanted int) {
 	s.advance(now)
-	wanted, asked := 0.0, 0
+	target, asked := 0.0, 0
 	for _, t := range s.teams {
-		wanted += t.target
+		target += t.target
 		asked += t.running + t.waiting()
 	}
-	if !s.isFull() {
-		return asked
+	room := s.room()
+	if room <= 0 {
+		return min(asked, int(math.Ceil(target))), asked
 	}
-	return min(asked, int(math.Ceil(wanted)))
+	return asked, asked + int(room)/(len(s.peers)+1)
 }
 
-// TeamSlots returns how many of the slots here team should use. Summed over
-// pools, it is how many tokens of the team's upper limit the entry should hold.
-func (s *Scheduler) TeamSlots(team string, now time.Time) int {
+// TeamSlots returns how many of the slots here team is due and wants, as Slots
+// does for all teams. Summed over pools, these are the tokens of the team's
+// upper limit that the entry is due and wants.
+func (s *Scheduler) TeamSlots(team string, now time.Time) (due, wanted int) {
 	s.advance(now)
 	t := s.byName[team]
 	if t == nil {
-		return 0
+		return 0, 0
 	}
 	asked := t.running + t.waiting()
-	if !s.isFull() {
-		return asked
+	if s.room() > 0 {
+		return asked, asked
 	}
-	return min(asked, int(math.Ceil(t.target)))
+	return min(asked, int(math.Ceil(t.target))), asked
 }
 
-// isFull reports whether more is asked of the pool than it has.
-func (s *Scheduler) isFull() bool {
+// room returns how many slots of the pool nobody asks for, below 0 once more
+// is asked than there is.
+func (s *Scheduler) room() float64 {
 	fleet := 0.0
 	for _, t := range s.teams {
 		fleet += t.fleet
 	}
-	return fleet >= s.capacity()
+	return s.capacity() - fleet
 }
