msteam: limits bound the due, not the report

Cause: a team that waited for a limit token was reported as not waiting, so that its peers divided the pool without it. Change: reports name all that wait; the limit bounds the due by what is used in other pools; a team that only its limit holds back starts first, as its tokens would lie idle otherwise; room counts only demand that limits allow.

--- a/msteam/peer.go
+++ b/msteam/peer.go
@@ -15,8 +15,7 @@
 	// Slot is the slot time since the entry's start, with that of requests
 	// still running. It never falls under one entry's name.
 	Slot time.Duration
-	// Running and Waiting are the requests at the time of the report. Those
-	// that wait for a token of the team's upper limit aren't in Waiting.
+	// Running and Waiting are the requests at the time of the report.
 	Running, Waiting int
 }
 
@@ -40,9 +39,6 @@
 	out := make([]Use, 0, len(s.teams))
 	for _, t := range s.teams {
 		u := Use{Team: t.name, Slot: t.used, Running: t.running, Waiting: t.waiting()}
-		if t.blocked {
-			u.Waiting = 0
-		}
 		if u != (Use{Team: t.name}) {
 			out = append(out, u)
 		}
--- a/msteam/scheduler.go
+++ b/msteam/scheduler.go
@@ -79,7 +79,6 @@
 	weights float64 // sum over teams
 	ticked  time.Time
 	claims  []Claim // scratch of divide
-	probe   bool    // ask may for every team at the next Next
 	pace    pace    // of all teams together
 }
 
@@ -138,15 +137,13 @@
 			continue
 		}
 		score := t.score(s.runTime(t))
-		if best != nil && score <= high && !s.probe {
+		if best != nil && score <= high {
 			continue
 		}
-		t.blocked = may != nil && !may(t.name)
-		if !t.blocked && (best == nil || score > high) {
+		if may == nil || may(t.name) {
 			best, high = t, score
 		}
 	}
-	s.probe = false
 	if best == nil {
 		return Waiter{}, false
 	}
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -18,6 +18,9 @@
 	repay = 2 * time.Second
 	// follow bounds how far the entry's own account of a team runs from zero.
 	follow = time.Second
+	// cappedScore puts a team that only its upper limit holds back before all
+	// others, so that no token of it lies idle.
+	cappedScore = 10
 	// leastTarget keeps a team with no target yet comparable, in slots.
 	leastTarget = 0.01
 	// leastPart of its due is what a team that got too much before still gets.
@@ -97,8 +100,6 @@
 	limit          int
 	urgent, normal queue
 	running        int
-	// blocked is set while the team waits for a token of its upper limit.
-	blocked bool
 	// used is the slot time up to since; folded what the last division counted.
 	used   time.Duration
 	since  time.Time
@@ -112,9 +113,12 @@
 	everywhere *float64
 	demand     float64 // asked for here
 	fleet      float64 // asked for on all entries
+	able       float64 // fleet, as far as the upper limit allows
 	shortage   float64 // due to the team on all entries, not yet repaid
 	target     float64 // to use here
 	account    float64 // target less use here, summed
+	// capped is set while the upper limit is all that holds the team back.
+	capped bool
 }
 
 func (t *team) waiting() int {
@@ -139,6 +143,9 @@
 // score orders teams: how far the team is behind its target once those that
 // run now have ended, in seconds of its target.
 func (t *team) score(runTime float64) float64 {
+	if t.capped {
+		return cappedScore
+	}
 	return (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
 }
 
@@ -173,7 +180,6 @@
 		}
 		t.fleetRate, t.fleet = t.rate, t.demand
 	}
-	s.probe = true
 	s.dropSilent(now)
 	for _, p := range s.peers {
 		for _, u := range p.uses {
@@ -197,6 +203,7 @@
 			elsewhere := *t.everywhere - t.fleetRate
 			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-elsewhere))
 		}
+		t.able = s.claims[i].Demand
 	}
 	Divide(capacity, s.claims)
 }
@@ -225,6 +232,7 @@
 			continue
 		}
 		due := s.claims[i].Due
+		t.capped = due < t.fleet && due >= s.claims[i].Demand
 		wanted := min(t.fleet, max(due*leastPart, due+t.shortage/repay.Seconds()))
 		t.target = wanted * t.demand / t.fleet
 	}
@@ -274,7 +282,7 @@
 	target, asked := 0.0, 0
 	for _, t := range s.teams {
 		target += t.target
-		asked += t.running + t.waiting()
+		asked += t.asked()
 	}
 	room := s.room()
 	if room <= 0 {
@@ -293,10 +301,20 @@
 		return 0, 0
 	}
 	asked := t.running + t.waiting()
-	if s.room() > 0 {
+	if s.room() > 0 && !t.capped {
 		return asked, asked
 	}
-	return min(asked, int(math.Ceil(t.target))), asked
+	due = min(asked, int(math.Ceil(t.target)))
+	return due, min(asked, due+1)
+}
+
+// asked returns how many slots t could use here now.
+func (t *team) asked() int {
+	n := t.running + t.waiting()
+	if t.capped {
+		n = min(n, max(t.running, int(math.Ceil(t.target))))
+	}
+	return n
 }
 
 // room returns how many slots of the pool nobody asks for, below 0 once more
@@ -304,7 +322,7 @@
 func (s *Scheduler) room() float64 {
 	fleet := 0.0
 	for _, t := range s.teams {
-		fleet += t.fleet
+		fleet += t.able
 	}
 	return s.capacity() - fleet
 }
