msmeasure: urgent-start, and shares with tokens moved by demand

Cause: the design of the token home and of headroom is to be decided by figures. A replaced entry starts with empty Limits; Close takes a scheduler's part out. Ruled out: a reserve of 10 or 30 percent of the slots for urgent requests. Conclusion: dues steer the tokens; no reserve.

--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -11,6 +11,7 @@
 
 var measures = []msmeasure.Measure{
 	msmeasure.ShareError,
+	msmeasure.UrgentStart,
 }
 
 type options struct {
--- a/msmeasure/share.go
+++ b/msmeasure/share.go
@@ -16,25 +16,41 @@
 
 func runShareError(d Deployment, seed uint64) ([]Line, error) {
 	reqs := newShareLoad(d, seed).requests()
-	ours := runOurs(d, reqs, nil)
+	ours := runOurs(d, reqs, nil, nil)
 	naive := runNaive(d, reqs)
-	return shareLines(d, seed, ours, naive)
+	lines, err := shareLines(d, seed, ours, naive)
+	if err != nil {
+		return nil, err
+	}
+	demand := runOurs(d, reqs, nil, func(r *shareRun) { r.byDemand = true })
+	a, b := figures(ours.windows()), figures(demand.windows())
+	return append(lines, Line{
+		Name: "share-error-tokens", Deployment: d.Name, Ours: a.mean, Baseline: b.mean, Seed: seed,
+		Notes: []Note{{"baseline", "tokens-move-by-demand"}},
+	}), nil
 }
 
-func runOurs(d Deployment, reqs []request, set func(*msteam.Scheduler)) *shareRun {
+// runOurs runs the policy of msteam; set changes a Scheduler and tune the run.
+func runOurs(d Deployment, reqs []request, set func(*msteam.Scheduler), tune func(*shareRun)) *shareRun {
 	reqs = slices.Clone(reqs)
 	made := 0
-	limits := make([]msteam.Limits, d.Entries)
+	limits := make([]*msteam.Limits, d.Entries)
 	r := newShareRun(d, reqs, func(p, e int) picker {
 		made++
+		if p == servingPools(d)[0] { // the first of a new entry
+			limits[e] = &msteam.Limits{}
+		}
 		svc := d.Services[p]
-		s := &msteam.Scheduler{Capacity: svc.Instances * svc.Slots, Limits: &limits[e]}
+		s := &msteam.Scheduler{Capacity: svc.Instances * svc.Slots, Limits: limits[e]}
 		if set != nil {
 			set(s)
 		}
 		s.SetShares(sharesOf(d))
 		return &shares{s: s, name: fmt.Sprintf("entry-%d-%d", e, made), reqs: reqs, d: d}
 	})
+	if tune != nil {
+		tune(r)
+	}
 	r.run()
 	return r
 }
--- a/msmeasure/share_loop.go
+++ b/msmeasure/share_loop.go
@@ -1,6 +1,7 @@
 package msmeasure
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -40,61 +41,6 @@
 	lost           bool // with its entry
 }
 
-// tokens is one counted resource: how many its home has free, and how many
-// each entry holds and uses.
-type tokens struct {
-	free, lost int
-	held, used []int
-	// short is, by entry, how many it lacked of its due at its last exchange.
-	short []int
-	// shed is, by entry, how many it is to give up as they come free.
-	shed []int
-}
-
-func newTokens(total, entries int) *tokens {
-	t := &tokens{held: make([]int, entries), used: make([]int, entries), short: make([]int, entries), shed: make([]int, entries)}
-	for e := range entries {
-		t.held[e] = total / entries
-	}
-	t.free = total - total/entries*entries
-	return t
-}
-
-// exchange gives back what entry e holds idle beyond wanted, and beyond due
-// where others are short of theirs. It takes what it lacks of its due, and what
-// is free beyond what others lack.
-func (t *tokens) exchange(e, due, wanted int) {
-	t.short[e] = 0
-	lacking := sum(t.short)
-	idle := t.held[e] - t.used[e]
-	back := min(idle, t.held[e]-wanted)
-	t.shed[e] = max(0, min(t.held[e]-due, lacking-t.free))
-	back = max(0, back, min(idle, t.shed[e]))
-	t.shed[e] = max(0, t.shed[e]-back)
-	got := min(max(0, due-t.held[e]), t.free)
-	got += min(max(0, wanted-t.held[e]-got), max(0, t.free-got-lacking))
-	t.held[e] += got - back
-	t.free -= got - back
-	t.short[e] = max(0, due-t.held[e])
-}
-
-// allowed returns how many entry e may have in use.
-func (t *tokens) allowed(e int) int {
-	return t.held[e] - t.shed[e]
-}
-
-func sum(ns []int) int {
-	total := 0
-	for _, n := range ns {
-		total += n
-	}
-	return total
-}
-
-func (t *tokens) inUse() int {
-	return sum(t.used)
-}
-
 // shareRun drives one policy over the requests.
 type shareRun struct {
 	d       Deployment
@@ -114,6 +60,11 @@
 	make     func(pool, entry int) picker
 	// waiting is the number of requests by pool and team.
 	waiting [][]int
+	// byDemand moves tokens to whoever asks, without regard to what is due.
+	byDemand bool
+	// reserve is the part of an entry's slots that only urgent requests start on.
+	reserve float64
+	urgent  [][][]int // waiting by pool, entry and team
 }
 
 const stepMS = 100
@@ -126,8 +77,12 @@
 	r.full = make([][]bool, len(d.Services))
 	r.capacity = make([][]int, len(d.Services))
 	r.waiting = make([][]int, len(d.Services))
+	r.urgent = make([][][]int, len(d.Services))
 	for _, p := range r.pools {
 		r.waiting[p] = make([]int, len(d.Teams))
+		for range d.Entries {
+			r.urgent[p] = append(r.urgent[p], make([]int, len(d.Teams)))
+		}
 		r.slots[p] = newTokens(d.Services[p].Instances*d.Services[p].Slots, d.Entries)
 		for e := range d.Entries {
 			r.lines[p] = append(r.lines[p], mk(p, e))
@@ -176,6 +131,9 @@
 		return
 	}
 	r.waiting[q.pool][q.team]++
+	if q.urgent {
+		r.urgent[q.pool][q.entry][q.team]++
+	}
 }
 
 // entry does what one entry does in a millisecond.
@@ -200,7 +158,7 @@
 		for _, i := range r.lines[p][e].expired(at(ms)) {
 			r.outs[i].expired = true
 			r.outs[i].ended = ms
-			r.waiting[p][r.reqs[i].team]--
+			r.leave(i)
 		}
 	}
 }
@@ -208,6 +166,9 @@
 func (r *shareRun) exchange(e, ms int) {
 	for _, p := range r.pools {
 		due, wanted := r.lines[p][e].slots(at(ms))
+		if r.byDemand {
+			due = wanted
+		}
 		r.slots[p].exchange(e, due, wanted)
 	}
 	for t := range r.limits {
@@ -217,6 +178,9 @@
 			due += d
 			wanted += w
 		}
+		if r.byDemand {
+			due = wanted
+		}
 		r.limits[t].exchange(e, due, wanted)
 	}
 }
@@ -250,8 +214,9 @@
 func (r *shareRun) dispatch(p, e, ms int) {
 	l := r.lines[p][e]
 	may := func(team string) bool {
-		t := r.limits[r.teamIdx[team]]
-		return t.used[e] < t.allowed(e)
+		i := r.teamIdx[team]
+		t := r.limits[i]
+		return t.used[e] < t.allowed(e) && (r.urgent[p][e][i] > 0 || !r.reserved(p, e))
 	}
 	for l.waiting() > 0 && r.slots[p].used[e] < r.slots[p].allowed(e) {
 		i, ok := l.next(at(ms), may)
@@ -261,7 +226,7 @@
 		l.started(i, at(ms))
 		r.slots[p].used[e]++
 		r.limits[r.reqs[i].team].used[e]++
-		r.waiting[p][r.reqs[i].team]--
+		r.leave(i)
 		r.outs[i].started = ms
 		if end := ms + r.reqs[i].run; end < len(r.ends) {
 			r.ends[end] = append(r.ends[end], i)
@@ -269,6 +234,21 @@
 	}
 }
 
+// reserved reports whether only urgent requests may start.
+func (r *shareRun) reserved(p, e int) bool {
+	allowed := r.slots[p].allowed(e)
+	return r.slots[p].used[e] >= allowed-int(math.Ceil(r.reserve*float64(allowed)))
+}
+
+// leave takes request i out of the counts of waiting ones.
+func (r *shareRun) leave(i int) {
+	q := r.reqs[i]
+	r.waiting[q.pool][q.team]--
+	if q.urgent {
+		r.urgent[q.pool][q.entry][q.team]--
+	}
+}
+
 func (r *shareRun) end(i, ms int) {
 	if r.outs[i].lost {
 		return
@@ -325,7 +305,7 @@
 		}
 		o.lost, o.ended = true, ms
 		if o.started < 0 {
-			r.waiting[q.pool][q.team]--
+			r.leave(i)
 		}
 	}
 }
--- a/msteam/scheduler.go
+++ b/msteam/scheduler.go
@@ -82,6 +82,17 @@
 	pace    pace    // of all teams together
 }
 
+// Close takes the scheduler's part out of Limits, when its pool goes away.
+func (s *Scheduler) Close() {
+	if s.Limits == nil {
+		return
+	}
+	for _, t := range s.teams {
+		*t.everywhere -= t.fleetRate
+		t.fleetRate = 0
+	}
+}
+
 // SetShares replaces the shares. Teams without one weigh 1.
 func (s *Scheduler) SetShares(shares []Share) {
 	for _, t := range s.teams {
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -13,7 +13,7 @@
 	// horizon is the time over which waiting work counts as present demand.
 	horizon = time.Second
 	// memory is how fast a shortage is forgotten.
-	memory = 20 * time.Second
+	memory = 10 * time.Second
 	// repay is the time over which a shortage is made good.
 	repay = 2 * time.Second
 	// follow bounds how far the entry's own account of a team runs from zero.
@@ -143,7 +143,7 @@
 // score orders teams: how far the team is behind its target once those that
 // run now have ended, in seconds of its target.
 func (t *team) score(runTime float64) float64 {
-	if t.capped {
+	if t.capped && float64(t.running) < t.target {
 		return cappedScore
 	}
 	return (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
