mswave: when each VM was maintained outlives the wave; retired VMs don't hold it up

Cause: LastMaintained was forgotten when the next wave began, so a cutoff left out nobody; a VM retired while it rebooted kept its wave from ending. Defects put in by hand (stale base, unfenced drain, old reports, same boot id, draining VMs kept after a stop) were not seen by a test. Ruled out: leaving the time of maintenance to the platform's list, which lags. Change: State.Maintained, Discard of VMs that the table lacks, tests of the fold; the test world shows the requests last reported, not those of the moment.

--- a/msmeasure/fleet.go
+++ b/msmeasure/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"marjoramspan/mswave"
 )
 
 // Times of the fleet measures.
@@ -10,6 +12,7 @@
 	fleetPeriod   = 28 * 24 * time.Hour
 	fleetTick     = time.Minute
 	fleetInterval = 24 * time.Hour // between two waves of ours
+	fleetLongest  = 6 * time.Hour  // of one of them
 	rollOutTick   = 10 * time.Second
 	rollOutSpan   = 6 * time.Hour // within which the rack fails
 	rollOutMost   = 7 * 24 * time.Hour
@@ -102,7 +105,7 @@
 	for o.now.Sub(o.began) < fleetPeriod {
 		o.pass()
 		if !o.now.Before(next) && o.waveOver() {
-			if err := o.startWave(o.now.Add(fleetInterval - fleetPeriod)); err != nil {
+			if err := o.startWave(mswave.PeriodicCutoff(o.now, fleetPeriod, fleetInterval, fleetLongest)); err != nil {
 				return fleetCount{}, err
 			}
 			next = next.Add(fleetInterval)
--- a/msmeasure/fleet_ours.go
+++ b/msmeasure/fleet_ours.go
@@ -17,6 +17,10 @@
 	// rollOut is the setting of the wave.
 	rollOut mswave.Settings
 	offset  uint64
+	// acted is the world's changes, and the offset, when act last found work.
+	acted  int
+	logged uint64
+	until  time.Time
 }
 
 const placeSteps = 50 // plans that suffice to place a fleet
@@ -44,8 +48,24 @@
 	return t
 }
 
+// idleTime is how long nothing is looked at while nothing happens.
+const idleTime = 10 * time.Minute
+
+// idle reports whether nothing has happened that could ask for a decision.
+func (o *fleetOurs) idle() bool {
+	if o.waveOver() && o.acted == o.changes && o.logged == o.offset && o.now.Before(o.until) {
+		return true
+	}
+	o.acted, o.logged = o.changes, o.offset
+	o.until = o.now.Add(idleTime)
+	return false
+}
+
 // act takes one step of the plan and of the wave.
 func (o *fleetOurs) act() error {
+	if o.idle() {
+		return nil
+	}
 	o.plan()
 	view := o.view()
 	for _, a := range mswave.Step(&o.wave, view, o.now) {
@@ -58,9 +78,26 @@
 		o.drive(a)
 	}
 	o.join()
+	o.addStandstill()
 	return nil
 }
 
+// addStandstill counts the time in which a wave has VMs to take and none out.
+func (o *fleetOurs) addStandstill() {
+	out := 0
+	for _, p := range o.wave.VMs {
+		if p.Phase == mswave.Draining || p.Phase == mswave.Rebooting {
+			out++
+		}
+	}
+	switch {
+	case o.wave.Status == mswave.Stopped:
+		o.count.stopped += o.tick
+	case o.wave.Status == mswave.Running && out == 0:
+		o.count.waited += o.tick
+	}
+}
+
 func (o *fleetOurs) view() mswave.View {
 	return mswave.View{Table: o.table(), ReadAt: o.now, Through: o.offset}
 }
--- a/msmeasure/fleet_rollout.go
+++ b/msmeasure/fleet_rollout.go
@@ -1,6 +1,7 @@
 package msmeasure
 
 import (
+	"fmt"
 	"time"
 
 	"marjoramspan/mswave"
@@ -16,10 +17,16 @@
 	}
 	naive, naiveTook := naiveRollOut(d, seed)
 	l := line("roll-out-time", d, seed, took.Hours(), naiveTook.Hours(), []Note{
-		{"unit", "hours"}, {"broken", minutes(ours.broken)}, {"baseline-broken", minutes(naive.broken)},
+		{"unit", "hours"},
+		{"broken", minutes(ours.broken)},
+		{"baseline-broken", minutes(naive.broken)},
+		{"moves", fmt.Sprint(ours.moves)},
+		{"restarts", fmt.Sprint(ours.restarts)},
+		{"most-failed", fmt.Sprint(ours.mostFailed)},
 	})
 	l.Target = fleetGain * l.Baseline
-	l.Cause = "the wave stopped itself while VMs were not back"
+	l.Cause = fmt.Sprintf("up to %d VMs failed at the same time: the wave stopped itself for %s and waited for budgets, with no spare VM left, for %s",
+		ours.mostFailed, minutes(ours.stopped), minutes(ours.waited))
 	return []Line{l, breaches(d, seed, "roll-out", ours, naive)}, nil
 }
 
--- a/msmeasure/fleet_world.go
+++ b/msmeasure/fleet_world.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"marjoramspan/mspool"
 )
 
@@ -38,6 +40,8 @@
 	weakRack string
 	weakDone bool
 	count    fleetCount
+	// changes counts what has happened to VMs by themselves.
+	changes int
 }
 
 // fleetVM is a VM as it really is.
@@ -67,16 +71,20 @@
 
 // fleetCount adds up what a run cost.
 type fleetCount struct {
-	held, needed         time.Duration // VM time
-	broken, brokenByUs   time.Duration // pool time below the budget
-	moves, restarts      int
-	repairs, lends       int
-	returned, lateVMTime time.Duration
+	held, needed       time.Duration // VM time
+	broken, brokenByUs time.Duration // pool time below the budget
+	moves, restarts    int
+	repairs, lends     int
+	lateVMTime         time.Duration
+	// stopped and waited are how long the wave stood still, by its own stop and
+	// for want of VMs that a budget lets go.
+	stopped, waited time.Duration
+	mostFailed      int
 }
 
 // newFleetWorld draws a fleet of d that lives for span.
 func newFleetWorld(d Deployment, seed uint64, span, tick time.Duration) *fleetWorld {
-	rnd := rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))
+	rnd := rand.New(rand.NewPCG(seed, xxhash.Sum64String(d.Name)))
 	w := &fleetWorld{began: time.Unix(1_800_000_000, 0), tick: tick, turns: d.Turns}
 	w.now = w.began
 	for _, s := range d.Services {
@@ -102,7 +110,7 @@
 		Name: fmt.Sprintf("vm%04d", i), Rack: fleetRack(rack), DataCentre: fmt.Sprintf("dc%d", rack%centres),
 		State: mspool.Serving, Since: now, BootID: "0",
 	}}
-	v.LastMaintained = now.Add(-time.Duration(rnd.Float64() * float64(fleetPeriod-fleetInterval)))
+	v.LastMaintained = now.Add(-time.Duration(rnd.Float64() * float64(fleetPeriod-fleetInterval-fleetLongest)))
 	for k := range v.fate {
 		v.fate[k] = fleetFate{
 			bad:    rnd.Float64() < badReboots,
@@ -171,6 +179,7 @@
 	if v.State == mspool.Failed && v.until.After(until) {
 		return
 	}
+	w.changes++
 	v.State, v.Since, v.until = mspool.Failed, w.now, until
 }
 
@@ -179,11 +188,13 @@
 	over := !w.now.Before(v.until)
 	switch {
 	case v.State == mspool.Failed && over:
+		w.changes++
 		w.count.repairs++
 		v.boots++
 		v.BootID = fmt.Sprint(v.boots)
 		v.State, v.Since, v.LastMaintained, v.byPolicy = mspool.Serving, w.now, w.now, false
 	case v.State == mspool.Rebooting && over, v.State == mspool.Draining && over && !v.until.IsZero():
+		w.changes++
 		v.State, v.Since = mspool.Serving, w.now
 	}
 	v.Running = w.running(i)
@@ -253,11 +264,16 @@
 		}
 		w.addPool(p, up, ours, held)
 	}
+	failed := 0
 	for i := range w.vms {
 		if w.now.Sub(w.vms[i].LastMaintained) > fleetPeriod {
 			w.count.lateVMTime += w.tick
 		}
+		if w.vms[i].State == mspool.Failed {
+			failed++
+		}
 	}
+	w.count.mostFailed = max(w.count.mostFailed, failed)
 }
 
 func (w *fleetWorld) addPool(p mspool.Pool, up, ours, held int) {
--- a/mswave/fold.go
+++ b/mswave/fold.go
@@ -1,6 +1,10 @@
 package mswave
 
-import "marjoramspan/mspool"
+import (
+	"time"
+
+	"marjoramspan/mspool"
+)
 
 // Apply folds r, and notes in own which pools lost a VM by it. It returns a
 // *VoidError for a record that has no effect; the state is then unchanged but
@@ -93,7 +97,8 @@
 	case Late:
 		return p.Phase == Rebooting
 	case Discard:
-		return p.Phase == Rebooting || p.Phase == Overdue
+		_, maintained := s.Maintained[target.VM]
+		return p.Phase != "" || maintained
 	case Resume:
 		return p.Phase == Overdue || p.Phase == Returned
 	}
@@ -150,11 +155,16 @@
 		p.BootID = target.BootID
 	case Return:
 		p = Progress{Phase: Returned, Since: r.At}
+		s.maintained(target.VM, r.At)
 	case Late:
 		p.Phase = Overdue
 	case Resume:
 		p.Forgiven = true
-	case Cancel, Discard:
+	case Discard:
+		delete(s.Maintained, target.VM)
+		delete(s.VMs, target.VM)
+		return
+	case Cancel:
 		delete(s.VMs, target.VM)
 		return
 	}
@@ -163,3 +173,10 @@
 	}
 	s.VMs[target.VM] = p
 }
+
+func (s *State) maintained(vm string, at time.Time) {
+	if s.Maintained == nil {
+		s.Maintained = make(map[string]time.Time)
+	}
+	s.Maintained[vm] = at
+}
--- a/mswave/plan.go
+++ b/mswave/plan.go
@@ -81,7 +81,7 @@
 		p := s.VMs[v.Name].Phase
 		return isDue(w.cfg, v) && p != Returned && v.State != mspool.Failed
 	}
-	return loans(view.Table, w.cfg, pending)
+	return loans(s.Mark(view.Table), w.cfg, pending)
 }
 
 // lending returns the loans of one VM or more.
--- a/mswave/queue.go
+++ b/mswave/queue.go
@@ -14,7 +14,7 @@
 
 type queue struct {
 	spare bool
-	vms   []mspool.VM
+	vms   []*mspool.VM
 }
 
 // newQueues sorts the VMs of t that are due. Within a pool, successive VMs come
@@ -28,8 +28,9 @@
 		q.pools = append(q.pools, one)
 		byName[p.Name] = one
 	}
-	for _, v := range t.VMs {
-		if one := byName[v.Pool]; one != nil && due(v) {
+	for i := range t.VMs {
+		v := &t.VMs[i]
+		if one := byName[v.Pool]; one != nil && due(*v) {
 			one.vms = append(one.vms, v)
 		}
 	}
@@ -44,7 +45,7 @@
 // one at place first; within each, the VM longest unmaintained comes first.
 func (q *queue) spread(first int) {
 	sort.Slice(q.vms, func(i, j int) bool { return older(q.vms[i], q.vms[j]) })
-	groups := make(map[string][]mspool.VM)
+	groups := make(map[string][]*mspool.VM)
 	var names []string
 	for _, v := range q.vms {
 		if groups[v.DataCentre] == nil {
@@ -64,7 +65,7 @@
 	q.vms = spread
 }
 
-func older(a, b mspool.VM) bool {
+func older(a, b *mspool.VM) bool {
 	if !a.LastMaintained.Equal(b.LastMaintained) {
 		return a.LastMaintained.Before(b.LastMaintained)
 	}
@@ -75,38 +76,44 @@
 }
 
 // pick takes up to room VMs that guard lets go, one a pool in turn, and takes
-// them off their queues.
+// them off their queues. A pool that has no VM to let go has none later, as what
+// is taken only lowers its margin.
 func (q *queues) pick(guard *mspool.Guard, room int) []Target {
 	var out []Target
-	for taken := true; taken && len(out) < room; {
-		taken = false
-		for _, one := range q.pools {
+	open := append([]*queue(nil), q.pools...)
+	for len(open) > 0 && len(out) < room {
+		still := open[:0]
+		for _, one := range open {
 			if len(out) == room {
 				break
 			}
 			if v, ok := one.take(guard); ok {
 				out = append(out, Target{VM: v.Name, Pool: v.Pool, BootID: v.BootID})
-				taken = true
+				still = append(still, one)
 			}
 		}
+		open = still
 	}
 	return out
 }
 
 // take takes the first VM off the queue that guard lets go, trying one a rack.
-func (q *queue) take(guard *mspool.Guard) (mspool.VM, bool) {
-	tried := make(map[string]bool)
+func (q *queue) take(guard *mspool.Guard) (*mspool.VM, bool) {
+	var tried map[string]bool
 	for i, v := range q.vms {
 		if tried[v.Rack] {
 			continue
 		}
-		if guard.Take(v) {
+		if guard.Take(*v) {
 			q.vms = append(q.vms[:i:i], q.vms[i+1:]...)
 			return v, true
 		}
+		if tried == nil {
+			tried = make(map[string]bool)
+		}
 		tried[v.Rack] = true
 	}
-	return mspool.VM{}, false
+	return nil, false
 }
 
 // left returns how many VMs are still to be taken.
--- a/mswave/record.go
+++ b/mswave/record.go
@@ -55,7 +55,7 @@
 	Stop    Kind = "wave-stop"
 	Resume  Kind = "wave-resume" // its VMs are forgiven
 	End     Kind = "wave-end"
-	Discard Kind = "wave-discard" // VMs that were retired while overdue
+	Discard Kind = "wave-discard" // forgets VMs that were retired
 )
 
 // VoidError reports a record that has no effect.
--- a/mswave/settings.go
+++ b/mswave/settings.go
@@ -67,10 +67,10 @@
 }
 
 // PeriodicCutoff returns the cutoff of a wave that starts at start, where waves
-// start every interval and each VM is to be maintained once in period: it takes
-// the VMs that would be late in the next wave.
-func PeriodicCutoff(start time.Time, period, interval time.Duration) time.Time {
-	return start.Add(interval - period)
+// start every interval, take longest at most, and each VM is to be maintained
+// once in period: it takes the VMs that would be late in the next wave.
+func PeriodicCutoff(start time.Time, period, interval, longest time.Duration) time.Time {
+	return start.Add(interval + longest - period)
 }
 
 func orInt(n, other int) int {
--- a/mswave/state.go
+++ b/mswave/state.go
@@ -27,6 +27,9 @@
 	Held      bool      `json:"held,omitempty"`
 	// VMs holds the VMs that the wave has touched, by name.
 	VMs map[string]Progress `json:"vms,omitempty"`
+	// Maintained is when each VM last came back from maintenance, in this wave or
+	// an earlier one.
+	Maintained map[string]time.Time `json:"maintained,omitempty"`
 }
 
 // Status is what a wave does.
@@ -86,14 +89,11 @@
 }
 
 func (s *State) mark(v *mspool.VM) {
-	p, ok := s.VMs[v.Name]
-	if !ok {
-		return
+	if at := s.Maintained[v.Name]; v.LastMaintained.Before(at) {
+		v.LastMaintained = at
 	}
-	if p.Phase == Returned {
-		if v.LastMaintained.Before(p.Since) {
-			v.LastMaintained = p.Since
-		}
+	p, ok := s.VMs[v.Name]
+	if !ok || p.Phase == Returned {
 		return
 	}
 	if v.State == mspool.Failed || v.State == mspool.Leaving {
--- a/mswave/step.go
+++ b/mswave/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"marjoramspan/mspool"
@@ -46,11 +47,18 @@
 // Step returns what to do now: VMs to drive, and at most one record to append.
 // It returns nothing while the driver's view of the log is older than the lease.
 func Step(s *State, view View, now time.Time) []Action {
+	if s.Status == "" {
+		return nil
+	}
 	w := newWork(s, view, now)
-	if s.Status == "" || !w.fresh() {
+	if !w.fresh() {
 		return nil
 	}
 	actions := w.drives()
+	if s.Status == Ended && s.count(Draining, Rebooting, Overdue) == 0 {
+		return actions
+	}
+	w.count()
 	if r, ok := w.decide(); ok {
 		actions = append(actions, Action{Kind: Append, Record: r})
 	}
@@ -60,8 +68,7 @@
 // Lost returns the VMs that count towards stopping the wave: those that did not
 // come back, and those that failed soon after.
 func Lost(s *State, view View, now time.Time) []Target {
-	w := newWork(s, view, now)
-	return w.lost()
+	return newWork(s, view, now).lost()
 }
 
 // work is one step's view of the wave.
@@ -70,16 +77,19 @@
 	cfg   Settings
 	view  View
 	now   time.Time
-	// marked is the table with the wave's VMs out of service.
+	// marked is the table with the wave's VMs out of service, and guard counts
+	// it; both are empty until count.
 	marked mspool.Table
 	guard  *mspool.Guard
 }
 
 func newWork(s *State, view View, now time.Time) *work {
-	w := &work{state: s, cfg: s.Settings.filled(), view: view, now: now}
-	w.marked = s.Mark(view.Table)
+	return &work{state: s, cfg: s.Settings.filled(), view: view, now: now}
+}
+
+func (w *work) count() {
+	w.marked = w.state.Mark(w.view.Table)
 	w.guard = mspool.NewGuard(w.marked, w.cfg.KeepSpare)
-	return w
 }
 
 func (w *work) fresh() bool {
@@ -128,6 +138,9 @@
 	if r, ok := w.first(Cancel, w.mustCancel); ok {
 		return r, true
 	}
+	if gone := w.gone(); len(gone) > 0 {
+		return w.record(Discard, gone), true
+	}
 	switch w.state.Status {
 	case Running:
 		return w.goOn()
@@ -137,6 +150,28 @@
 	return Record{}, false
 }
 
+// gone returns the VMs that the state knows and the table lacks, by name: they
+// have been retired. The fold refuses those that still have a pool.
+func (w *work) gone() []Target {
+	listed := make(map[string]bool, len(w.view.Table.VMs))
+	for i := range w.view.Table.VMs {
+		listed[w.view.Table.VMs[i].Name] = true
+	}
+	var out []Target
+	for vm := range w.state.VMs {
+		if !listed[vm] {
+			out = append(out, Target{VM: vm})
+		}
+	}
+	for vm := range w.state.Maintained {
+		if _, both := w.state.VMs[vm]; !both && !listed[vm] {
+			out = append(out, Target{VM: vm})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
 func (w *work) goOn() (Record, bool) {
 	if r, ok := w.first(Reboot, w.isDrained); ok {
 		return r, true
--- a/mswave/wave_test.go
+++ b/mswave/wave_test.go
@@ -116,6 +116,8 @@
 	w := newWorld(t, 5, fourPools(), 13)
 	w.pass()
 	w.start(Settings{})
+	w.drive(false)
+	require.Equal(t, 1, w.state.count(Draining))
 	w.append(Record{ID: "hold", Kind: Stop, Wave: "w", Base: w.state.Changed, At: w.now, Hold: true, Reason: "asked"})
 	for range 600 {
 		w.pass()
@@ -123,6 +125,7 @@
 	}
 	require.Equal(t, Stopped, w.state.Status)
 	require.Empty(t, w.reboots)
+	require.Zero(t, w.state.count(Draining), "what was draining serves again")
 	w.append(Record{ID: "go", Kind: Resume, Wave: "w", Base: w.state.Changed, At: w.now})
 	require.Equal(t, Running, w.state.Status)
 	require.NotEmpty(t, w.drive(false))
@@ -151,6 +154,7 @@
 		w.pass()
 		for _, a := range Step(&w.state, w.view(), w.now) {
 			require.NotEqual(t, Drain, a.Record.Kind, "another VM goes")
+			require.NotEqual(t, Return, a.Record.Kind, "seen with the same boot")
 			if a.Kind == Append {
 				a.Record.ID = fmt.Sprintf("x%d", len(w.log))
 				w.append(a.Record)
--- a/mswave/why.go
+++ b/mswave/why.go
@@ -36,6 +36,7 @@
 // Why says why vm stays as it is, most general reason first.
 func Why(s *State, view View, now time.Time, vm string) []Reason {
 	w := newWork(s, view, now)
+	w.count()
 	for i, v := range view.Table.VMs {
 		if v.Name == vm {
 			return w.why(v, w.marked.VMs[i])
@@ -78,9 +79,9 @@
 }
 
 func (w *work) whyWaiting(v, marked mspool.VM) []Reason {
-	if !isDue(w.cfg, v) {
+	if !isDue(w.cfg, marked) {
 		return []Reason{reason(NotDue, "maintained at %s, and the wave takes those from before %s",
-			v.LastMaintained.Format(time.RFC3339), w.cfg.Cutoff.Format(time.RFC3339))}
+			marked.LastMaintained.Format(time.RFC3339), w.cfg.Cutoff.Format(time.RFC3339))}
 	}
 	if v.Moving != "" {
 		return []Reason{reason(Moving, "moving from pool %s to %s", v.Pool, v.Moving)}
--- a/mswave/world_test.go
+++ b/mswave/world_test.go
@@ -35,6 +35,7 @@
 type machine struct {
 	mspool.VM
 	boots     int
+	reported  int       // Running, as of ReportedAt
 	failedTo  time.Time // broken until then
 	bootingTo time.Time
 }
@@ -145,11 +146,11 @@
 	heard := w.now.Sub(w.state.VMs[m.Name].Since) > DefaultLease
 	if m.State == mspool.Serving || m.State == mspool.Draining {
 		m.Running = max(0, m.Running-w.rnd.IntN(3))
-		if !(w.state.Out(m.Name) && heard) {
+		if !w.state.Out(m.Name) || !heard {
 			m.Running += w.rnd.IntN(3)
 		}
 		if w.rnd.IntN(3) > 0 {
-			m.ReportedAt = w.now
+			m.ReportedAt, m.reported = w.now, m.Running
 		}
 	}
 }
@@ -201,6 +202,7 @@
 		v.ReadAt = w.now.Add(-time.Minute)
 	}
 	for _, m := range w.vms {
+		m.Running = m.reported
 		v.Table.VMs = append(v.Table.VMs, m.VM)
 	}
 	return v
@@ -218,17 +220,17 @@
 	}
 	actions := Step(&s, view, w.now)
 	for _, a := range actions {
-		switch {
-		case a.Kind == Append:
+		switch a.Kind {
+		case Append:
 			a.Record.ID = fmt.Sprintf("d%d", len(w.log))
 			w.append(a.Record)
 			if w.rnd.IntN(4) == 0 {
 				w.append(a.Record)
 			}
-		case a.Kind == DriveReboot:
+		case DriveReboot:
 			delay := time.Duration(w.rnd.IntN(6)*w.rnd.IntN(6)) * tick
 			w.late = append(w.late, order{vm: a.VM, bootID: a.BootID, at: w.now.Add(delay)})
-		case a.Kind == DriveOpen || a.Kind == DriveDrain:
+		case DriveOpen, DriveDrain:
 			w.turn(a)
 		}
 	}
