--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -199,10 +199,7 @@
 
 // wantSlots spreads the wanted slots evenly over the VMs that may be given work.
 func (p *pool) wantSlots(now time.Time) {
-	n := min(len(p.waiting), max(1, p.sched.Slots(now)))
-	if len(p.waiting) == 0 {
-		n = 0
-	}
+	n := len(p.waiting)
 	var open []string
 	for i := range p.names {
 		name := p.names[(p.turn+i)%len(p.names)]
--- a/msrequest/home.go
+++ b/msrequest/home.go
@@ -38,7 +38,7 @@
 }
 
 // KeySkew is how far a caller's clock may be off for the time in its keys to count.
-const KeySkew = 30 * time.Second
+const KeySkew = 5 * time.Second
 
 // Claim answers a claim of a key. Only Granted lets the request run.
 func (h *Home) Claim(ctx context.Context, c Claim) Answer {
