msstandin: orders for VMs and the fleet judge are tested; lost answers of orders

Cause: the fleet judge and the orders for VMs had no test that can fail, and a reboot whose answer is lost could not be shown.

--- a/msstandin/control.go
+++ b/msstandin/control.go
@@ -137,7 +137,8 @@
 // serveOrder drains or opens a VM. Repeating it changes nothing.
 func (p *Platform) serveOrder(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
-	if !p.suffer(w, r, p.draw(otherRequests)) {
+	f := p.draw(vmOrders)
+	if !p.suffer(w, r, f) {
 		return
 	}
 	p.mu.Lock()
@@ -149,6 +150,9 @@
 	}
 	v.orders.Drain = strings.HasSuffix(r.URL.Path, "/drain")
 	p.controls.turn(name, v, v.wanted(), p.Clock.Now())
+	if f.Mode == FaultLoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -161,7 +165,8 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	if !p.suffer(w, r, p.draw(otherRequests)) {
+	f := p.draw(vmOrders)
+	if !p.suffer(w, r, f) {
 		return
 	}
 	p.mu.Lock()
@@ -173,6 +178,9 @@
 	}
 	v.orders.Reboot = req.BootID
 	p.controls.turn(name, v, v.wanted(), p.Clock.Now())
+	if f.Mode == FaultLoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/msstandin/fault.go
+++ b/msstandin/fault.go
@@ -18,8 +18,8 @@
 	FaultHang FaultMode = "hang"
 	// FaultSlow acts after Delay, also when the client has left by then.
 	FaultSlow FaultMode = "slow"
-	// FaultLoseAnswers does what an append asks and closes its connection
-	// without an answer.
+	// FaultLoseAnswers does what an append or an order for a VM asks and closes
+	// its connection without an answer.
 	FaultLoseAnswers FaultMode = "lose-answers"
 	// FaultAppendDown answers 503 to appends, and serves reads.
 	FaultAppendDown FaultMode = "append-down"
@@ -49,6 +49,8 @@
 const (
 	appendRequests requestKind = iota
 	otherRequests
+	// vmOrders change a VM.
+	vmOrders
 	// waitingReads have been let in before; only an outage ends them.
 	waitingReads
 )
@@ -83,7 +85,9 @@
 		return true
 	case FaultSlow:
 		return k != waitingReads
-	case FaultLoseAnswers, FaultAppendDown:
+	case FaultLoseAnswers:
+		return k == appendRequests || k == vmOrders
+	case FaultAppendDown:
 		return k == appendRequests
 	}
 	return false
--- a/msstandin/fleetjudge.go
+++ b/msstandin/fleetjudge.go
@@ -84,7 +84,8 @@
 			return false
 		}
 		ended := i+1 < len(j.Owners) && j.Owners[i+1].At.Add(j.Lag).Before(e.Start)
-		if !ended && o.Pools[vm] == o.Paths[e.Path] {
+		pool := o.Pools[vm]
+		if !ended && pool != "" && pool == o.Paths[e.Path] {
 			return true
 		}
 	}
