mslog, msstandin: tests that want an unknown outcome want an error first

Cause: KindOf of no error is Unknown, so a test that compared kinds passed where nothing failed; a defect in the stand-in's lost orders showed it. Change: requireKind wants an error and its kind in every such test; the fleet judge's start of counting is tested.

--- a/mslog/client_test.go
+++ b/mslog/client_test.go
@@ -44,6 +44,13 @@
 	return ids
 }
 
+// requireKind wants an error of kind k. KindOf alone takes no error for Unknown.
+func requireKind(t testing.TB, k mslog.Kind, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, k, mslog.KindOf(err))
+}
+
 func TestAppendThenRead(t *testing.T) {
 	c := newPlatform(t, &msstandin.Platform{})
 	ctx := context.Background()
@@ -69,9 +76,9 @@
 func TestAppendRefusesRecordsWithoutID(t *testing.T) {
 	c := newPlatform(t, &msstandin.Platform{})
 	_, err := c.Append(context.Background(), "s", records(""))
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 	_, err = c.Append(context.Background(), "s", nil)
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 }
 
 func TestLostAnswerIsUnknownAndTookEffect(t *testing.T) {
@@ -79,7 +86,7 @@
 	c := newPlatform(t, p)
 	p.SetFault(msstandin.Fault{Mode: msstandin.FaultLoseAnswers})
 	_, err := c.Append(context.Background(), "s", records("a"))
-	require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+	requireKind(t, mslog.Unknown, err)
 	require.Equal(t, []string{"a"}, idsOf(p.Records("t-s")), "sent once, also by the transport")
 }
 
@@ -89,7 +96,7 @@
 		c := newPlatform(t, p)
 		p.SetFault(msstandin.Fault{Mode: mode})
 		_, err := c.Append(context.Background(), "s", records("a"))
-		require.Equal(t, mslog.Unavailable, mslog.KindOf(err))
+		requireKind(t, mslog.Unavailable, err)
 		require.Empty(t, p.Records("t-s"))
 	}
 }
@@ -100,7 +107,7 @@
 	c := &mslog.Client{Address: l.Addr().String(), Timeout: hung}
 	require.NoError(t, l.Close())
 	_, err = c.Append(context.Background(), "s", records("a"))
-	require.Equal(t, mslog.Unavailable, mslog.KindOf(err))
+	requireKind(t, mslog.Unavailable, err)
 }
 
 func TestReadBeforeFirstIsExpired(t *testing.T) {
@@ -115,7 +122,7 @@
 	require.Equal(t, uint64(1), e.First)
 	require.Equal(t, uint64(3), page.End)
 	_, err = c.Read(context.Background(), mslog.Query{Stream: "s", From: 4})
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 }
 
 func TestLongPollAnswersAtAppendWhileAppendsGoOn(t *testing.T) {
@@ -186,7 +193,7 @@
 	clock.Advance(time.Second)
 	err := <-errs
 	require.ErrorIs(t, err, mslog.ErrTimeout)
-	require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+	requireKind(t, mslog.Unknown, err)
 	_, err = c.Append(context.Background(), "s", records("a"))
 	require.NoError(t, err)
 	require.NotEqual(t, dead, <-entered)
--- a/mslog/errors.go
+++ b/mslog/errors.go
@@ -69,7 +69,8 @@
 }
 
 // KindOf returns the kind of the Error in err's chain. An error of any other
-// type is Unknown, from which a caller concludes the least.
+// type is Unknown, from which a caller concludes the least. It is not for a nil
+// error.
 func KindOf(err error) Kind {
 	var e *Error
 	if errors.As(err, &e) {
--- a/mslog/faults_test.go
+++ b/mslog/faults_test.go
@@ -260,7 +260,7 @@
 		synctest.Wait()
 		cancel()
 		err := <-errs
-		require.Equal(t, mslog.Unavailable, mslog.KindOf(err))
+		requireKind(t, mslog.Unavailable, err)
 		_, err = b.Add(context.Background(), records("b")[0])
 		require.ErrorIs(t, err, mslog.ErrStopped)
 	})
@@ -278,7 +278,7 @@
 		p.SetFault(msstandin.Fault{Mode: msstandin.FaultLoseAnswers})
 		a := &mslog.Appender{Client: directClient(h)}
 		_, err := a.AppendOnce(context.Background(), "s", 0, records("a")[0])
-		require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+		requireKind(t, mslog.Unknown, err)
 		require.ErrorIs(t, err, mslog.ErrGap)
 	})
 }
--- a/mslog/script_test.go
+++ b/mslog/script_test.go
@@ -123,8 +123,8 @@
 		sent := add(b, "a", time.Second)
 		queued := add(b, "b", time.Second)
 		stays := add(b, "c", hung)
-		require.Equal(t, mslog.Unknown, mslog.KindOf(<-sent))
-		require.Equal(t, mslog.Unavailable, mslog.KindOf(<-queued))
+		requireKind(t, mslog.Unknown, <-sent)
+		requireKind(t, mslog.Unavailable, <-queued)
 		require.NoError(t, <-stays)
 		require.Equal(t, []string{"c"}, idsOf(s.Records("s")))
 	})
@@ -136,7 +136,7 @@
 	b := &mslog.Batcher{}
 	bubble(t, s, b, func(t *testing.T, _ func()) {
 		err := <-add(b, "a", hung)
-		require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+		requireKind(t, mslog.Unknown, err)
 		require.ErrorIs(t, err, mslog.ErrGap)
 	})
 }
@@ -149,8 +149,8 @@
 		time.Sleep(3 * mslog.DefaultTimeout)
 		sure := add(b, "b", hung)
 		stop()
-		require.Equal(t, mslog.Unknown, mslog.KindOf(<-doubted))
-		require.Equal(t, mslog.Unavailable, mslog.KindOf(<-sure))
+		requireKind(t, mslog.Unknown, <-doubted)
+		requireKind(t, mslog.Unavailable, <-sure)
 	})
 }
 
--- a/msstandin/control_test.go
+++ b/msstandin/control_test.go
@@ -49,6 +49,13 @@
 	return vms[0]
 }
 
+// requireKind wants an error of kind k. KindOf alone takes no error for Unknown.
+func requireKind(t testing.TB, k mslog.Kind, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, k, mslog.KindOf(err))
+}
+
 func TestDrainAndOpenReachTheVM(t *testing.T) {
 	f := newFleet(t)
 	require.Equal(t, mslog.VMLive, f.vm().State)
@@ -60,7 +67,7 @@
 	require.Equal(t, 3, f.vm().Running)
 	require.NoError(t, f.c.OpenVM(context.Background(), "vm"))
 	require.Equal(t, VMOrders{}, f.report("boot-1", 3))
-	require.Equal(t, mslog.Refused, mslog.KindOf(f.c.DrainVM(context.Background(), "no")))
+	requireKind(t, mslog.Refused, f.c.DrainVM(context.Background(), "no"))
 }
 
 // TestRebootEndsOneBootOnly repeats an order after the VM has booted.
@@ -69,14 +76,14 @@
 	require.NoError(t, f.c.DrainVM(context.Background(), "vm"))
 	f.p.SetFault(Fault{Mode: FaultLoseAnswers})
 	err := f.c.RebootVM(context.Background(), "vm", "boot-1")
-	require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+	requireKind(t, mslog.Unknown, err)
 	f.p.SetFault(Fault{})
 	require.Equal(t, mslog.VMRebooting, f.vm().State)
 	require.Equal(t, "boot-1", f.report("boot-1", 0).Reboot, "the lost order still happens")
 	require.Equal(t, VMOrders{}, f.report("boot-2", 0), "a VM that has booted is open")
 	require.Equal(t, mslog.VMLive, f.vm().State)
 	err = f.c.RebootVM(context.Background(), "vm", "boot-1")
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 	require.Equal(t, VMOrders{}, f.report("boot-2", 0))
 }
 
@@ -119,7 +126,7 @@
 		From:   at(10),
 		Owners: []Ownership{owners(0, "quotes"), owners(100, "booths")},
 		Events: []VMEvent{
-			event(1, "v1", mslog.VMLive), event(2, "v2", mslog.VMLive), event(3, "v3", mslog.VMLive),
+			event(0, "v1", mslog.VMFailed), event(1, "v1", mslog.VMLive), event(2, "v2", mslog.VMLive), event(3, "v3", mslog.VMLive),
 			event(50, "v1", mslog.VMDraining), event(60, "v1", mslog.VMLive),
 			event(120, "v2", mslog.VMDraining), event(130, "v2", mslog.VMLive),
 		},
