--- a/msmeasure/share_loop.go
+++ b/msmeasure/share_loop.go
@@ -1,6 +1,7 @@
 package msmeasure
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -28,8 +29,8 @@
 	ended(i int, ran time.Duration, now time.Time)
 	expired(now time.Time) []int
 	waiting() int
-	slots(now time.Time) int            // wanted
-	tokens(team int, now time.Time) int // of the team's upper limit, wanted
+	slots(now time.Time) (due, wanted int)
+	tokens(team int, now time.Time) (due, wanted int) // of its upper limit
 }
 
 // outcome is what became of one request; times are -1 until they come.
@@ -40,44 +41,6 @@
 	lost           bool // with its entry
 }
 
-// tokens is one counted resource: how many its home has free, and how many
-// each entry holds and uses.
-type tokens struct {
-	free, lost int
-	held, used []int
-}
-
-func newTokens(total, entries int) *tokens {
-	t := &tokens{held: make([]int, entries), used: make([]int, entries)}
-	for e := range entries {
-		t.held[e] = total / entries
-	}
-	t.free = total - total/entries*entries
-	return t
-}
-
-// exchange gives back what entry e holds idle beyond wanted, or takes what is
-// free up to it.
-func (t *tokens) exchange(e, wanted int) {
-	idle := t.held[e] - t.used[e]
-	if over := min(idle, t.held[e]-wanted); over > 0 {
-		t.held[e] -= over
-		t.free += over
-		return
-	}
-	got := min(max(0, wanted-t.held[e]), t.free)
-	t.held[e] += got
-	t.free -= got
-}
-
-func (t *tokens) inUse() int {
-	n := 0
-	for _, u := range t.used {
-		n += u
-	}
-	return n
-}
-
 // shareRun drives one policy over the requests.
 type shareRun struct {
 	d       Deployment
@@ -97,6 +60,11 @@
 	make     func(pool, entry int) picker
 	// waiting is the number of requests by pool and team.
 	waiting [][]int
+	// byDemand moves tokens to whoever asks, without regard to what is due.
+	byDemand bool
+	// reserve is the part of an entry's slots that only urgent requests start on.
+	reserve float64
+	urgent  [][][]int // waiting by pool, entry and team
 }
 
 const stepMS = 100
@@ -109,8 +77,12 @@
 	r.full = make([][]bool, len(d.Services))
 	r.capacity = make([][]int, len(d.Services))
 	r.waiting = make([][]int, len(d.Services))
+	r.urgent = make([][][]int, len(d.Services))
 	for _, p := range r.pools {
 		r.waiting[p] = make([]int, len(d.Teams))
+		for range d.Entries {
+			r.urgent[p] = append(r.urgent[p], make([]int, len(d.Teams)))
+		}
 		r.slots[p] = newTokens(d.Services[p].Instances*d.Services[p].Slots, d.Entries)
 		for e := range d.Entries {
 			r.lines[p] = append(r.lines[p], mk(p, e))
@@ -159,6 +131,9 @@
 		return
 	}
 	r.waiting[q.pool][q.team]++
+	if q.urgent {
+		r.urgent[q.pool][q.entry][q.team]++
+	}
 }
 
 // entry does what one entry does in a millisecond.
@@ -183,24 +158,43 @@
 		for _, i := range r.lines[p][e].expired(at(ms)) {
 			r.outs[i].expired = true
 			r.outs[i].ended = ms
-			r.waiting[p][r.reqs[i].team]--
+			r.leave(i)
 		}
 	}
 }
 
 func (r *shareRun) exchange(e, ms int) {
 	for _, p := range r.pools {
-		r.slots[p].exchange(e, r.lines[p][e].slots(at(ms)))
+		due, wanted := r.lines[p][e].slots(at(ms))
+		if r.byDemand {
+			due = wanted
+		}
+		r.slots[p].exchange(e, due, wanted)
 	}
 	for t := range r.limits {
-		wanted := 0
+		due, wanted := 0, r.spareTokens(t, e)
 		for _, p := range r.pools {
-			wanted += r.lines[p][e].tokens(t, at(ms))
+			d, w := r.lines[p][e].tokens(t, at(ms))
+			due += d
+			wanted += w
 		}
-		r.limits[t].exchange(e, wanted)
+		if r.byDemand {
+			due = wanted
+		}
+		r.limits[t].exchange(e, due, wanted)
 	}
 }
 
+// spareTokens is an entry's equal part of a limit's tokens that nobody uses.
+func (r *shareRun) spareTokens(t, e int) int {
+	l, ok := r.lines[r.pools[0]][e].(*shares)
+	if !ok {
+		return 0
+	}
+	spare := float64(r.d.Teams[t].Limit) - l.s.Limits.Used(r.d.Teams[t].Name)
+	return int(max(0, spare) / float64(r.d.Entries))
+}
+
 // report sends e's use to its peers where its policy has something to report.
 func (r *shareRun) report(e, ms int) {
 	for _, p := range r.pools {
@@ -220,10 +214,11 @@
 func (r *shareRun) dispatch(p, e, ms int) {
 	l := r.lines[p][e]
 	may := func(team string) bool {
-		t := r.limits[r.teamIdx[team]]
-		return t.used[e] < t.held[e]
+		i := r.teamIdx[team]
+		t := r.limits[i]
+		return t.used[e] < t.allowed(e) && (r.urgent[p][e][i] > 0 || !r.reserved(p, e))
 	}
-	for l.waiting() > 0 && r.slots[p].used[e] < r.allowed(p, e, ms) {
+	for l.waiting() > 0 && r.slots[p].used[e] < r.slots[p].allowed(e) {
 		i, ok := l.next(at(ms), may)
 		if !ok {
 			return
@@ -231,7 +226,7 @@
 		l.started(i, at(ms))
 		r.slots[p].used[e]++
 		r.limits[r.reqs[i].team].used[e]++
-		r.waiting[p][r.reqs[i].team]--
+		r.leave(i)
 		r.outs[i].started = ms
 		if end := ms + r.reqs[i].run; end < len(r.ends) {
 			r.ends[end] = append(r.ends[end], i)
@@ -239,10 +234,19 @@
 	}
 }
 
-// allowed returns how many slots the entry may have in use: what it holds, less
-// what it is about to give back.
-func (r *shareRun) allowed(p, e, ms int) int {
-	return min(r.slots[p].held[e], r.lines[p][e].slots(at(ms)))
+// reserved reports whether only urgent requests may start.
+func (r *shareRun) reserved(p, e int) bool {
+	allowed := r.slots[p].allowed(e)
+	return r.slots[p].used[e] >= allowed-int(math.Ceil(r.reserve*float64(allowed)))
+}
+
+// leave takes request i out of the counts of waiting ones.
+func (r *shareRun) leave(i int) {
+	q := r.reqs[i]
+	r.waiting[q.pool][q.team]--
+	if q.urgent {
+		r.urgent[q.pool][q.entry][q.team]--
+	}
 }
 
 func (r *shareRun) end(i, ms int) {
@@ -292,6 +296,7 @@
 func (r *shareRun) lose(e, ms int) {
 	for _, t := range r.resources() {
 		t.lost, t.held[e], t.used[e] = t.held[e], 0, 0
+		t.short[e], t.shed[e] = 0, 0
 	}
 	for i := range r.outs {
 		q, o := &r.reqs[i], &r.outs[i]
@@ -300,7 +305,7 @@
 		}
 		o.lost, o.ended = true, ms
 		if o.started < 0 {
-			r.waiting[q.pool][q.team]--
+			r.leave(i)
 		}
 	}
 }
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -13,11 +13,14 @@
 	// horizon is the time over which waiting work counts as present demand.
 	horizon = time.Second
 	// memory is how fast a shortage is forgotten.
-	memory = 20 * time.Second
+	memory = 10 * time.Second
 	// repay is the time over which a shortage is made good.
 	repay = 2 * time.Second
 	// follow bounds how far the entry's own account of a team runs from zero.
 	follow = time.Second
+	// cappedScore puts a team that only its upper limit holds back before all
+	// others, so that no token of it lies idle.
+	cappedScore = 10
 	// leastTarget keeps a team with no target yet comparable, in slots.
 	leastTarget = 0.01
 	// leastPart of its due is what a team that got too much before still gets.
@@ -31,6 +34,14 @@
 	used map[string]*float64
 }
 
+// Used returns how many slots team uses on all entries and in all pools.
+func (l *Limits) Used(team string) float64 {
+	if l.used[team] == nil {
+		return 0
+	}
+	return *l.used[team]
+}
+
 // of returns the place of a team's sum.
 func (l *Limits) of(team string) *float64 {
 	if l.used == nil {
@@ -89,8 +100,6 @@
 	limit          int
 	urgent, normal queue
 	running        int
-	// blocked is set while the team waits for a token of its upper limit.
-	blocked bool
 	// used is the slot time up to since; folded what the last division counted.
 	used   time.Duration
 	since  time.Time
@@ -104,9 +113,12 @@
 	everywhere *float64
 	demand     float64 // asked for here
 	fleet      float64 // asked for on all entries
+	able       float64 // fleet, as far as the upper limit allows
 	shortage   float64 // due to the team on all entries, not yet repaid
 	target     float64 // to use here
 	account    float64 // target less use here, summed
+	// capped is set while the upper limit is all that holds the team back.
+	capped bool
 }
 
 func (t *team) waiting() int {
@@ -131,6 +143,9 @@
 // score orders teams: how far the team is behind its target once those that
 // run now have ended, in seconds of its target.
 func (t *team) score(runTime float64) float64 {
+	if t.capped && float64(t.running) < t.target {
+		return cappedScore
+	}
 	return (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
 }
 
@@ -165,7 +180,6 @@
 		}
 		t.fleetRate, t.fleet = t.rate, t.demand
 	}
-	s.probe = true
 	s.dropSilent(now)
 	for _, p := range s.peers {
 		for _, u := range p.uses {
@@ -189,6 +203,7 @@
 			elsewhere := *t.everywhere - t.fleetRate
 			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-elsewhere))
 		}
+		t.able = s.claims[i].Demand
 	}
 	Divide(capacity, s.claims)
 }
@@ -217,6 +232,7 @@
 			continue
 		}
 		due := s.claims[i].Due
+		t.capped = due < t.fleet && due >= s.claims[i].Demand
 		wanted := min(t.fleet, max(due*leastPart, due+t.shortage/repay.Seconds()))
 		t.target = wanted * t.demand / t.fleet
 	}
@@ -257,42 +273,56 @@
 	}
 }
 
-// Slots returns how many slots of the pool this entry should hold: all that
-// its callers ask for while the pool has room, and its part of their due once
-// all is full. An entry that holds more gives the rest back as they come free.
-func (s *Scheduler) Slots(now time.Time) int {
+// Slots returns how many slots of the pool this entry should hold. due is its
+// part once all is full, and the entry gives up what it holds beyond while some
+// other holds less than its due. wanted is what it can use or keep ready: all
+// that its callers ask for, and an equal part of the slots that nobody asks for.
+func (s *Scheduler) Slots(now time.Time) (due, wanted int) {
 	s.advance(now)
-	wanted, asked := 0.0, 0
+	target, asked := 0.0, 0
 	for _, t := range s.teams {
-		wanted += t.target
-		asked += t.running + t.waiting()
+		target += t.target
+		asked += t.asked()
 	}
-	if !s.isFull() {
-		return asked
+	room := s.room()
+	if room <= 0 {
+		return min(asked, int(math.Ceil(target))), asked
 	}
-	return min(asked, int(math.Ceil(wanted)))
+	return asked, asked + int(room)/(len(s.peers)+1)
 }
 
-// TeamSlots returns how many of the slots here team should use. Summed over
-// pools, it is how many tokens of the team's upper limit the entry should hold.
-func (s *Scheduler) TeamSlots(team string, now time.Time) int {
+// TeamSlots returns how many of the slots here team is due and wants, as Slots
+// does for all teams. Summed over pools, these are the tokens of the team's
+// upper limit that the entry is due and wants.
+func (s *Scheduler) TeamSlots(team string, now time.Time) (due, wanted int) {
 	s.advance(now)
 	t := s.byName[team]
 	if t == nil {
-		return 0
+		return 0, 0
 	}
 	asked := t.running + t.waiting()
-	if !s.isFull() {
-		return asked
+	if s.room() > 0 && !t.capped {
+		return asked, asked
+	}
+	due = min(asked, int(math.Ceil(t.target)))
+	return due, min(asked, due+1)
+}
+
+// asked returns how many slots t could use here now.
+func (t *team) asked() int {
+	n := t.running + t.waiting()
+	if t.capped {
+		n = min(n, max(t.running, int(math.Ceil(t.target))))
 	}
-	return min(asked, int(math.Ceil(t.target)))
+	return n
 }
 
-// isFull reports whether more is asked of the pool than it has.
-func (s *Scheduler) isFull() bool {
+// room returns how many slots of the pool nobody asks for, below 0 once more
+// is asked than there is.
+func (s *Scheduler) room() float64 {
 	fleet := 0.0
 	for _, t := range s.teams {
-		fleet += t.fleet
+		fleet += t.able
 	}
-	return fleet >= s.capacity()
+	return s.capacity() - fleet
 }
