msteam: tests of shares, refusal and estimate; urgent work leads by a second

Cause: each promise needs a test that can fail; urgent requests waited behind the share of their team. Change: a team with urgent work is let one second ahead of its target and pays for it from the same account. Early refusal takes a fifth off the wait for those that leave the line.

--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+
 	"marjoramspan/msmeasure"
 
 	"github.com/alecthomas/kong"
--- a/msmeasure/share.go
+++ b/msmeasure/share.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"marjoramspan/msteam"
 	"slices"
+
+	"marjoramspan/msteam"
 )
 
 // shareTarget is the highest share error that is wanted.
@@ -77,7 +78,7 @@
 // shareFigures sums up the windows of one run.
 type shareFigures struct {
 	mean, highest, worst float64
-	windows              int
+	windows, within      int // within is how many were at the target or under
 	worstAt              window
 }
 
@@ -98,6 +99,9 @@
 		f.mean += sum / float64(n)
 		f.highest = max(f.highest, sum/float64(n))
 		f.windows++
+		if sum/float64(n) <= shareTarget {
+			f.within++
+		}
 		ws = ws[n:]
 	}
 	f.mean /= float64(max(1, f.windows))
@@ -114,7 +118,7 @@
 	}
 	w := a.worstAt
 	return []Line{
-		line("share-error", a.mean, b.mean, shareTarget, "mean of all windows", Note{"windows", fmt.Sprint(a.windows)}),
+		line("share-error", a.mean, b.mean, shareTarget, "mean of all windows", Note{"windows", fmt.Sprint(a.windows)}, Note{"within-target", fmt.Sprint(a.within)}),
 		line("share-error-any", a.highest, b.highest, shareTarget, "highest window"),
 		line("share-error-worst", a.worst, b.worst, 0, "",
 			Note{"team", d.Teams[w.team].Name}, Note{"queue", d.Services[w.pool].Name},
--- a/msmeasure/share_ideal.go
+++ b/msmeasure/share_ideal.go
@@ -19,6 +19,7 @@
 	limits   []float64
 	arrivals []int
 	present  [][]idealRequest // by team, in order of arrival
+	ended    []int            // of those present, by team
 }
 
 type idealRequest struct {
@@ -28,7 +29,8 @@
 }
 
 func newIdeal(r *shareRun, pool, from int, limits []float64) *ideal {
-	m := &ideal{r: r, pool: pool, from: from, limits: limits, present: make([][]idealRequest, len(r.d.Teams))}
+	teams := len(r.d.Teams)
+	m := &ideal{r: r, pool: pool, from: from, limits: limits, present: make([][]idealRequest, teams), ended: make([]int, teams)}
 	for _, i := range r.between(from, from+windowMS) {
 		if r.reqs[i].pool == pool {
 			m.arrivals = append(m.arrivals, i)
@@ -56,8 +58,10 @@
 	for ms := m.from; ms < m.from+windowMS; ms += idealMS {
 		m.join(ms)
 		for t := range asked {
-			m.expire(t, ms)
-			asked[t] = max(0, min(float64(len(m.present[t])), m.limits[t]))
+			if ms%stepMS == 0 {
+				m.drop(t, ms)
+			}
+			asked[t] = max(0, min(float64(len(m.present[t])-m.ended[t]), m.limits[t]))
 		}
 		slots := float64(m.r.capacity[m.pool][ms/stepMS])
 		naiveDue(slots, m.r.d.Teams, asked, rate, order)
@@ -88,27 +92,33 @@
 	}
 }
 
-func (m *ideal) expire(t, ms int) {
-	m.present[t] = slices.DeleteFunc(m.present[t], func(q idealRequest) bool { return !q.begun && ms > q.deadline })
+// drop forgets those of team t that have ended or can't start any more.
+func (m *ideal) drop(t, ms int) {
+	m.ended[t] = 0
+	m.present[t] = slices.DeleteFunc(m.present[t], func(q idealRequest) bool {
+		return q.left <= 0 || !q.begun && ms > q.deadline
+	})
 }
 
 // serve runs the first requests of team t for one step on rate slots, and
 // returns the slot time they took.
 func (m *ideal) serve(t int, rate float64) float64 {
-	budget, done := rate*idealMS, false
+	budget := rate * idealMS
 	for i := range m.present[t] {
 		q := &m.present[t][i]
 		if budget <= 0 {
 			break
 		}
+		if q.left <= 0 {
+			continue
+		}
 		ran := min(q.left, idealMS, budget)
 		budget -= ran
 		q.left -= ran
 		q.begun = true
-		done = done || q.left <= 0
-	}
-	if done {
-		m.present[t] = slices.DeleteFunc(m.present[t], func(q idealRequest) bool { return q.left <= 0 })
+		if q.left <= 0 {
+			m.ended[t]++
+		}
 	}
 	return rate*idealMS - budget
 }
--- a/msmeasure/share_ours.go
+++ b/msmeasure/share_ours.go
@@ -1,8 +1,9 @@
 package msmeasure
 
 import (
-	"marjoramspan/msteam"
 	"time"
+
+	"marjoramspan/msteam"
 )
 
 // shares is the policy of msteam.
--- a/msmeasure/share_urgent.go
+++ b/msmeasure/share_urgent.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"marjoramspan/msteam"
 	"slices"
+
+	"marjoramspan/msteam"
 )
 
 // UrgentStart measures how long urgent requests wait while the pools are full,
--- a/msteam/estimate.go
+++ b/msteam/estimate.go
@@ -15,6 +15,9 @@
 	leastRuns = 1e-6
 	// paceMemory is how fast the pace of starts is forgotten.
 	paceMemory = 3 * time.Second
+	// mayLeave is the part of those ahead, one in so many, that may leave the
+	// line before their turn. Early refusal takes it off the wait.
+	mayLeave = 5
 	// leastSeen is the waiting time that must have been seen for an estimate.
 	leastSeen = 500 * time.Millisecond
 )
@@ -47,26 +50,26 @@
 
 // refuse returns why w isn't taken, or nil.
 func (s *Scheduler) refuse(t *team, w Waiter, now time.Time) *Refusal {
-	r := &Refusal{Team: w.Team, Queue: w.Queue}
 	if s.line.has(w.ID) {
-		r.Reason = ReasonDuplicate
-		return r
+		return refusal(w, ReasonDuplicate, 0)
 	}
+	wait, ok := s.wait(t, t.ahead(w.Urgent))
 	if t.waiting() >= s.bound(t) {
-		r.Reason = ReasonLineFull
-		r.Wait, _ = s.wait(t, t.ahead(w.Urgent))
-		return r
+		return refusal(w, ReasonLineFull, wait)
 	}
 	if w.Deadline.IsZero() {
 		return nil
 	}
 	left := w.Deadline.Sub(now)
-	wait, ok := s.wait(t, t.ahead(w.Urgent))
-	if left >= 0 && (s.Late || !ok || wait <= left) {
-		return nil
+	sure := wait - wait/mayLeave
+	if left < 0 || ok && !s.Late && sure > left {
+		return refusal(w, ReasonDeadline, wait)
 	}
-	r.Reason, r.Wait = ReasonDeadline, wait
-	return r
+	return nil
+}
+
+func refusal(w Waiter, reason Reason, wait time.Duration) *Refusal {
+	return &Refusal{Team: w.Team, Queue: w.Queue, Reason: reason, Wait: wait}
 }
 
 // bound returns the team's part of MaxWaiting.
--- /dev/null
+++ b/msteam/estimate_test.go
@@ -0,0 +1,113 @@
+package msteam
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestRefusesEarlyOnlyByEstimate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(8, Share{Team: "a", Weight: 3}, Share{Team: "b", Weight: 1})
+		b.run(3*time.Second, 50*time.Millisecond, "a", "b")
+		for range 20 {
+			team := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team")
+			left := time.Duration(rapid.IntRange(-100, 4000).Draw(t, "left ms")) * time.Millisecond
+			wait, ok := b.s.Estimate(team, b.now)
+			require.True(t, ok)
+			before := b.s.Waiting(team)
+			b.id++
+			err := b.s.Add(Waiter{ID: b.id, Team: team, Deadline: b.now.Add(left)}, b.now)
+			late := left < 0 || wait*4/5 > left
+			require.Equal(t, late, err != nil, "wait %s left %s", wait, left)
+			if !late {
+				continue
+			}
+			var r *Refusal
+			require.True(t, errors.As(err, &r))
+			require.Equal(t, ReasonDeadline, r.Reason)
+			require.Equal(t, before, b.s.Waiting(team), "refused is not waiting")
+		}
+	})
+}
+
+func TestEstimateIsNearTheWait(t *testing.T) {
+	b := newBench(20, Share{Team: "a", Weight: 3}, Share{Team: "b", Weight: 1})
+	b.run(5*time.Second, 50*time.Millisecond, "a", "b")
+	for _, team := range []string{"a", "b"} {
+		wait, ok := b.s.Estimate(team, b.now)
+		require.True(t, ok)
+		begin, ahead := b.now, b.s.Waiting(team)
+		perStart := 4 * 50 * time.Millisecond / time.Duration(map[string]int{"a": 60, "b": 20}[team])
+		require.InEpsilon(t, float64(perStart)*float64(ahead), float64(wait), 0.3, "%s at %s", team, begin)
+	}
+}
+
+func TestNothingSeenRefusesNothing(t *testing.T) {
+	s := &Scheduler{}
+	for i := range uint64(100) {
+		require.NoError(t, s.Add(Waiter{ID: i, Team: "a", Deadline: epoch.Add(time.Millisecond)}, epoch))
+	}
+	_, ok := s.Estimate("a", epoch)
+	require.False(t, ok)
+}
+
+func TestFloodLeavesRoom(t *testing.T) {
+	s := &Scheduler{MaxWaiting: 100}
+	s.SetShares([]Share{{Team: "a", Weight: 1}, {Team: "b", Weight: 3}})
+	var r *Refusal
+	for i := range uint64(1000) {
+		if err := s.Add(Waiter{ID: i, Team: "a"}, epoch); err != nil {
+			require.ErrorAs(t, err, &r)
+		}
+	}
+	require.Equal(t, ReasonLineFull, r.Reason)
+	require.Equal(t, 25, s.Waiting("a"))
+	for i := range uint64(75) {
+		require.NoError(t, s.Add(Waiter{ID: 5000 + i, Team: "b"}, epoch))
+	}
+	require.ErrorAs(t, s.Add(Waiter{ID: 1, Team: "a"}, epoch), &r)
+	require.Equal(t, ReasonDuplicate, r.Reason)
+}
+
+func benchmarkDecision(b *testing.B, teams, pools int) {
+	ss := make([]*Scheduler, pools)
+	names := make([]string, teams)
+	var shares []Share
+	for i := range names {
+		names[i] = fmt.Sprint("team-", i)
+		shares = append(shares, Share{Team: names[i], Weight: 1 + i%8})
+	}
+	var limits Limits
+	now, id := epoch, uint64(0)
+	for p := range ss {
+		ss[p] = &Scheduler{Capacity: 80, Limits: &limits}
+		ss[p].SetShares(shares)
+		for range 10 * teams {
+			id++
+			_ = ss[p].Add(Waiter{ID: id, Team: names[id%uint64(teams)], Deadline: now.Add(time.Hour)}, now)
+		}
+	}
+	may := func(string) bool { return true }
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		s := ss[id%uint64(pools)]
+		now = now.Add(50 * time.Microsecond)
+		_ = s.Add(Waiter{ID: id, Team: names[id%uint64(teams)], Arrived: now, Deadline: now.Add(time.Hour)}, now)
+		w, _ := s.Next(now, may)
+		s.Started(w.Team, now)
+		s.Ended(w.Team, 50*time.Millisecond, now)
+	}
+}
+
+// BenchmarkDecision is one request's way through the scheduler: into line, out
+// of it, started and ended.
+func BenchmarkDecision(b *testing.B) {
+	b.Run("today", func(b *testing.B) { benchmarkDecision(b, 6, 5) })
+	b.Run("letter", func(b *testing.B) { benchmarkDecision(b, 51, 135) })
+}
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -21,6 +21,8 @@
 	// cappedScore puts a team that only its upper limit holds back before all
 	// others, so that no token of it lies idle.
 	cappedScore = 10
+	// urgentLead is how far a team with urgent work is let ahead of its target.
+	urgentLead = time.Second
 	// leastTarget keeps a team with no target yet comparable, in slots.
 	leastTarget = 0.01
 	// leastPart of its due is what a team that got too much before still gets.
@@ -146,7 +148,11 @@
 	if t.capped && float64(t.running) < t.target {
 		return cappedScore
 	}
-	return (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
+	score := (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
+	if t.urgent.n > 0 {
+		score += urgentLead.Seconds()
+	}
+	return score
 }
 
 // advance divides the pool anew if a tick has passed.
--- /dev/null
+++ b/msteam/share_test.go
@@ -0,0 +1,200 @@
+package msteam
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// naiveDivide is the weighted max-min division in its textbook form: claims in
+// order of demand by weight, each taking the less of its demand and its part.
+func naiveDivide(capacity float64, claims []Claim) []float64 {
+	order, weights := make([]int, len(claims)), 0.0
+	for i, c := range claims {
+		order[i] = i
+		weights += c.Weight
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if claims[a].Demand/claims[a].Weight < claims[b].Demand/claims[b].Weight {
+			return -1
+		}
+		return 1
+	})
+	due := make([]float64, len(claims))
+	for _, i := range order {
+		due[i] = min(claims[i].Demand, capacity*claims[i].Weight/weights)
+		capacity -= due[i]
+		weights -= claims[i].Weight
+	}
+	return due
+}
+
+func TestDivideAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		claims := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Claim {
+			return Claim{Weight: rapid.Float64Range(1, 20).Draw(t, "weight"), Demand: rapid.Float64Range(0, 100).Draw(t, "demand")}
+		}), 1, 12).Draw(t, "claims")
+		capacity := rapid.Float64Range(0, 400).Draw(t, "capacity")
+		want := naiveDivide(capacity, claims)
+		Divide(capacity, claims)
+		for i, c := range claims {
+			require.InDelta(t, want[i], c.Due, 1e-6)
+		}
+	})
+}
+
+// bench is one entry that keeps its slots busy in steps of a millisecond.
+type bench struct {
+	s     *Scheduler
+	slots int
+	now   time.Time
+	id    uint64
+	ends  map[time.Time][]string
+	used  map[string]time.Duration
+	rnd   *rand.Rand
+}
+
+func newBench(slots int, shares ...Share) *bench {
+	b := &bench{s: &Scheduler{Capacity: slots}, slots: slots, now: epoch, rnd: rand.New(rand.NewPCG(1, 2))}
+	b.ends, b.used = make(map[time.Time][]string), make(map[string]time.Duration)
+	b.s.SetShares(shares)
+	return b
+}
+
+// step passes a millisecond, with teams asking for as much as they can.
+func (b *bench) step(runTime time.Duration, asking ...string) {
+	b.now = b.now.Add(time.Millisecond)
+	for _, team := range b.ends[b.now] {
+		b.s.Ended(team, runTime, b.now)
+		b.slots++
+	}
+	delete(b.ends, b.now)
+	for _, team := range asking {
+		for b.s.Waiting(team) < 50 {
+			b.id++
+			_ = b.s.Add(Waiter{ID: b.id, Team: team, Arrived: b.now}, b.now)
+		}
+	}
+	for b.slots > 0 {
+		w, ok := b.s.Next(b.now, nil)
+		if !ok {
+			return
+		}
+		b.s.Started(w.Team, b.now)
+		b.slots--
+		run := time.Duration(1+b.rnd.ExpFloat64()*float64(runTime/time.Millisecond)) * time.Millisecond
+		b.ends[b.now.Add(run)] = append(b.ends[b.now.Add(run)], w.Team)
+		b.used[w.Team] += run
+	}
+}
+
+func (b *bench) run(d, runTime time.Duration, asking ...string) {
+	clear(b.used)
+	for range d / time.Millisecond {
+		b.step(runTime, asking...)
+	}
+}
+
+func TestWindowsAgainstExactShares(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(7, 7))
+	for range 10 {
+		var shares []Share
+		var claims []Claim
+		var teams []string
+		for i := range 2 + rnd.IntN(4) {
+			sh := Share{Team: fmt.Sprint("team-", i), Weight: 1 + rnd.IntN(8)}
+			shares = append(shares, sh)
+			claims = append(claims, Claim{Weight: float64(sh.Weight), Demand: 1e9})
+			teams = append(teams, sh.Team)
+		}
+		b := newBench(40, shares...)
+		runTime := time.Duration(20+rnd.IntN(180)) * time.Millisecond
+		b.run(3*time.Second, runTime, teams...)
+		b.run(10*time.Second, runTime, teams...)
+		for i, due := range naiveDivide(40*10, claims) {
+			require.InEpsilon(t, due, b.used[teams[i]].Seconds(), 0.05, "%s of %v, runs of %s", teams[i], shares, runTime)
+		}
+	}
+}
+
+func TestNoDebtForSlotsNobodyAskedFor(t *testing.T) {
+	b := newBench(40, Share{Team: "a", Weight: 1}, Share{Team: "b", Weight: 1})
+	b.run(30*time.Second, 50*time.Millisecond, "a")
+	b.run(5*time.Second, 50*time.Millisecond, "a", "b")
+	require.InDelta(t, 100, b.used["a"].Seconds(), 5)
+	require.InDelta(t, 100, b.used["b"].Seconds(), 5)
+}
+
+func TestShortTeamIsRepaid(t *testing.T) {
+	b := newBench(40, Share{Team: "a", Weight: 1}, Share{Team: "b", Weight: 1})
+	b.s.Capacity = 80
+	b.run(time.Second, 50*time.Millisecond, "a", "b")
+	// A peer gave all of its 40 slots to a while b waited there.
+	for i := range 6 {
+		used := time.Duration(i) * 40 * time.Second
+		b.s.SetRemote("peer", []Use{{Team: "a", Slot: used, Running: 40, Waiting: 50}, {Team: "b", Waiting: 50}}, b.now)
+		b.run(time.Second, 50*time.Millisecond, "a", "b")
+	}
+	require.Greater(t, b.used["b"].Seconds(), 35.0, "b gets nearly all here")
+	b.run(silence+memory, 50*time.Millisecond, "a", "b")
+	b.run(5*time.Second, 50*time.Millisecond, "a", "b")
+	require.InDelta(t, 100, b.used["b"].Seconds(), 10, "and its part again once repaid or forgotten")
+}
+
+func TestNobodyStarves(t *testing.T) {
+	b := newBench(10, Share{Team: "big", Weight: 50}, Share{Team: "limited", Weight: 50, Limit: 2}, Share{Team: "small", Weight: 1})
+	for range 5 {
+		b.s.Next(b.now, func(team string) bool { return team == "big" })
+		b.run(2*time.Second, 20*time.Millisecond, "big", "limited", "small")
+		for _, team := range []string{"big", "limited", "small"} {
+			require.Positive(t, b.used[team], team)
+		}
+	}
+}
+
+func TestRestartedPeerIsNoNewUse(t *testing.T) {
+	s := &Scheduler{Capacity: 10}
+	s.SetRemote("old", []Use{{Team: "a", Slot: time.Hour, Running: 3}}, epoch)
+	s.SetRemote("old", []Use{{Team: "a", Slot: time.Hour + 4*time.Second, Running: 3}}, epoch.Add(time.Second))
+	s.advance(epoch.Add(2 * time.Second))
+	require.InDelta(t, 4, s.team("a").fleetRate, 0.01)
+	s.SetRemote("new", []Use{{Team: "a", Slot: time.Minute, Running: 2}}, epoch.Add(5*time.Second))
+	s.advance(epoch.Add(6 * time.Second))
+	require.InDelta(t, 2, s.team("a").fleetRate, 0.01, "the silent peer is forgotten, the new one counts from its first report")
+}
+
+func TestLimitCountsOtherPools(t *testing.T) {
+	var limits Limits
+	here, other := &Scheduler{Capacity: 40, Limits: &limits}, &Scheduler{Capacity: 40, Limits: &limits}
+	for _, s := range []*Scheduler{here, other} {
+		s.SetShares([]Share{{Team: "a", Weight: 1, Limit: 20}, {Team: "b", Weight: 1}})
+	}
+	other.SetRemote("peer", []Use{{Team: "a", Running: 15}}, epoch)
+	other.advance(epoch.Add(tick))
+	for i := range uint64(1000) {
+		require.NoError(t, here.Add(Waiter{ID: i, Team: []string{"a", "b"}[i%2]}, epoch))
+	}
+	here.advance(epoch.Add(tick))
+	due, _ := here.TeamSlots("a", epoch.Add(tick))
+	require.Equal(t, 5, due)
+	require.InDelta(t, 15, limits.Used("a"), 0.01)
+	other.Close()
+	require.Zero(t, limits.Used("a"))
+}
+
+func TestSlotsWithRoomAndFull(t *testing.T) {
+	s := &Scheduler{Capacity: 40}
+	require.NoError(t, s.Add(Waiter{ID: 1, Team: "a"}, epoch))
+	due, wanted := s.Slots(epoch.Add(tick))
+	require.Equal(t, 1, due)
+	require.Greater(t, wanted, 30, "nobody else asks, so the rest is kept ready")
+	s.SetRemote("peer", []Use{{Team: "a", Waiting: 100_000}}, epoch.Add(tick))
+	due, wanted = s.Slots(epoch.Add(2 * tick))
+	require.Equal(t, 1, due)
+	require.Equal(t, 1, wanted)
+}
