msteam: Slots and Wanted each return one number

Cause: the daemon takes one number from Slots, and two would not build. Change: Slots and TeamSlots return what is due, Wanted and TeamWanted what can be used. Conclusion: the daemon can go on with Slots alone until the home knows both.

--- a/msmeasure/share_ours.go
+++ b/msmeasure/share_ours.go
@@ -52,7 +52,11 @@
 }
 
 func (s *shares) waiting() int                          { return s.n }
-func (s *shares) slots(now time.Time) (due, wanted int) { return s.s.Slots(now) }
+func (s *shares) slots(now time.Time) (due, wanted int) {
+	return s.s.Slots(now), s.s.Wanted(now)
+}
+
 func (s *shares) tokens(team int, now time.Time) (due, wanted int) {
-	return s.s.TeamSlots(s.d.Teams[team].Name, now)
+	name := s.d.Teams[team].Name
+	return s.s.TeamSlots(name, now), s.s.TeamWanted(name, now)
 }
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -279,39 +279,64 @@
 	}
 }
 
-// Slots returns how many slots of the pool this entry should hold. due is its
-// part once all is full, and the entry gives up what it holds beyond while some
-// other holds less than its due. wanted is what it can use or keep ready: all
-// that its callers ask for, and an equal part of the slots that nobody asks for.
-func (s *Scheduler) Slots(now time.Time) (due, wanted int) {
+// Slots returns how many slots of the pool this entry is due: all that its
+// callers ask for while the pool has room, and its part of their due once all
+// is full. It gives up what it holds beyond while some other holds less than
+// its due.
+func (s *Scheduler) Slots(now time.Time) int {
 	s.advance(now)
 	target, asked := 0.0, 0
 	for _, t := range s.teams {
 		target += t.target
 		asked += t.asked()
 	}
-	room := s.room()
-	if room <= 0 {
-		return min(asked, int(math.Ceil(target))), asked
+	if s.room() > 0 {
+		return asked
 	}
-	return asked, asked + int(room)/(len(s.peers)+1)
+	return min(asked, int(math.Ceil(target)))
 }
 
-// TeamSlots returns how many of the slots here team is due and wants, as Slots
-// does for all teams. Summed over pools, these are the tokens of the team's
-// upper limit that the entry is due and wants.
-func (s *Scheduler) TeamSlots(team string, now time.Time) (due, wanted int) {
+// Wanted returns how many slots of the pool this entry can use or keep ready:
+// all that its callers ask for, and an equal part of those that nobody asks
+// for. It takes them where nobody else lacks any of its due.
+func (s *Scheduler) Wanted(now time.Time) int {
+	s.advance(now)
+	asked := 0
+	for _, t := range s.teams {
+		asked += t.asked()
+	}
+	return asked + int(max(0, s.room()))/(len(s.peers)+1)
+}
+
+// TeamSlots returns how many of the slots here team is due. Summed over pools,
+// it is how many tokens of the team's upper limit the entry is due.
+func (s *Scheduler) TeamSlots(team string, now time.Time) int {
 	s.advance(now)
 	t := s.byName[team]
 	if t == nil {
-		return 0, 0
+		return 0
 	}
 	asked := t.running + t.waiting()
 	if s.room() > 0 && !t.capped {
-		return asked, asked
+		return asked
+	}
+	return min(asked, int(math.Ceil(t.target)))
+}
+
+// TeamWanted returns how many of the slots here team can use, at most one
+// beyond its due once all is full. Summed over pools, it is how many tokens of
+// the team's upper limit the entry takes where nobody else lacks any.
+func (s *Scheduler) TeamWanted(team string, now time.Time) int {
+	due := s.TeamSlots(team, now)
+	return min(s.asked(team), due+1)
+}
+
+func (s *Scheduler) asked(team string) int {
+	t := s.byName[team]
+	if t == nil {
+		return 0
 	}
-	due = min(asked, int(math.Ceil(t.target)))
-	return due, min(asked, due+1)
+	return t.running + t.waiting()
 }
 
 // asked returns how many slots t could use here now.
--- a/msteam/share_test.go
+++ b/msteam/share_test.go
@@ -180,8 +180,8 @@
 		require.NoError(t, here.Add(Waiter{ID: i, Team: []string{"a", "b"}[i%2]}, epoch))
 	}
 	here.advance(epoch.Add(tick))
-	due, _ := here.TeamSlots("a", epoch.Add(tick))
-	require.Equal(t, 5, due)
+	require.Equal(t, 5, here.TeamSlots("a", epoch.Add(tick)))
+	require.Equal(t, 6, here.TeamWanted("a", epoch.Add(tick)))
 	require.InDelta(t, 15, limits.Used("a"), 0.01)
 	other.Close()
 	require.Zero(t, limits.Used("a"))
@@ -190,11 +190,9 @@
 func TestSlotsWithRoomAndFull(t *testing.T) {
 	s := &Scheduler{Capacity: 40}
 	require.NoError(t, s.Add(Waiter{ID: 1, Team: "a"}, epoch))
-	due, wanted := s.Slots(epoch.Add(tick))
-	require.Equal(t, 1, due)
-	require.Greater(t, wanted, 30, "nobody else asks, so the rest is kept ready")
+	require.Equal(t, 1, s.Slots(epoch.Add(tick)))
+	require.Greater(t, s.Wanted(epoch.Add(tick)), 30, "nobody else asks, so the rest is kept ready")
 	s.SetRemote("peer", []Use{{Team: "a", Waiting: 100_000}}, epoch.Add(tick))
-	due, wanted = s.Slots(epoch.Add(2 * tick))
-	require.Equal(t, 1, due)
-	require.Equal(t, 1, wanted)
+	require.Equal(t, 1, s.Slots(epoch.Add(2*tick)))
+	require.Equal(t, 1, s.Wanted(epoch.Add(2*tick)))
 }
