--- a/msentry/bench_test.go
+++ b/msentry/bench_test.go
@@ -10,6 +10,7 @@
 	"marjoramspan/mslog"
 	"marjoramspan/msmember"
 	"marjoramspan/mspeer"
+	"marjoramspan/msrule"
 	"marjoramspan/msstate"
 	"marjoramspan/msteam"
 	"marjoramspan/mstoken"
@@ -27,8 +28,9 @@
 					used = append(used, mspeer.PoolUse{Pool: fmt.Sprint("pool-", i), Use: msteam.Use{Team: fmt.Sprint("team-", j), Slot: time.Hour, Running: 3, Waiting: 1}})
 				}
 			}
-			m.Used = mspeer.FromUses(used)
-			b.ReportMetric(float64(proto.Size(m)*8*2), "bytes/s")
+			m.Used = mspeer.FromUses(used, mspeer.NewNames(benchRules(n*14, 3)))
+			ask := proto.Size(&mspeer.BeatRequest{Member: m.GetMember()})
+			b.ReportMetric(float64((proto.Size(m)+ask)*8), "bytes/s")
 			for range b.N {
 				_, _ = proto.Marshal(m)
 			}
@@ -36,6 +38,17 @@
 	}
 }
 
+func benchRules(pools, teams int) msrule.Set {
+	var s msrule.Set
+	for i := range pools {
+		s.Pools = append(s.Pools, msrule.Pool{Name: fmt.Sprint("pool-", i)})
+	}
+	for i := range teams {
+		s.Teams = append(s.Teams, msrule.Team{Name: fmt.Sprint("team-", i)})
+	}
+	return s
+}
+
 // benchPool is one pool of an entry that is alone, with vms of 8 slots, and all
 // its resources among the fleet's.
 func benchPool(teams, pools, vms int) *pool {
--- a/msentry/caller.go
+++ b/msentry/caller.go
@@ -82,6 +82,7 @@
 		rq.id = rq.attempt
 	}
 	w.Header().Set(HeaderRequestID, rq.id)
+	rq.sayClose()
 	rq.log = e.Log.With(zap.String("request-id", rq.id))
 	if f := rq.admit(); f != nil {
 		rq.fail(f)
@@ -90,6 +91,15 @@
 	rq.serve()
 }
 
+// sayClose has the caller open another connection for its next request, while
+// the entry drains: a request that meets the closing of an idle connection has
+// an unknown outcome.
+func (rq *request) sayClose() {
+	if rq.e.draining.Load() {
+		rq.w.Header().Set("Connection", "close")
+	}
+}
+
 // failure is what a caller is told of a request that was not answered.
 type failure struct {
 	status  int
--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -94,7 +94,7 @@
 	var reply *mspeer.Status
 	err := l.Beat(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
 		var err error
-		reply, err = p.Beat(ctx, e.status())
+		reply, err = p.Beat(ctx, &mspeer.BeatRequest{Member: e.id})
 		return err
 	})
 	if err != nil {
@@ -122,7 +122,9 @@
 			used = append(used, mspeer.PoolUse{Pool: p.name, Use: u})
 		}
 	}
-	m.Used = mspeer.FromUses(used)
+	t := e.fold.tables()
+	m.RulesVersion = t.state.RulesVersion
+	m.Used = mspeer.FromUses(used, t.names)
 	m.Leaving = e.vms.leavingNow(now)
 	return m
 }
@@ -134,17 +136,27 @@
 	for _, vm := range m.GetLeaving() {
 		e.vms.setLeaving(vm, now)
 	}
+	e.hearUse(m, now)
+	e.claims.observe(now)
+	if ahead > 0 {
+		e.catchUp(ctx, l)
+	}
+}
+
+// hearUse takes in what a peer's teams use. A peer with other rules is heard
+// again once both have the same.
+func (e *Entry) hearUse(m *mspeer.Status, now time.Time) {
+	t := e.fold.tables()
+	if m.GetRulesVersion() != t.state.RulesVersion {
+		return
+	}
 	byPool := make(map[string][]msteam.Use)
-	for _, u := range mspeer.ToUses(m.GetUsed()) {
+	for _, u := range mspeer.ToUses(m.GetUsed(), t.names) {
 		byPool[u.Pool] = append(byPool[u.Pool], u.Use)
 	}
 	for _, p := range e.pools.all() {
 		p.setRemote(m.GetMember(), byPool[p.name], now)
 	}
-	e.claims.observe(now)
-	if ahead > 0 {
-		e.catchUp(ctx, l)
-	}
 }
 
 // catchUp folds the records that a peer has and this entry lacks.
@@ -213,7 +225,7 @@
 }
 
 // Beat answers a heartbeat.
-func (s *peerServer) Beat(_ context.Context, _ *mspeer.Status) (*mspeer.Status, error) {
+func (s *peerServer) Beat(_ context.Context, _ *mspeer.BeatRequest) (*mspeer.Status, error) {
 	return s.e.status(), nil
 }
 
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -245,6 +245,7 @@
 	}
 	h.Set(HeaderRequestID, rq.id)
 	h.Set(HeaderOutcome, OutcomeAnswered)
+	rq.sayClose()
 	if res.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
--- a/msentry/tables.go
+++ b/msentry/tables.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"marjoramspan/mslog"
+	"marjoramspan/mspeer"
 	"marjoramspan/msrule"
 	"marjoramspan/msstate"
 )
@@ -18,10 +19,12 @@
 	rules *msrule.Index
 	// pools holds the VMs of each pool, by name, in order.
 	pools map[string][]string
+	// names shortens heartbeats.
+	names *mspeer.Names
 }
 
 func newTables(s *msstate.State) *tables {
-	return &tables{state: s, rules: msrule.NewIndex(s.Rules), pools: s.InService()}
+	return &tables{state: s, rules: msrule.NewIndex(s.Rules), pools: s.InService(), names: mspeer.NewNames(s.Rules)}
 }
 
 // fold applies the state stream and publishes tables. Its zero value is not
--- a/mspeer/convert.go
+++ b/mspeer/convert.go
@@ -5,6 +5,7 @@
 
 	"marjoramspan/mslog"
 	"marjoramspan/msmember"
+	"marjoramspan/msrule"
 	"marjoramspan/msteam"
 	"marjoramspan/mstoken"
 )
@@ -50,14 +51,41 @@
 	Use  msteam.Use
 }
 
-// FromUses returns the use of teams as messages.
-func FromUses(us []PoolUse) []*Use {
+// Names gives teams and pools by their places in one version of the rules, so
+// that heartbeats need not spell them.
+type Names struct {
+	Teams, Pools []string
+	teams, pools map[string]int
+}
+
+// NewNames returns the names of rules.
+func NewNames(rules msrule.Set) *Names {
+	n := &Names{teams: make(map[string]int), pools: make(map[string]int)}
+	for i, t := range rules.Teams {
+		n.Teams = append(n.Teams, t.Name)
+		n.teams[t.Name] = i
+	}
+	for i, p := range rules.Pools {
+		n.Pools = append(n.Pools, p.Name)
+		n.pools[p.Name] = i
+	}
+	return n
+}
+
+// FromUses returns the use of teams as messages. What the rules don't name is
+// left out.
+func FromUses(us []PoolUse, names *Names) []*Use {
 	ms := make([]*Use, 0, len(us))
 	for _, u := range us {
+		team, known := names.teams[u.Use.Team]
+		pool, owned := names.pools[u.Pool]
+		if !known || !owned {
+			continue
+		}
 		ms = append(ms, &Use{
-			Team:    u.Use.Team,
-			Pool:    u.Pool,
-			SlotNs:  int64(u.Use.Slot),
+			Team:    uint32(team),
+			Pool:    uint32(pool),
+			SlotMs:  u.Use.Slot.Milliseconds(),
 			Running: int32(u.Use.Running),
 			Waiting: int32(u.Use.Waiting),
 		})
@@ -66,12 +94,15 @@
 }
 
 // ToUses returns the messages as the use of teams.
-func ToUses(ms []*Use) []PoolUse {
+func ToUses(ms []*Use, names *Names) []PoolUse {
 	us := make([]PoolUse, 0, len(ms))
 	for _, m := range ms {
-		us = append(us, PoolUse{Pool: m.GetPool(), Use: msteam.Use{
-			Team:    m.GetTeam(),
-			Slot:    time.Duration(m.GetSlotNs()),
+		if int(m.GetPool()) >= len(names.Pools) || int(m.GetTeam()) >= len(names.Teams) {
+			continue
+		}
+		us = append(us, PoolUse{Pool: names.Pools[m.GetPool()], Use: msteam.Use{
+			Team:    names.Teams[m.GetTeam()],
+			Slot:    time.Duration(m.GetSlotMs()) * time.Millisecond,
 			Running: int(m.GetRunning()),
 			Waiting: int(m.GetWaiting()),
 		}})
--- a/msstate/apply.go
+++ b/msstate/apply.go
@@ -147,16 +147,34 @@
 	if s.isWithdrawn(g.Key) {
 		return void("key " + g.Key.ID + " was withdrawn and can't come back")
 	}
-	next := s.Rules
-	next.Keys = append(slices.Clone(s.Rules.Keys), g.Key)
-	if err := msrule.Check(next); err != nil {
-		return void("rules: " + err.Error())
+	if reason := s.checkKey(g.Key); reason != accepted {
+		return reason
 	}
-	s.Rules = next
+	s.Rules.Keys = append(slices.Clone(s.Rules.Keys), g.Key)
 	s.RulesVersion = version
 	return accepted
 }
 
+// checkKey checks a new key against the rules, which are sound without it.
+func (s *State) checkKey(k msrule.Key) void {
+	for _, old := range s.Rules.Keys {
+		if old.ID == k.ID || old.Digest == k.Digest {
+			return void("rules: key " + old.ID + " has the same id or digest")
+		}
+	}
+	var alone msrule.Set
+	for _, t := range s.Rules.Teams {
+		if t.Name == k.Team {
+			alone.Teams = []msrule.Team{t}
+		}
+	}
+	alone.Keys = []msrule.Key{k}
+	if err := msrule.Check(alone); err != nil {
+		return void("rules: " + err.Error())
+	}
+	return accepted
+}
+
 // withdrawKey never looks at the base: to end a key is right on any version.
 func (s *State) withdrawKey(c Change, version uint64) void {
 	var w KeyWithdraw
