mstoken: slower turns and polls under contention

Cause: 9 entries each wanting 20 of all 51 teams and 135 VMs cost 25083 B/s an entry (budget 12 KB/s for all control). Change: turns of 500 ms, longer the more the others have; unmet demand is told again each 5 s, in 200 ms if it doubled or halved.

--- a/mstoken/holder.go
+++ b/mstoken/holder.go
@@ -5,8 +5,8 @@
 const (
 	retryFirst   = 50 * time.Millisecond  // retryFirst is the wait after a first failed exchange.
 	retryMost    = time.Second            // retryMost is the longest wait between failed exchanges.
-	pollAfter    = time.Second            // pollAfter is how often unmet demand is told again.
-	growAfter    = 100 * time.Millisecond // growAfter is how soon demand is told again that has doubled.
+	pollAfter    = 5 * time.Second        // pollAfter is how often unmet demand is told again.
+	changeAfter  = 200 * time.Millisecond // changeAfter is how soon demand is told again that has doubled or halved.
 	recallFor    = 2 * time.Second        // recallFor is how long a recall stands.
 	abandonAfter = 10 * time.Second       // abandonAfter is when an exchange without any answer is given up.
 )
@@ -160,10 +160,13 @@
 		return true
 	}
 	since := now.Sub(h.sentAt)
-	if a.want >= 2*h.toldWant && a.want > 0 && since >= growAfter {
-		return true
+	if a.want == 0 {
+		return false
+	}
+	if a.want >= 2*h.toldWant || a.want <= h.toldWant/2 {
+		return since >= changeAfter
 	}
-	return a.want > 0 && since >= pollAfter
+	return since >= pollAfter
 }
 
 // isRestless says whether time alone can make an exchange due.
--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -8,7 +8,7 @@
 const (
 	callAfter   = 100 * time.Millisecond // callAfter is the wait before a call is repeated.
 	fetchAfter  = time.Second            // fetchAfter is the time to fetch free tokens before others are served.
-	rotateAfter = 250 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
+	rotateAfter = 500 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
 )
 
 // pool is the home's side of an account.
@@ -21,6 +21,7 @@
 	hungry    bool // hungry: a peer other than this entry has unmet demand.
 	contended bool // contended: any peer has unmet demand.
 	first     int  // first is the index of the peer that is served first.
+	level     int  // level is the least that a peer with unmet demand is due.
 	rotateAt  time.Time
 	turning   bool      // turning: first has moved, and not all that are due tokens have them.
 	keptSince time.Time // keptSince is since when free tokens are kept for this entry's own demand.
@@ -118,12 +119,16 @@
 		a.over = false
 	}
 	p.unmet = 0
+	p.level = a.total
 	if !p.contended {
 		return
 	}
 	share(p.targets, p.wants, max(a.total-p.unknown, 0), p.first)
 	for i := range p.peers {
 		p.unmet += p.lack(i)
+		if p.peers[i].want > 0 {
+			p.level = min(p.level, p.targets[i])
+		}
 	}
 }
 
@@ -260,7 +265,7 @@
 	at := p.rotateAt
 	switch {
 	case p.unmet > 0 && p.free <= 0:
-		p.rotateAt = now.Add(rotateAfter)
+		p.rotateAt = now.Add(p.turn())
 		return false
 	case p.unmet > 0:
 		at = at.Add(fetchAfter)
@@ -268,7 +273,7 @@
 	if now.Before(at) {
 		return false
 	}
-	p.rotateAt = now.Add(rotateAfter)
+	p.rotateAt = now.Add(p.turn())
 	p.turning = true
 	for range p.peers {
 		p.first = (p.first + 1) % len(p.peers)
@@ -279,11 +284,17 @@
 	return true
 }
 
+// turn is how long the peers that are due one token more keep it. The more the others
+// have, the less it matters.
+func (p *pool) turn() time.Duration {
+	return rotateAfter * time.Duration(1+p.level)
+}
+
 // served gives the peers that first has moved to their time.
 func (p *pool) served(now time.Time) {
 	if p.turning && p.unmet == 0 {
 		p.turning = false
-		p.rotateAt = now.Add(rotateAfter)
+		p.rotateAt = now.Add(p.turn())
 	}
 }
 
