mstoken: long work does not starve waiters

Cause: a holder that can't return what it was asked for (long work, pause) kept its turn, and its recall counted as cover, so a waiter stayed without while another holder would have returned. Change: a turn ends after 1 s also when tokens did not change hands; an unanswered recall covers for 1 s only. Conclusion: with a remainder the waiter gets a token in a turn or two; above its fair share a holder of long work still keeps it.

--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -7,7 +7,7 @@
 
 const (
 	callAfter   = 100 * time.Millisecond // callAfter is the wait before a call is repeated.
-	fetchAfter  = time.Second            // fetchAfter is the time to fetch free tokens before others are served.
+	fetchAfter  = time.Second            // fetchAfter is the time for tokens to change hands before others are asked.
 	rotateAfter = 500 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
 )
 
@@ -41,6 +41,9 @@
 	callAt   time.Time
 	recallAt time.Time
 	recalled int // recalled is how many tokens were last asked back.
+	// coverUntil is how long recalled is counted on. A holder that does not return
+	// them by then has long work, or is paused.
+	coverUntil time.Time
 }
 
 // openPool makes this entry the home of a in a new generation. What it holds itself is
@@ -144,13 +147,22 @@
 	short := p.unmet - max(p.free, 0)
 	for j := range p.peers {
 		q := &p.peers[j]
-		if j != i && now.Before(q.recallAt) {
+		if j != i && now.Before(q.coverUntil) {
 			short -= q.recalled
 		}
 	}
 	return max(min(p.peers[i].out-p.targets[i], short), 0)
 }
 
+// recall notes that n tokens are asked back now.
+func (q *peer) recall(n int, now time.Time) {
+	q.recalled = n
+	q.recallAt = now.Add(recallFor / 2)
+	if n > 0 && q.coverUntil.IsZero() {
+		q.coverUntil = q.recallAt
+	}
+}
+
 // HandleExchange takes the items of the member from. As the home it answers each of
 // them, in order; calls are not answered.
 func (l *Ledger) HandleExchange(from string, items []Item, now time.Time) []Gift {
@@ -191,11 +203,14 @@
 		p.base += item.Held
 	}
 	q.seq = item.Seq
-	q.out = item.Held
 	q.want = item.Want
 	q.given = 0
 	q.callAt = time.Time{}
 	q.recalled = 0
+	if item.Held < q.out {
+		q.coverUntil = time.Time{}
+	}
+	q.out = item.Held
 	a.ceiling = max(a.ceiling, item.Ceiling)
 	if !p.ready {
 		if p.unheard > 0 {
@@ -216,8 +231,7 @@
 	g := Gift{N: n, Settled: p.free >= 0, Ceiling: a.ceiling}
 	if p.contended {
 		g.Recall = p.excess(index, now)
-		q.recalled = g.Recall
-		q.recallAt = now.Add(recallFor / 2)
+		q.recall(g.Recall, now)
 		l.enqueue(a, now)
 	}
 	return g
@@ -251,8 +265,7 @@
 			continue
 		}
 		if excess := p.excess(i, now); excess > 0 && (excess > q.recalled || !now.Before(q.recallAt)) {
-			q.recalled = excess
-			q.recallAt = now.Add(recallFor / 2)
+			q.recall(excess, now)
 			l.post(batches, i, a.call(q, excess))
 		}
 	}
@@ -260,14 +273,10 @@
 }
 
 // rotate moves first on, to the next peer with demand, once all that are due tokens
-// have had them for a while, or one that is due does not fetch them.
+// have had them for a while, or if it takes long: somebody does not fetch or return them.
 func (p *pool) rotate(now time.Time) bool {
 	at := p.rotateAt
-	switch {
-	case p.unmet > 0 && p.free <= 0:
-		p.rotateAt = now.Add(p.turn())
-		return false
-	case p.unmet > 0:
+	if p.unmet > 0 {
 		at = at.Add(fetchAfter)
 	}
 	if now.Before(at) {
--- a/mstoken/ledger_test.go
+++ b/mstoken/ledger_test.go
@@ -78,6 +78,34 @@
 	}
 }
 
+// A holder that does not return what it is asked for must not stand in the way of those
+// that would.
+func TestLongWorkDoesNotStarveOthers(t *testing.T) {
+	for _, long := range []int{0, 1} {
+		w, _, others := settled(4)
+		w.log = append(w.log, record{resource: "x", total: 4})
+		w.heal(10)
+		for _, n := range others[:2] {
+			w.want(n, 2)
+			for range 2 {
+				require.True(t, n.l.Take("x"))
+			}
+		}
+		short, waits := others[1-long], others[2]
+		for range 50 {
+			for range short.l.Counts("x").Running {
+				short.l.Release("x", w.now)
+			}
+			for short.l.Take("x") {
+			}
+			short.l.Want("x", 1)
+			w.want(waits, 1-waits.l.Counts("x").Held)
+		}
+		require.Equal(t, 2, others[long].l.Counts("x").Running)
+		require.Equal(t, 1, waits.l.Counts("x").Held, "long work at %d", long)
+	}
+}
+
 // An answer to an exchange that was repeated on the way books the same gift again.
 func TestRepeatedExchangeGivesOnce(t *testing.T) {
 	w, home, others := settled(3)
