mstoken: test of concurrent use

Cause: the promise of one mutex had no test. Change: TestConcurrentUse, for go test -race. Figures: passes; with the lock taken out of Take it reports data races. Conclusion: none.

--- a/mstoken/ledger_test.go
+++ b/mstoken/ledger_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -262,3 +263,27 @@
 	a.l.HandleGifts(home.id, []Gift{late}, w.now)
 	require.Equal(t, 0, a.l.Counts("x").Held)
 }
+
+func TestConcurrentUse(t *testing.T) {
+	w, home, others := settled(3)
+	var g errgroup.Group
+	for _, n := range []*node{home, others[0], others[1]} {
+		for range 4 {
+			g.Go(func() error {
+				for range 200 {
+					n.l.Want("x", 2)
+					for _, b := range n.l.Outgoing(w.now) {
+						n.l.HandleGifts(b.To, w.node(b.To).l.HandleExchange(n.id, b.Items, w.now), w.now)
+					}
+					if n.l.Take("x") {
+						n.l.Release("x", w.now)
+					}
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, g.Wait())
+	w.heal(50)
+	require.Equal(t, 3, home.l.Counts("x").Free)
+}
