--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -7,8 +7,8 @@
 
 const (
 	callAfter   = 100 * time.Millisecond // callAfter is the wait before a call is repeated.
-	fetchAfter  = time.Second            // fetchAfter is the time to fetch free tokens before others are served.
-	rotateAfter = 250 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
+	fetchAfter  = time.Second            // fetchAfter is the time for tokens to change hands before others are asked.
+	rotateAfter = 500 * time.Millisecond // rotateAfter is how long a token stays that others wait for in turn.
 )
 
 // pool is the home's side of an account.
@@ -21,6 +21,7 @@
 	hungry    bool // hungry: a peer other than this entry has unmet demand.
 	contended bool // contended: any peer has unmet demand.
 	first     int  // first is the index of the peer that is served first.
+	level     int  // level is the least that a peer with unmet demand is due.
 	rotateAt  time.Time
 	turning   bool      // turning: first has moved, and not all that are due tokens have them.
 	keptSince time.Time // keptSince is since when free tokens are kept for this entry's own demand.
@@ -40,6 +41,9 @@
 	callAt   time.Time
 	recallAt time.Time
 	recalled int // recalled is how many tokens were last asked back.
+	// coverUntil is how long recalled is counted on. A holder that does not return
+	// them by then has long work, or is paused.
+	coverUntil time.Time
 }
 
 // openPool makes this entry the home of a in a new generation. What it holds itself is
@@ -118,12 +122,16 @@
 		a.over = false
 	}
 	p.unmet = 0
+	p.level = a.total
 	if !p.contended {
 		return
 	}
 	share(p.targets, p.wants, max(a.total-p.unknown, 0), p.first)
 	for i := range p.peers {
 		p.unmet += p.lack(i)
+		if p.peers[i].want > 0 {
+			p.level = min(p.level, p.targets[i])
+		}
 	}
 }
 
@@ -139,13 +147,22 @@
 	short := p.unmet - max(p.free, 0)
 	for j := range p.peers {
 		q := &p.peers[j]
-		if j != i && now.Before(q.recallAt) {
+		if j != i && now.Before(q.coverUntil) {
 			short -= q.recalled
 		}
 	}
 	return max(min(p.peers[i].out-p.targets[i], short), 0)
 }
 
+// recall notes that n tokens are asked back now.
+func (q *peer) recall(n int, now time.Time) {
+	q.recalled = n
+	q.recallAt = now.Add(recallFor / 2)
+	if n > 0 && q.coverUntil.IsZero() {
+		q.coverUntil = q.recallAt
+	}
+}
+
 // HandleExchange takes the items of the member from. As the home it answers each of
 // them, in order; calls are not answered.
 func (l *Ledger) HandleExchange(from string, items []Item, now time.Time) []Gift {
@@ -186,11 +203,14 @@
 		p.base += item.Held
 	}
 	q.seq = item.Seq
-	q.out = item.Held
 	q.want = item.Want
 	q.given = 0
 	q.callAt = time.Time{}
 	q.recalled = 0
+	if item.Held < q.out {
+		q.coverUntil = time.Time{}
+	}
+	q.out = item.Held
 	a.ceiling = max(a.ceiling, item.Ceiling)
 	if !p.ready {
 		if p.unheard > 0 {
@@ -211,8 +231,7 @@
 	g := Gift{N: n, Settled: p.free >= 0, Ceiling: a.ceiling}
 	if p.contended {
 		g.Recall = p.excess(index, now)
-		q.recalled = g.Recall
-		q.recallAt = now.Add(recallFor / 2)
+		q.recall(g.Recall, now)
 		l.enqueue(a, now)
 	}
 	return g
@@ -246,8 +265,7 @@
 			continue
 		}
 		if excess := p.excess(i, now); excess > 0 && (excess > q.recalled || !now.Before(q.recallAt)) {
-			q.recalled = excess
-			q.recallAt = now.Add(recallFor / 2)
+			q.recall(excess, now)
 			l.post(batches, i, a.call(q, excess))
 		}
 	}
@@ -255,20 +273,16 @@
 }
 
 // rotate moves first on, to the next peer with demand, once all that are due tokens
-// have had them for a while, or one that is due does not fetch them.
+// have had them for a while, or if it takes long: somebody does not fetch or return them.
 func (p *pool) rotate(now time.Time) bool {
 	at := p.rotateAt
-	switch {
-	case p.unmet > 0 && p.free <= 0:
-		p.rotateAt = now.Add(rotateAfter)
-		return false
-	case p.unmet > 0:
+	if p.unmet > 0 {
 		at = at.Add(fetchAfter)
 	}
 	if now.Before(at) {
 		return false
 	}
-	p.rotateAt = now.Add(rotateAfter)
+	p.rotateAt = now.Add(p.turn())
 	p.turning = true
 	for range p.peers {
 		p.first = (p.first + 1) % len(p.peers)
@@ -279,11 +293,17 @@
 	return true
 }
 
+// turn is how long the peers that are due one token more keep it. The more the others
+// have, the less it matters.
+func (p *pool) turn() time.Duration {
+	return rotateAfter * time.Duration(1+p.level)
+}
+
 // served gives the peers that first has moved to their time.
 func (p *pool) served(now time.Time) {
 	if p.turning && p.unmet == 0 {
 		p.turning = false
-		p.rotateAt = now.Add(rotateAfter)
+		p.rotateAt = now.Add(p.turn())
 	}
 }
 
--- a/mstoken/ledger_test.go
+++ b/mstoken/ledger_test.go
@@ -1,10 +1,12 @@
 package mstoken
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -54,6 +56,15 @@
 	require.Zero(t, w.heal(1000), "a settled resource costs nothing")
 }
 
+func TestIdleTokensAreRecalledAtOnce(t *testing.T) {
+	w, _, others := settled(3)
+	w.want(others[0], 3)
+	require.Equal(t, 3, others[0].l.Counts("x").Idle)
+	w.want(others[1], 1)
+	w.heal(5)
+	require.Equal(t, 1, others[1].l.Counts("x").Idle)
+}
+
 func TestEveryHolderWithDemandMakesProgress(t *testing.T) {
 	for _, total := range []int{1, 3, 8} {
 		w := newWorld(8)
@@ -72,9 +83,37 @@
 			}
 			w.heal(1)
 		}
-		for i, n := range started {
-			require.Greater(t, n, 20, "holder %d of total %d: %v", i, total, started)
+		least := slices.Min(started)
+		require.Greater(t, least, 20, "total %d: %v", total, started)
+		require.Less(t, slices.Max(started), least*3/2, "turns are even at total %d: %v", total, started)
+	}
+}
+
+// A holder that does not return what it is asked for must not stand in the way of those
+// that would.
+func TestLongWorkDoesNotStarveOthers(t *testing.T) {
+	for _, long := range []int{0, 1} {
+		w, _, others := settled(4)
+		w.log = append(w.log, record{resource: "x", total: 4})
+		w.heal(10)
+		for _, n := range others[:2] {
+			w.want(n, 2)
+			for range 2 {
+				require.True(t, n.l.Take("x"))
+			}
 		}
+		short, waits := others[1-long], others[2]
+		for range 50 {
+			for range short.l.Counts("x").Running {
+				short.l.Release("x", w.now)
+			}
+			for short.l.Take("x") {
+			}
+			short.l.Want("x", 1)
+			w.want(waits, 1-waits.l.Counts("x").Held)
+		}
+		require.Equal(t, 2, others[long].l.Counts("x").Running)
+		require.Equal(t, 1, waits.l.Counts("x").Held, "long work at %d", long)
 	}
 }
 
@@ -234,3 +273,27 @@
 	a.l.HandleGifts(home.id, []Gift{late}, w.now)
 	require.Equal(t, 0, a.l.Counts("x").Held)
 }
+
+func TestConcurrentUse(t *testing.T) {
+	w, home, others := settled(3)
+	var g errgroup.Group
+	for _, n := range []*node{home, others[0], others[1]} {
+		for range 4 {
+			g.Go(func() error {
+				for range 200 {
+					n.l.Want("x", 2)
+					for _, b := range n.l.Outgoing(w.now) {
+						n.l.HandleGifts(b.To, w.node(b.To).l.HandleExchange(n.id, b.Items, w.now), w.now)
+					}
+					if n.l.Take("x") {
+						n.l.Release("x", w.now)
+					}
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, g.Wait())
+	w.heal(50)
+	require.Equal(t, 3, home.l.Counts("x").Free)
+}
