--- a/msmeasure/share_ours.go
+++ b/msmeasure/share_ours.go
@@ -51,7 +51,7 @@
 	return out
 }
 
-func (s *shares) waiting() int                          { return s.n }
+func (s *shares) waiting() int { return s.n }
 func (s *shares) slots(now time.Time) (due, wanted int) {
 	return s.s.Slots(now), s.s.Wanted(now)
 }
