msteam: tests catch a start after the deadline and a lost expiry

Cause: two defects put in by hand (Next without expiry, Remove of an expired waiter) weren't caught, as the test collected before every Next. Change: collecting is an action of its own; a deadline that has passed is refused. Ruled out: keeping the order, which hid both. Conclusion: both are caught now by TestLineAgainstNaive.

--- a/msteam/estimate_test.go
+++ b/msteam/estimate_test.go
@@ -54,6 +54,8 @@
 	}
 	_, ok := s.Estimate("a", epoch)
 	require.False(t, ok)
+	s.Late = true
+	require.Error(t, s.Add(Waiter{ID: 1000, Team: "a", Deadline: epoch.Add(-time.Millisecond)}, epoch), "too late already")
 }
 
 func TestFloodLeavesRoom(t *testing.T) {
--- a/msteam/scheduler_test.go
+++ b/msteam/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,12 +77,16 @@
 		var naive naiveLine
 		var running []string
 		now, id := epoch, uint64(0)
+		var gone []uint64 // expired, not yet returned
+		expire := func() { gone = append(gone, naive.expire(now)...) }
 		collect := func() {
 			var got []uint64
 			for _, w := range s.Expired(now) {
 				got = append(got, w.ID)
 			}
-			require.ElementsMatch(t, naive.expire(now), got, "expired")
+			expire()
+			require.ElementsMatch(t, gone, got, "expired")
+			gone = nil
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(t *rapid.T) {
@@ -94,17 +99,19 @@
 				naive = append(naive, w)
 			},
 			"remove": func(t *rapid.T) {
-				gone := rapid.Uint64Range(1, id+1).Draw(t, "id")
-				require.Equal(t, naive.remove(gone), s.Remove(gone))
+				leaver := rapid.Uint64Range(1, id+1).Draw(t, "id")
+				there := slices.Contains(gone, leaver) || naive.remove(leaver)
+				gone = slices.DeleteFunc(gone, func(id uint64) bool { return id == leaver })
+				require.Equal(t, there, s.Remove(leaver))
 			},
 			"pass": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-				collect()
 			},
+			"expired": func(*rapid.T) { collect() },
 			"next": func(t *rapid.T) {
 				barred := rapid.SampledFrom(append(teams, "")).Draw(t, "barred")
 				may := func(team string) bool { return team != barred }
-				collect()
+				expire()
 				able := naive.count(func(w Waiter) bool { return may(w.Team) })
 				w, ok := s.Next(now, may)
 				require.Equal(t, able > 0, ok, "work-conserving")
@@ -125,6 +132,9 @@
 				running = running[1:]
 			},
 			"": func(t *rapid.T) {
+				if len(naive) == 0 {
+					collect()
+				}
 				for _, team := range teams {
 					require.Equal(t, naive.count(func(w Waiter) bool { return w.Team == team }), s.Waiting(team))
 				}
