msmeasure: four serving pools and the spare, as fifty workers carry

Cause: a fifth serving pool, added for the share measure, left no VM for the spare pool, so that buffer-cost had nothing to measure. Conclusion: both sides measure the same fleet.

--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -10,10 +10,7 @@
 	"github.com/alecthomas/kong"
 )
 
-var measures = []msmeasure.Measure{
-	msmeasure.ShareError,
-	msmeasure.UrgentStart,
-}
+var measures = append(msmeasure.FleetMeasures(), msmeasure.ShareError, msmeasure.UrgentStart)
 
 type options struct {
 	Seed       uint64 `help:"Seed of the generated demands and failures." default:"1"`
--- a/msmeasure/measure.go
+++ b/msmeasure/measure.go
@@ -125,7 +125,6 @@
 			{"colour", 80 * time.Millisecond},
 			{"booth", 400 * time.Millisecond},
 			{"cure", 50 * time.Millisecond},
-			{"stock", 150 * time.Millisecond},
 		}),
 		Workers: Workers{Count: 50, PerRack: 4, Cores: 32, MemoryGiB: 64},
 		Teams:   sixTeams(),
@@ -142,7 +141,6 @@
 		Services: services("spare", []serviceTime{
 			{"tally", 60 * time.Millisecond},
 			{"board", 40 * time.Millisecond},
-			{"vacant", 100 * time.Millisecond},
 			{"seat", 150 * time.Millisecond},
 			{"reconcile", 800 * time.Millisecond},
 		}),
