--- a/msmeasure/fleet_world.go
+++ b/msmeasure/fleet_world.go
@@ -82,7 +82,8 @@
 	mostFailed      int
 }
 
-// newFleetWorld draws a fleet of d that lives for span.
+// newFleetWorld draws a fleet of d that lives for span: as many VMs as its pools
+// want, in racks of as many as d has workers in one.
 func newFleetWorld(d Deployment, seed uint64, span, tick time.Duration) *fleetWorld {
 	rnd := rand.New(rand.NewPCG(seed, xxhash.Sum64String(d.Name)))
 	w := &fleetWorld{began: time.Unix(1_800_000_000, 0), tick: tick, turns: d.Turns}
@@ -92,8 +93,12 @@
 			Name: s.Name, Size: s.Instances, Slots: s.Slots, Available: s.Available, Spare: s.Spare,
 		})
 	}
-	racks := (d.Workers.Count + d.Workers.PerRack - 1) / d.Workers.PerRack
-	for i := range d.Workers.Count {
+	vms := 0
+	for _, s := range d.Services {
+		vms += s.Instances
+	}
+	racks := (vms + d.Workers.PerRack - 1) / d.Workers.PerRack
+	for i := range vms {
 		w.vms = append(w.vms, newFleetVM(i, i/d.Workers.PerRack, d.DataCentres, w.now, rnd))
 	}
 	w.weakRack = fleetRack(rnd.IntN(racks))
--- a/mswave/fold.go
+++ b/mswave/fold.go
@@ -99,8 +99,6 @@
 	case Discard:
 		_, maintained := s.Maintained[target.VM]
 		return p.Phase != "" || maintained
-	case Resume:
-		return p.Phase == Overdue || p.Phase == Returned
 	}
 	return false
 }
@@ -117,11 +115,25 @@
 	case Resume:
 		s.Status = Running
 		s.Held = false
+		if !r.Auto {
+			s.forgive()
+		}
 	case End:
 		s.Status = Ended
 	}
 }
 
+// forgive stops counting VMs that are overdue, or that fail after their return,
+// against the wave.
+func (s *State) forgive() {
+	for vm, p := range s.VMs {
+		if p.Phase == Overdue || p.Phase == Returned {
+			p.Forgiven = true
+			s.VMs[vm] = p
+		}
+	}
+}
+
 // start begins a wave. VMs that an earlier wave rebooted and nobody has seen
 // since stay out of service.
 func (s *State) start(r Record) {
@@ -143,9 +155,7 @@
 
 func (s *State) changeVM(r Record, target Target, own *mspool.Ownership) {
 	p := s.VMs[target.VM]
-	if r.Kind != Resume {
-		p.Since = r.At
-	}
+	p.Since = r.At
 	switch r.Kind {
 	case Drain:
 		p.Phase = Draining
@@ -158,8 +168,6 @@
 		s.maintained(target.VM, r.At)
 	case Late:
 		p.Phase = Overdue
-	case Resume:
-		p.Forgiven = true
 	case Discard:
 		delete(s.Maintained, target.VM)
 		delete(s.VMs, target.VM)
--- a/mswave/record.go
+++ b/mswave/record.go
@@ -30,6 +30,9 @@
 	By     string    `json:"by"`
 	// Hold makes a stop last until an operator resumes the wave.
 	Hold bool `json:"hold,omitempty"`
+	// Auto marks a resume by the wave itself. One by an operator forgives the VMs
+	// that are lost, so that they don't stop the wave again.
+	Auto bool `json:"auto,omitempty"`
 }
 
 // Target is one VM of a record.
@@ -53,7 +56,7 @@
 	Return  Kind = "wave-return"
 	Late    Kind = "wave-overdue"
 	Stop    Kind = "wave-stop"
-	Resume  Kind = "wave-resume" // its VMs are forgiven
+	Resume  Kind = "wave-resume"
 	End     Kind = "wave-end"
 	Discard Kind = "wave-discard" // forgets VMs that were retired
 )
--- a/mswave/step.go
+++ b/mswave/step.go
@@ -193,7 +193,9 @@
 	if w.weight(w.lost()) >= w.stopAt() {
 		return Record{}, false
 	}
-	return w.record(Resume, nil), true
+	r := w.record(Resume, nil)
+	r.Auto = true
+	return r, true
 }
 
 func (w *work) record(k Kind, vms []Target) Record {
--- a/mswave/wave_test.go
+++ b/mswave/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -106,6 +107,10 @@
 	require.LessOrEqual(t, len(w.reboots), DefaultStopAfter+1, "a bad image took more VMs")
 	require.Zero(t, w.state.count(Draining), "draining VMs go back into service")
 	stopped := w.now
+	held := w.state
+	held.VMs = maps.Clone(w.state.VMs)
+	require.NoError(t, held.Apply(Record{Offset: held.Through + 1, ID: "op", Kind: Resume, Wave: "w", Base: held.Changed, At: w.now}, &w.own))
+	require.Empty(t, Lost(&held, w.view(), w.now), "an operator's resume lets it go on")
 	run(Running, false)
 	require.GreaterOrEqual(t, w.now.Sub(stopped), time.Hour, "resumed before the VMs were back")
 	run(Ended, false)
