mspool: test that new VMs are spread over racks

Cause: a defect put in by hand (first VM in place of the best spread one) was not seen, as equal tables spread by themselves. Ruled out: nothing. Change: TestAssignSpreads. Conclusion: the defect is seen now.

--- a/mspool/plan_test.go
+++ b/mspool/plan_test.go
@@ -248,3 +248,22 @@
 		require.GreaterOrEqual(t, h.WorstRack.Margin, 0, "%+v", h)
 	}
 }
+
+// TestAssignSpreads gives a pool of three VMs the choice of six, three of which
+// lie in one rack.
+func TestAssignSpreads(t *testing.T) {
+	tab := Table{Pools: []Pool{{Name: "a", Size: 3, Available: 100}}}
+	for i, rack := range []string{"r0", "r0", "r0", "r1", "r1", "r2"} {
+		tab.VMs = append(tab.VMs, VM{Name: fmt.Sprint(i), Rack: rack, State: Serving})
+	}
+	racks := map[string]bool{}
+	for _, d := range Plan(tab, Settings{}, time.Unix(1, 0)) {
+		require.Equal(t, VMAssign, d.Kind)
+		for _, v := range tab.VMs {
+			if v.Name == d.VM {
+				racks[v.Rack] = true
+			}
+		}
+	}
+	require.Len(t, racks, 3)
+}
