--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -12,6 +12,7 @@
 
 var measures = []msmeasure.Measure{
 	msmeasure.ShareError,
+	msmeasure.UrgentStart,
 }
 
 type options struct {
--- a/mslog/client_test.go
+++ b/mslog/client_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,6 +44,13 @@
 	return ids
 }
 
+// requireKind wants an error of kind k. KindOf alone takes no error for Unknown.
+func requireKind(t testing.TB, k mslog.Kind, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, k, mslog.KindOf(err))
+}
+
 func TestAppendThenRead(t *testing.T) {
 	c := newPlatform(t, &msstandin.Platform{})
 	ctx := context.Background()
@@ -67,9 +76,9 @@
 func TestAppendRefusesRecordsWithoutID(t *testing.T) {
 	c := newPlatform(t, &msstandin.Platform{})
 	_, err := c.Append(context.Background(), "s", records(""))
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 	_, err = c.Append(context.Background(), "s", nil)
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 }
 
 func TestLostAnswerIsUnknownAndTookEffect(t *testing.T) {
@@ -77,7 +86,7 @@
 	c := newPlatform(t, p)
 	p.SetFault(msstandin.Fault{Mode: msstandin.FaultLoseAnswers})
 	_, err := c.Append(context.Background(), "s", records("a"))
-	require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+	requireKind(t, mslog.Unknown, err)
 	require.Equal(t, []string{"a"}, idsOf(p.Records("t-s")), "sent once, also by the transport")
 }
 
@@ -87,7 +96,7 @@
 		c := newPlatform(t, p)
 		p.SetFault(msstandin.Fault{Mode: mode})
 		_, err := c.Append(context.Background(), "s", records("a"))
-		require.Equal(t, mslog.Unavailable, mslog.KindOf(err))
+		requireKind(t, mslog.Unavailable, err)
 		require.Empty(t, p.Records("t-s"))
 	}
 }
@@ -98,7 +107,7 @@
 	c := &mslog.Client{Address: l.Addr().String(), Timeout: hung}
 	require.NoError(t, l.Close())
 	_, err = c.Append(context.Background(), "s", records("a"))
-	require.Equal(t, mslog.Unavailable, mslog.KindOf(err))
+	requireKind(t, mslog.Unavailable, err)
 }
 
 func TestReadBeforeFirstIsExpired(t *testing.T) {
@@ -113,7 +122,7 @@
 	require.Equal(t, uint64(1), e.First)
 	require.Equal(t, uint64(3), page.End)
 	_, err = c.Read(context.Background(), mslog.Query{Stream: "s", From: 4})
-	require.Equal(t, mslog.Refused, mslog.KindOf(err))
+	requireKind(t, mslog.Refused, err)
 }
 
 func TestLongPollAnswersAtAppendWhileAppendsGoOn(t *testing.T) {
@@ -184,12 +193,64 @@
 	clock.Advance(time.Second)
 	err := <-errs
 	require.ErrorIs(t, err, mslog.ErrTimeout)
-	require.Equal(t, mslog.Unknown, mslog.KindOf(err))
+	requireKind(t, mslog.Unknown, err)
 	_, err = c.Append(context.Background(), "s", records("a"))
 	require.NoError(t, err)
 	require.NotEqual(t, dead, <-entered)
 }
 
+// TestOneTimeoutLeavesAllSilentConnections opens two connections, lets both go
+// silent and allows for one timeout.
+func TestOneTimeoutLeavesAllSilentConnections(t *testing.T) {
+	p := &msstandin.Platform{}
+	var mu sync.Mutex
+	silenced := map[string]bool{}
+	seen := map[string]bool{}
+	silent := false
+	entered := make(chan struct{}, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen[r.RemoteAddr] = true
+		hang := silent && silenced[r.RemoteAddr]
+		mu.Unlock()
+		entered <- struct{}{}
+		if hang {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		p.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	clock := msclock.NewFake(time.Unix(0, 0))
+	c := &mslog.Client{Address: s.Listener.Addr().String(), Clock: clock, Timeout: time.Second}
+	ctx := context.Background()
+	polled := make(chan error, 1)
+	go func() {
+		_, err := c.Read(ctx, mslog.Query{Stream: "s", Wait: hung})
+		polled <- err
+	}()
+	<-entered
+	_, err := c.Append(ctx, "s", records("a"))
+	require.NoError(t, err)
+	<-entered
+	require.NoError(t, <-polled)
+	mu.Lock()
+	require.Len(t, seen, 2)
+	maps.Copy(silenced, seen)
+	silent = true
+	mu.Unlock()
+	go func() {
+		_, err := c.Append(ctx, "s", records("b"))
+		polled <- err
+	}()
+	<-entered
+	clock.Advance(time.Second)
+	require.ErrorIs(t, <-polled, mslog.ErrTimeout)
+	_, err = c.Append(ctx, "s", records("b"))
+	require.NoError(t, err)
+}
+
 func TestVMListLags(t *testing.T) {
 	clock := msclock.NewFake(time.Unix(0, 0))
 	p := &msstandin.Platform{Clock: clock, ListLag: time.Second}
@@ -220,6 +281,10 @@
 		_, err := mslog.DecodePage([]byte(body), 1)
 		require.Error(t, err, body)
 	}
+	for _, body := range []string{`{}`, `null`, `{"first":0}`, `{"end":0}`, `{"first":1,"end":1}`} {
+		_, err := mslog.DecodePage([]byte(body), 0)
+		require.Error(t, err, "an empty stream must be told: %s", body)
+	}
 }
 
 func FuzzDecodePage(f *testing.F) {
--- a/msteam/estimate.go
+++ b/msteam/estimate.go
@@ -15,6 +15,9 @@
 	leastRuns = 1e-6
 	// paceMemory is how fast the pace of starts is forgotten.
 	paceMemory = 3 * time.Second
+	// mayLeave is the part of those ahead, one in so many, that may leave the
+	// line before their turn. Early refusal takes it off the wait.
+	mayLeave = 5
 	// leastSeen is the waiting time that must have been seen for an estimate.
 	leastSeen = 500 * time.Millisecond
 )
@@ -47,26 +50,26 @@
 
 // refuse returns why w isn't taken, or nil.
 func (s *Scheduler) refuse(t *team, w Waiter, now time.Time) *Refusal {
-	r := &Refusal{Team: w.Team, Queue: w.Queue}
 	if s.line.has(w.ID) {
-		r.Reason = ReasonDuplicate
-		return r
+		return refusal(w, ReasonDuplicate, 0)
 	}
+	wait, ok := s.wait(t, t.ahead(w.Urgent))
 	if t.waiting() >= s.bound(t) {
-		r.Reason = ReasonLineFull
-		r.Wait, _ = t.wait(t.ahead(w.Urgent))
-		return r
+		return refusal(w, ReasonLineFull, wait)
 	}
 	if w.Deadline.IsZero() {
 		return nil
 	}
 	left := w.Deadline.Sub(now)
-	wait, ok := t.wait(t.ahead(w.Urgent))
-	if left >= 0 && (s.Late || !ok || wait <= left) {
-		return nil
+	sure := wait - wait/mayLeave
+	if left < 0 || ok && !s.Late && sure > left {
+		return refusal(w, ReasonDeadline, wait)
 	}
-	r.Reason, r.Wait = ReasonDeadline, wait
-	return r
+	return nil
+}
+
+func refusal(w Waiter, reason Reason, wait time.Duration) *Refusal {
+	return &Refusal{Team: w.Team, Queue: w.Queue, Reason: reason, Wait: wait}
 }
 
 // bound returns the team's part of MaxWaiting.
@@ -87,7 +90,7 @@
 	if t == nil {
 		return 0, false
 	}
-	return t.wait(t.waiting())
+	return s.wait(t, t.waiting())
 }
 
 // ahead returns how many would start before a new waiter.
@@ -98,15 +101,17 @@
 	return t.waiting()
 }
 
-// wait returns how long it takes until n waiters and one more have started.
-func (t *team) wait(n int) (time.Duration, bool) {
-	if n == 0 {
-		return 0, t.pace.waited >= leastSeen.Seconds()
-	}
+// wait returns how long it takes until n waiters of t and one more have
+// started: by the pace that was seen, or by the target where that is faster,
+// as slots are still on their way here when a queue's turn begins.
+func (s *Scheduler) wait(t *team, n int) (time.Duration, bool) {
 	if t.pace.waited < leastSeen.Seconds() {
 		return 0, false
 	}
 	perStart := t.pace.waited / max(1, t.pace.starts)
+	if t.target > 0 {
+		perStart = min(perStart, s.runTime(t)/t.target)
+	}
 	return time.Duration(float64(n) * perStart * float64(time.Second)), true
 }
 
--- a/msteam/scheduler.go
+++ b/msteam/scheduler.go
@@ -79,10 +79,20 @@
 	weights float64 // sum over teams
 	ticked  time.Time
 	claims  []Claim // scratch of divide
-	probe   bool    // ask may for every team at the next Next
 	pace    pace    // of all teams together
 }
 
+// Close takes the scheduler's part out of Limits, when its pool goes away.
+func (s *Scheduler) Close() {
+	if s.Limits == nil {
+		return
+	}
+	for _, t := range s.teams {
+		*t.everywhere -= t.fleetRate
+		t.fleetRate = 0
+	}
+}
+
 // SetShares replaces the shares. Teams without one weigh 1.
 func (s *Scheduler) SetShares(shares []Share) {
 	for _, t := range s.teams {
@@ -138,15 +148,13 @@
 			continue
 		}
 		score := t.score(s.runTime(t))
-		if best != nil && score <= high && !s.probe {
+		if best != nil && score <= high {
 			continue
 		}
-		t.blocked = may != nil && !may(t.name)
-		if !t.blocked && (best == nil || score > high) {
+		if may == nil || may(t.name) {
 			best, high = t, score
 		}
 	}
-	s.probe = false
 	if best == nil {
 		return Waiter{}, false
 	}
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -13,11 +13,16 @@
 	// horizon is the time over which waiting work counts as present demand.
 	horizon = time.Second
 	// memory is how fast a shortage is forgotten.
-	memory = 20 * time.Second
+	memory = 10 * time.Second
 	// repay is the time over which a shortage is made good.
 	repay = 2 * time.Second
 	// follow bounds how far the entry's own account of a team runs from zero.
 	follow = time.Second
+	// cappedScore puts a team that only its upper limit holds back before all
+	// others, so that no token of it lies idle.
+	cappedScore = 10
+	// urgentLead is how far a team with urgent work is let ahead of its target.
+	urgentLead = time.Second
 	// leastTarget keeps a team with no target yet comparable, in slots.
 	leastTarget = 0.01
 	// leastPart of its due is what a team that got too much before still gets.
@@ -31,6 +36,14 @@
 	used map[string]*float64
 }
 
+// Used returns how many slots team uses on all entries and in all pools.
+func (l *Limits) Used(team string) float64 {
+	if l.used[team] == nil {
+		return 0
+	}
+	return *l.used[team]
+}
+
 // of returns the place of a team's sum.
 func (l *Limits) of(team string) *float64 {
 	if l.used == nil {
@@ -89,8 +102,6 @@
 	limit          int
 	urgent, normal queue
 	running        int
-	// blocked is set while the team waits for a token of its upper limit.
-	blocked bool
 	// used is the slot time up to since; folded what the last division counted.
 	used   time.Duration
 	since  time.Time
@@ -104,9 +115,12 @@
 	everywhere *float64
 	demand     float64 // asked for here
 	fleet      float64 // asked for on all entries
+	able       float64 // fleet, as far as the upper limit allows
 	shortage   float64 // due to the team on all entries, not yet repaid
 	target     float64 // to use here
 	account    float64 // target less use here, summed
+	// capped is set while the upper limit is all that holds the team back.
+	capped bool
 }
 
 func (t *team) waiting() int {
@@ -131,7 +145,14 @@
 // score orders teams: how far the team is behind its target once those that
 // run now have ended, in seconds of its target.
 func (t *team) score(runTime float64) float64 {
-	return (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
+	if t.capped && float64(t.running) < t.target {
+		return cappedScore
+	}
+	score := (t.account - float64(t.running)*runTime) / max(leastTarget, t.target)
+	if t.urgent.n > 0 {
+		score += urgentLead.Seconds()
+	}
+	return score
 }
 
 // advance divides the pool anew if a tick has passed.
@@ -165,7 +186,6 @@
 		}
 		t.fleetRate, t.fleet = t.rate, t.demand
 	}
-	s.probe = true
 	s.dropSilent(now)
 	for _, p := range s.peers {
 		for _, u := range p.uses {
@@ -189,6 +209,7 @@
 			elsewhere := *t.everywhere - t.fleetRate
 			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-elsewhere))
 		}
+		t.able = s.claims[i].Demand
 	}
 	Divide(capacity, s.claims)
 }
@@ -217,6 +238,7 @@
 			continue
 		}
 		due := s.claims[i].Due
+		t.capped = due < t.fleet && due >= s.claims[i].Demand
 		wanted := min(t.fleet, max(due*leastPart, due+t.shortage/repay.Seconds()))
 		t.target = wanted * t.demand / t.fleet
 	}
@@ -257,24 +279,37 @@
 	}
 }
 
-// Slots returns how many slots of the pool this entry should hold: all that
-// its callers ask for while the pool has room, and its part of their due once
-// all is full. An entry that holds more gives the rest back as they come free.
+// Slots returns how many slots of the pool this entry is due: all that its
+// callers ask for while the pool has room, and its part of their due once all
+// is full. It gives up what it holds beyond while some other holds less than
+// its due.
 func (s *Scheduler) Slots(now time.Time) int {
 	s.advance(now)
-	wanted, asked := 0.0, 0
+	target, asked := 0.0, 0
 	for _, t := range s.teams {
-		wanted += t.target
-		asked += t.running + t.waiting()
+		target += t.target
+		asked += t.asked()
 	}
-	if !s.isFull() {
+	if s.room() > 0 {
 		return asked
 	}
-	return min(asked, int(math.Ceil(wanted)))
+	return min(asked, int(math.Ceil(target)))
+}
+
+// Wanted returns how many slots of the pool this entry can use or keep ready:
+// all that its callers ask for, and an equal part of those that nobody asks
+// for. It takes them where nobody else lacks any of its due.
+func (s *Scheduler) Wanted(now time.Time) int {
+	s.advance(now)
+	asked := 0
+	for _, t := range s.teams {
+		asked += t.asked()
+	}
+	return asked + int(max(0, s.room()))/(len(s.peers)+1)
 }
 
-// TeamSlots returns how many of the slots here team should use. Summed over
-// pools, it is how many tokens of the team's upper limit the entry should hold.
+// TeamSlots returns how many of the slots here team is due. Summed over pools,
+// it is how many tokens of the team's upper limit the entry is due.
 func (s *Scheduler) TeamSlots(team string, now time.Time) int {
 	s.advance(now)
 	t := s.byName[team]
@@ -282,17 +317,43 @@
 		return 0
 	}
 	asked := t.running + t.waiting()
-	if !s.isFull() {
+	if s.room() > 0 && !t.capped {
 		return asked
 	}
 	return min(asked, int(math.Ceil(t.target)))
 }
 
-// isFull reports whether more is asked of the pool than it has.
-func (s *Scheduler) isFull() bool {
+// TeamWanted returns how many of the slots here team can use, at most one
+// beyond its due once all is full. Summed over pools, it is how many tokens of
+// the team's upper limit the entry takes where nobody else lacks any.
+func (s *Scheduler) TeamWanted(team string, now time.Time) int {
+	due := s.TeamSlots(team, now)
+	return min(s.asked(team), due+1)
+}
+
+func (s *Scheduler) asked(team string) int {
+	t := s.byName[team]
+	if t == nil {
+		return 0
+	}
+	return t.running + t.waiting()
+}
+
+// asked returns how many slots t could use here now.
+func (t *team) asked() int {
+	n := t.running + t.waiting()
+	if t.capped {
+		n = min(n, max(t.running, int(math.Ceil(t.target))))
+	}
+	return n
+}
+
+// room returns how many slots of the pool nobody asks for, below 0 once more
+// is asked than there is.
+func (s *Scheduler) room() float64 {
 	fleet := 0.0
 	for _, t := range s.teams {
-		fleet += t.fleet
+		fleet += t.able
 	}
-	return fleet >= s.capacity()
+	return s.capacity() - fleet
 }
