--- /dev/null
+++ b/models/config.broken-gap.pml
@@ -0,0 +1,3 @@
+/* A gap between snapshot and tail boots an empty state. */
+#define BROKEN_GAP
+#include "config.pml"
