--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,6 @@
 
 generate:
 	cd mspeer && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
+
+slopes:
+	go test -run '^$$' -bench 'Slope|Traffic|Admit|Decision|Plan|Step|Health|Turn|TakeRelease' -benchtime 10x -benchmem ./msstate ./msentry ./mstoken ./msteam ./mspool ./mswave | grep -E '^(Benchmark|ok|FAIL|pkg)'
