mstoken: test of a home alone, back

Cause: TestHomeAloneLendsItself was lost when the directed tests moved to the world of the state machine test. Change: it stands again.

--- a/mstoken/ledger_test.go
+++ b/mstoken/ledger_test.go
@@ -45,6 +45,16 @@
 	require.Empty(t, l.Outgoing(start))
 }
 
+func TestHomeAloneLendsItself(t *testing.T) {
+	w, home, _ := settled(1)
+	for range 3 {
+		require.True(t, home.l.Take("x"))
+	}
+	require.False(t, home.l.Take("x"))
+	home.l.Release("x", w.now)
+	require.True(t, home.l.Take("x"))
+}
+
 func TestHolderGetsWhatItWantsAndReturnsItIdle(t *testing.T) {
 	w, home, others := settled(3)
 	w.want(others[0], 2)
