mstoken: homes fill what members are due before they lend the rest

Change: Ledger.Due, carried by Item.Due; the home's targets are first what each lacks of its due, then what each holds beyond, then the rest by demand. Nothing is recalled while nobody that wants tokens is short of its due.

--- a/cmd/marjorammeasure/main.go
+++ b/cmd/marjorammeasure/main.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kong"
 )
 
-var measures = append(msmeasure.FleetMeasures(), msmeasure.ShareError, msmeasure.UrgentStart)
+var measures = append(msmeasure.FleetMeasures(), msmeasure.ShareError, msmeasure.ShareErrorLedger, msmeasure.UrgentStart)
 
 type options struct {
 	Seed       uint64 `help:"Seed of the generated demands and failures." default:"1"`
--- a/mspeer/convert.go
+++ b/mspeer/convert.go
@@ -124,11 +124,20 @@
 			Ceiling:  int32(i.Ceiling),
 			Call:     i.Call,
 			Recall:   int32(i.Recall),
+			Due:      fromDue(i),
 		})
 	}
 	return ms
 }
 
+func fromDue(i mstoken.Item) *int32 {
+	if !i.HasDue {
+		return nil
+	}
+	due := int32(i.Due)
+	return &due
+}
+
 // ToItems returns the messages as items of an exchange.
 func ToItems(ms []*Item) []mstoken.Item {
 	items := make([]mstoken.Item, 0, len(ms))
@@ -142,6 +151,8 @@
 			Ceiling:  int(m.GetCeiling()),
 			Call:     m.GetCall(),
 			Recall:   int(m.GetRecall()),
+			Due:      int(m.GetDue()),
+			HasDue:   m.Due != nil,
 		})
 	}
 	return items
--- a/mstoken/bench_test.go
+++ b/mstoken/bench_test.go
@@ -64,22 +64,33 @@
 
 // BenchmarkTraffic reports what an entry sends and is answered a second on 51 teams and
 // 135 of the VMs: at rest, with needs that change each second and fit the totals, and
-// with more demand than tokens everywhere.
+// with more demand than tokens everywhere. The last two say what they are due: what
+// they need where that fits, and parts of the total that change every two seconds.
 func BenchmarkTraffic(b *testing.B) {
-	run := func(load string, need func(i, r, k int) int) {
+	run := func(load string, need, due func(i, r, k int) int) {
 		b.Run(load, func(b *testing.B) {
 			for range b.N {
-				traffic(b, need)
+				traffic(b, need, due)
 			}
 		})
 	}
-	run("idle", func(_, _, _ int) int { return 0 })
-	run("busy", func(i, r, k int) int { return (k/50 + r + i) % 5 / 2 % 2 })
-	run("contended", func(_, _, _ int) int { return 20 })
+	unset := func(_, _, _ int) int { return -1 }
+	busy := func(i, r, k int) int { return (k/50 + r + i) % 5 / 2 % 2 }
+	contended := func(_, _, _ int) int { return 20 }
+	run("idle", func(_, _, _ int) int { return 0 }, unset)
+	run("busy", busy, unset)
+	run("contended", contended, unset)
+	run("busy-due", busy, busy)
+	run("contended-due", contended, func(i, r, k int) int {
+		if r < 51 {
+			return 10 + (k/100+r+i)%3
+		}
+		return (k/100 + r + i) % 8 / 4 * 2
+	})
 }
 
 // traffic runs 60 s of rounds of 20 ms. Work lasts one round.
-func traffic(b *testing.B, need func(i, r, k int) int) {
+func traffic(b *testing.B, need, due func(i, r, k int) int) {
 	const rounds = 3000
 	var resources []string
 	for r := range 51 {
@@ -94,6 +105,7 @@
 	for k := range rounds {
 		for i, n := range w.nodes {
 			for r, resource := range resources {
+				n.l.Due(resource, due(i, r, k))
 				starts += churn(n, resource, need(i, r, k), w.now)
 			}
 		}
--- /dev/null
+++ b/mstoken/due.go
@@ -0,0 +1,95 @@
+package mstoken
+
+import "time"
+
+// excessAfter is how soon the home is told that more or less is held above what is due.
+const excessAfter = 500 * time.Millisecond
+
+// Due tells how many tokens of resource this entry is due in all, those it holds
+// included. Homes fill what members lack of their due before they lend the rest to
+// whoever wants it. It stands until changed; below zero it is unset, and the home then
+// takes an even part to be due.
+func (l *Ledger) Due(resource string, due int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[resource]
+	due = max(due, -1)
+	if a == nil || a.hasDue == (due >= 0) && a.due == max(due, 0) {
+		return
+	}
+	a.due = max(due, 0)
+	a.hasDue = due >= 0
+	if a.home < 0 {
+		return
+	}
+	if a.pool != nil && a.pool.ready {
+		a.refresh(l.self)
+	}
+	l.enqueue(a, a.holder.since)
+}
+
+// lacks is how many of the tokens that this entry wants it would lack at that due.
+func (a *account) lacks(due int) int {
+	return max(min(due-a.held, a.want), 0)
+}
+
+// dueNews says whether the home may decide otherwise by the present due than by the
+// one it was told, and how long that may wait.
+func (a *account) dueNews() (time.Duration, bool) {
+	h := &a.holder
+	switch {
+	case a.hasDue != h.toldHasDue:
+		return changeAfter, a.held > 0 || a.want > 0
+	case !a.hasDue || a.due == h.toldDue:
+		return 0, false
+	case a.lacks(a.due) != a.lacks(h.toldDue):
+		return changeAfter, true
+	}
+	return excessAfter, max(a.held-a.due, 0) != max(a.held-h.toldDue, 0)
+}
+
+// shareDues replaces the even targets where a peer has said what it is due: first what
+// each lacks of its due, then what each holds beyond, then the rest by demand.
+func (p *pool) shareDues(total int) {
+	if !p.knowsDues() {
+		return
+	}
+	for i := range p.peers {
+		q := &p.peers[i]
+		p.parts[i] = p.targets[i]
+		if q.hasDue {
+			p.parts[i] = min(q.due, p.wants[i])
+		}
+	}
+	share(p.targets, p.parts, total, p.first)
+	for _, n := range p.targets {
+		total -= n
+	}
+	for i := range p.peers {
+		p.parts[i] = max(p.peers[i].out-p.targets[i], 0)
+	}
+	total = p.addShare(total)
+	for i := range p.peers {
+		p.parts[i] = p.wants[i] - p.targets[i]
+	}
+	p.addShare(total)
+}
+
+// addShare splits total over the parts, adds it to the targets, and returns the rest.
+func (p *pool) addShare(total int) int {
+	share(p.extra, p.parts, total, p.first)
+	for i, n := range p.extra {
+		p.targets[i] += n
+		total -= n
+	}
+	return total
+}
+
+func (p *pool) knowsDues() bool {
+	for i := range p.peers {
+		if p.peers[i].hasDue {
+			return true
+		}
+	}
+	return false
+}
--- a/mstoken/holder.go
+++ b/mstoken/holder.go
@@ -23,6 +23,10 @@
 	sentWant   int
 	told       int // told is what the home takes us to hold.
 	toldWant   int // toldWant is the demand that the home remembers of us.
+	sentDue    int
+	sentHasDue bool
+	toldDue    int // toldDue is the due that the home remembers of us.
+	toldHasDue bool
 	retryAt    time.Time
 	backoff    time.Duration
 	debt       int // debt is how many tokens to give back as work ends.
@@ -38,6 +42,8 @@
 	h.introduced = false
 	h.called = false
 	h.toldWant = 0
+	h.toldDue = 0
+	h.toldHasDue = false
 	h.retryAt = now
 	h.backoff = 0
 	h.debt = 0
@@ -160,6 +166,9 @@
 		return true
 	}
 	since := now.Sub(h.sentAt)
+	if wait, news := a.dueNews(); news && since >= wait {
+		return true
+	}
 	if a.want == 0 {
 		return false
 	}
@@ -172,6 +181,9 @@
 // isRestless says whether time alone can make an exchange due.
 func (a *account) isRestless() bool {
 	h := &a.holder
+	if _, news := a.dueNews(); news {
+		return true
+	}
 	return !h.introduced || h.called || a.held != h.told || a.held > a.running || a.want > 0 || h.toldWant > 0
 }
 
@@ -184,12 +196,16 @@
 	h.sentAt = now
 	h.sentHeld = a.held
 	h.sentWant = a.want
+	h.sentDue = a.due
+	h.sentHasDue = a.hasDue
 	return Item{
 		Resource: a.resource,
 		Gen:      a.gen,
 		Seq:      h.seq,
 		Held:     a.held,
 		Want:     a.want,
+		Due:      a.due,
+		HasDue:   a.hasDue,
 		Ceiling:  a.ceiling,
 	}
 }
@@ -249,6 +265,8 @@
 	h.backoff = 0
 	h.told = h.sentHeld + g.N
 	h.toldWant = max(h.sentWant-g.N, 0)
+	h.toldDue = h.sentDue
+	h.toldHasDue = h.sentHasDue
 	a.held += g.N
 	a.want = max(a.want-g.N, 0)
 	if g.N > 0 {
--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -26,9 +26,11 @@
 	turning   bool      // turning: first has moved, and not all that are due tokens have them.
 	keptSince time.Time // keptSince is since when free tokens are kept for this entry's own demand.
 	peers     []peer    // peers are in the order of view.Members.
-	wants     []int     // wants is scratch space for share.
-	targets   []int     // targets are what the peers may hold while there is unmet demand.
-	unheard   int       // unheard counts the peers without an exchange in this generation.
+	wants     []int     // wants, parts and extra are scratch space for share.
+	parts     []int
+	extra     []int
+	targets   []int // targets are what the peers may hold while there is unmet demand.
+	unheard   int   // unheard counts the peers without an exchange in this generation.
 }
 
 // peer is what the home knows of one holder.
@@ -37,6 +39,8 @@
 	seq      uint64
 	out      int // out is the most that the holder has.
 	want     int
+	due      int
+	hasDue   bool
 	given    int // given is the answer to seq.
 	callAt   time.Time
 	recallAt time.Time
@@ -54,6 +58,8 @@
 		peers:    make([]peer, n),
 		wants:    make([]int, n),
 		targets:  make([]int, n),
+		parts:    make([]int, n),
+		extra:    make([]int, n),
 		base:     a.held,
 		unheard:  n - 1,
 		rotateAt: now.Add(rotateAfter),
@@ -104,6 +110,8 @@
 	p := a.pool
 	p.peers[self].out = a.held
 	p.peers[self].want = a.want
+	p.peers[self].due = a.due
+	p.peers[self].hasDue = a.hasDue
 	sum := 0
 	p.hungry = false
 	p.contended = false
@@ -127,6 +135,7 @@
 		return
 	}
 	share(p.targets, p.wants, max(a.total-p.unknown, 0), p.first)
+	p.shareDues(max(a.total-p.unknown, 0))
 	for i := range p.peers {
 		p.unmet += p.lack(i)
 		if p.peers[i].want > 0 {
@@ -204,6 +213,8 @@
 	}
 	q.seq = item.Seq
 	q.want = item.Want
+	q.due = max(item.Due, 0)
+	q.hasDue = item.HasDue
 	q.given = 0
 	q.callAt = time.Time{}
 	q.recalled = 0
--- a/mstoken/ledger.go
+++ b/mstoken/ledger.go
@@ -70,6 +70,8 @@
 	held      int
 	running   int
 	want      int
+	due       int
+	hasDue    bool // hasDue: due has been set.
 	ceiling   int  // ceiling is the most tokens that may exist.
 	over      bool // over: the total was lowered, and more than it may be running.
 	queued    bool // queued: the account is in Ledger.active.
--- a/mstoken/machine_test.go
+++ b/mstoken/machine_test.go
@@ -69,7 +69,12 @@
 	return map[string]func(*rapid.T){
 		"work":      work,
 		"work-more": work,
-		"exchange":  exchange,
+		"due": func(t *rapid.T) {
+			if n := w.pick(t); n != nil {
+				n.l.Due(resource.Draw(t, "resource"), rapid.IntRange(-1, 6).Draw(t, "due"))
+			}
+		},
+		"exchange": exchange,
 		"exchange-more": func(t *rapid.T) {
 			for range 6 {
 				exchange(t)
--- a/mstoken/message.go
+++ b/mstoken/message.go
@@ -36,6 +36,8 @@
 	Seq      uint64 // Seq is the holder's number; a call repeats the last one the home has seen.
 	Held     int    // Held is the number of tokens the holder keeps.
 	Want     int    // Want is the number of further tokens the holder would use now.
+	Due      int    // Due is the number of tokens the holder is due in all.
+	HasDue   bool   // HasDue says that Due is set.
 	Ceiling  int    // Ceiling is the most tokens that may exist, as the holder knows it.
 	Call     bool   // Call marks a request from the home; it is answered by no Gift.
 	Recall   int    // Recall is the number of tokens that the home asks back by a call.
