--- a/mspeer/convert.go
+++ b/mspeer/convert.go
@@ -171,6 +171,7 @@
 			Refused:  g.Refused,
 			Recall:   int32(g.Recall),
 			Settled:  g.Settled,
+			Tight:    g.Tight,
 			Ceiling:  int32(g.Ceiling),
 		})
 	}
@@ -189,6 +190,7 @@
 			Refused:  m.GetRefused(),
 			Recall:   int(m.GetRecall()),
 			Settled:  m.GetSettled(),
+			Tight:    m.GetTight(),
 			Ceiling:  int(m.GetCeiling()),
 		})
 	}
--- a/mstoken/bench_test.go
+++ b/mstoken/bench_test.go
@@ -64,8 +64,8 @@
 
 // BenchmarkTraffic reports what an entry sends and is answered a second on 51 teams and
 // 135 of the VMs: at rest, with needs that change each second and fit the totals, and
-// with more demand than tokens everywhere. The last two say what they are due: what
-// they need where that fits, and parts of the total that change every two seconds.
+// with more demand than tokens everywhere. The others say what they are due: what they
+// need where that fits, parts of the total, and parts that change every two seconds.
 func BenchmarkTraffic(b *testing.B) {
 	run := func(load string, need, due func(i, r, k int) int) {
 		b.Run(load, func(b *testing.B) {
@@ -81,12 +81,14 @@
 	run("busy", busy, unset)
 	run("contended", contended, unset)
 	run("busy-due", busy, busy)
-	run("contended-due", contended, func(i, r, k int) int {
+	moving := func(i, r, k int) int {
 		if r < 51 {
 			return 10 + (k/100+r+i)%3
 		}
 		return (k/100 + r + i) % 8 / 4 * 2
-	})
+	}
+	run("contended-due", contended, func(i, r, _ int) int { return moving(i, r, 0) })
+	run("moving-due", contended, moving)
 }
 
 // traffic runs 60 s of rounds of 20 ms. Work lasts one round.
--- a/mstoken/due.go
+++ b/mstoken/due.go
@@ -34,7 +34,8 @@
 }
 
 // dueNews says whether the home may decide otherwise by the present due than by the
-// one it was told, and how long that may wait.
+// one it was told, and how long that may wait. Idle tokens above the due matter only
+// while others want some, as they go back by themselves soon.
 func (a *account) dueNews() (time.Duration, bool) {
 	h := &a.holder
 	switch {
@@ -45,7 +46,8 @@
 	case a.lacks(a.due) != a.lacks(h.toldDue):
 		return changeAfter, true
 	}
-	return excessAfter, max(a.held-a.due, 0) != max(a.held-h.toldDue, 0)
+	matters := h.tight || a.running > min(a.due, h.toldDue)
+	return excessAfter, matters && max(a.held-a.due, 0) != max(a.held-h.toldDue, 0)
 }
 
 // shareDues replaces the even targets where a peer has said what it is due: first what
@@ -85,6 +87,13 @@
 	return total
 }
 
+// isStale says whether a peer may hold idle tokens above its due of which it has not
+// told, because nobody wanted any when it last exchanged.
+func (p *pool) isStale(i int) bool {
+	q := &p.peers[i]
+	return q.hasDue && q.out > 0 && !q.tight && p.unmet > max(p.free, 0)
+}
+
 func (p *pool) knowsDues() bool {
 	for i := range p.peers {
 		if p.peers[i].hasDue {
--- a/mstoken/holder.go
+++ b/mstoken/holder.go
@@ -27,6 +27,7 @@
 	sentHasDue bool
 	toldDue    int // toldDue is the due that the home remembers of us.
 	toldHasDue bool
+	tight      bool // tight: when it last answered, the home knew of unmet demand.
 	retryAt    time.Time
 	backoff    time.Duration
 	debt       int // debt is how many tokens to give back as work ends.
@@ -264,6 +265,7 @@
 	h.introduced = true
 	h.backoff = 0
 	h.told = h.sentHeld + g.N
+	h.tight = g.Tight
 	h.toldWant = max(h.sentWant-g.N, 0)
 	h.toldDue = h.sentDue
 	h.toldHasDue = h.sentHasDue
--- a/mstoken/home.go
+++ b/mstoken/home.go
@@ -41,7 +41,8 @@
 	want     int
 	due      int
 	hasDue   bool
-	given    int // given is the answer to seq.
+	tight    bool // tight: its last answer said that others want more.
+	given    int  // given is the answer to seq.
 	callAt   time.Time
 	recallAt time.Time
 	recalled int // recalled is how many tokens were last asked back.
@@ -204,7 +205,7 @@
 	p := a.pool
 	q := &p.peers[index]
 	if q.seen && item.Seq <= q.seq {
-		return Gift{N: q.given, Refused: item.Seq < q.seq}
+		return Gift{N: q.given, Refused: item.Seq < q.seq, Tight: q.tight}
 	}
 	if !q.seen {
 		q.seen = true
@@ -239,7 +240,8 @@
 		a.refresh(l.self)
 		p.served(now)
 	}
-	g := Gift{N: n, Settled: p.free >= 0, Ceiling: a.ceiling}
+	q.tight = p.contended
+	g := Gift{N: n, Settled: p.free >= 0, Ceiling: a.ceiling, Tight: p.contended}
 	if p.contended {
 		g.Recall = p.excess(index, now)
 		q.recall(g.Recall, now)
@@ -278,6 +280,11 @@
 		if excess := p.excess(i, now); excess > 0 && (excess > q.recalled || !now.Before(q.recallAt)) {
 			q.recall(excess, now)
 			l.post(batches, i, a.call(q, excess))
+			continue
+		}
+		if p.isStale(i) && !now.Before(q.callAt) {
+			q.callAt = now.Add(callAfter)
+			l.post(batches, i, a.call(q, 0))
 		}
 	}
 	return true
--- a/mstoken/message.go
+++ b/mstoken/message.go
@@ -51,6 +51,7 @@
 	N        int        // N is the number of tokens given.
 	Refused  bool       // Refused says that the receiver was not the home in that generation.
 	Recall   int        // Recall is the number of tokens that the home asks back.
+	Tight    bool       // Tight says that some member wants more than it has.
 	Settled  bool       // Settled says that no more than the total are outstanding.
 	Ceiling  int        // Ceiling is the most tokens that may exist; zero if the home can't tell.
 }
