msteam: Limits has its own lock

Cause: the daemon holds one mutex a pool, and Limits is shared by all pools. Change: Limits locks itself, once a tick and pool. Ruled out: one mutex for all pools of an entry. Conclusion: schedulers under different mutexes may share one Limits.

--- a/msteam/scheduler.go
+++ b/msteam/scheduler.go
@@ -84,12 +84,8 @@
 
 // Close takes the scheduler's part out of Limits, when its pool goes away.
 func (s *Scheduler) Close() {
-	if s.Limits == nil {
-		return
-	}
-	for _, t := range s.teams {
-		*t.everywhere -= t.fleetRate
-		t.fleetRate = 0
+	if s.Limits != nil {
+		s.Limits.withdraw(s.teams)
 	}
 }
 
@@ -217,11 +213,6 @@
 		s.byName = make(map[string]*team)
 	}
 	t := &team{name: name, weight: 1}
-	if s.Limits != nil {
-		t.everywhere = s.Limits.of(name)
-	} else {
-		t.everywhere = &t.fleetRate
-	}
 	s.byName[name] = t
 	i, _ := slices.BinarySearchFunc(s.teams, name, func(t *team, name string) int { return cmp.Compare(t.name, name) })
 	s.teams = slices.Insert(s.teams, i, t)
--- a/msteam/share.go
+++ b/msteam/share.go
@@ -29,32 +29,6 @@
 	leastPart = 0.1
 )
 
-// Limits sums what each team uses over all pools, so that its upper limit
-// across the fleet bounds what it is due in each. It belongs under the same
-// mutex as the schedulers that share it.
-type Limits struct {
-	used map[string]*float64
-}
-
-// Used returns how many slots team uses on all entries and in all pools.
-func (l *Limits) Used(team string) float64 {
-	if l.used[team] == nil {
-		return 0
-	}
-	return *l.used[team]
-}
-
-// of returns the place of a team's sum.
-func (l *Limits) of(team string) *float64 {
-	if l.used == nil {
-		l.used = make(map[string]*float64)
-	}
-	if l.used[team] == nil {
-		l.used[team] = new(float64)
-	}
-	return l.used[team]
-}
-
 // Claim is one team's part in a division.
 type Claim struct {
 	// Weight is above 0, and Demand in the unit of the capacity.
@@ -111,14 +85,14 @@
 	// The rest is in slots, or slot seconds, at the last division.
 	rate      float64 // in use here
 	fleetRate float64 // in use on all entries
-	// everywhere is what is in use on all entries and in all pools.
-	everywhere *float64
-	demand     float64 // asked for here
-	fleet      float64 // asked for on all entries
-	able       float64 // fleet, as far as the upper limit allows
-	shortage   float64 // due to the team on all entries, not yet repaid
-	target     float64 // to use here
-	account    float64 // target less use here, summed
+	elsewhere float64 // in use on all entries in other pools
+	counted   float64 // what Limits has of this pool
+	demand    float64 // asked for here
+	fleet     float64 // asked for on all entries
+	able      float64 // fleet, as far as the upper limit allows
+	shortage  float64 // due to the team on all entries, not yet repaid
+	target    float64 // to use here
+	account   float64 // target less use here, summed
 	// capped is set while the upper limit is all that holds the team back.
 	capped bool
 }
@@ -181,9 +155,6 @@
 		t.folded = t.used
 		t.pace.decay(dt, t.waiting() > 0)
 		t.demand = t.rate + float64(t.waiting())*s.runTime(t)/horizon.Seconds()
-		if s.Limits != nil {
-			*t.everywhere -= t.fleetRate
-		}
 		t.fleetRate, t.fleet = t.rate, t.demand
 	}
 	s.dropSilent(now)
@@ -194,10 +165,8 @@
 			t.fleet += u.rate + float64(u.waiting)*s.runTime(t)/horizon.Seconds()
 		}
 	}
-	for _, t := range s.teams {
-		if s.Limits != nil {
-			*t.everywhere += t.fleetRate
-		}
+	if s.Limits != nil {
+		s.Limits.exchange(s.teams)
 	}
 }
 
@@ -206,8 +175,7 @@
 	for i, t := range s.teams {
 		s.claims[i] = Claim{Weight: t.weight, Demand: t.fleet}
 		if t.limit > 0 {
-			elsewhere := *t.everywhere - t.fleetRate
-			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-elsewhere))
+			s.claims[i].Demand = min(t.fleet, max(0, float64(t.limit)-t.elsewhere))
 		}
 		t.able = s.claims[i].Demand
 	}
