msstandin: tests of the tagged list; pools share what teams use

Change: they expect the tag, the short answer and the reports; the pools of an entry share one msteam.Limits, so that a team's use of one pool bounds its due in another.

--- a/msentry/entry.go
+++ b/msentry/entry.go
@@ -85,6 +85,7 @@
 	vms     vmTable
 	pools   pools
 	demand  demand
+	limits  msteam.Limits
 	links   links
 	sender  msupstream.Sender
 	account msaccount.Ledger
@@ -266,7 +267,9 @@
 	}
 	for _, rule := range t.state.Rules.Pools {
 		p := e.pools.getOrMake(rule.Name, func() *pool {
-			return &pool{name: rule.Name, ledger: e.ledger, vms: &e.vms, demand: &e.demand}
+			p := &pool{name: rule.Name, ledger: e.ledger, vms: &e.vms, demand: &e.demand}
+			p.sched.Limits = &e.limits
+			return p
 		})
 		p.configure(t.pools[rule.Name], rule.Slots, shares, e.Settings.Limits.MaxWaiting)
 	}
--- a/msstandin/control_test.go
+++ b/msstandin/control_test.go
@@ -43,7 +43,7 @@
 var httpClient = &http.Client{}
 
 func (f *fleet) vm() mslog.VM {
-	vms, err := f.c.VMs(context.Background())
+	vms, err := f.c.VMReports(context.Background())
 	require.NoError(f.t, err)
 	require.Len(f.t, vms, 1)
 	return vms[0]
--- a/msstandin/platform_test.go
+++ b/msstandin/platform_test.go
@@ -39,10 +39,16 @@
 		{"POST", records, `{"records":[{"id":"c","data":1}]}`, 200, `{"first":2}`},
 		{"PUT", vms + "/a", `{"state":"odd"}`, 400, ""},
 		{"PUT", vms + "/a", `{"state":"leaving","rack":"r"}`, 204, ""},
-		{"GET", vms, "", 200, `{"vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms, "", 200, `{"tag":"c816a66bf73cb10d","vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms + "?known=c816a66bf73cb10d", "", 200, `{"tag":"c816a66bf73cb10d","unchanged":true}`},
+		{"GET", vms + "?report=a", "", 200, `{"vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms + "?report=b", "", 200, `{}`},
 		{"POST", "/v1/list-lag", `{"lag-ms":3600000}`, 204, ""},
 		{"DELETE", vms + "/a", "", 204, ""},
-		{"GET", vms, "", 200, `{"vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms, "", 200, `{"tag":"c816a66bf73cb10d","vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms + "?known=c816a66bf73cb10d", "", 200, `{"tag":"c816a66bf73cb10d","unchanged":true}`},
+		{"GET", vms + "?report=a", "", 200, `{"vms":[{"name":"a","address":"","data-centre":"","rack":"r","region":"","state":"leaving"}]}`},
+		{"GET", vms + "?report=b", "", 200, `{}`},
 	} {
 		w := httptest.NewRecorder()
 		p.ServeHTTP(w, httptest.NewRequest(step.method, step.path, strings.NewReader(step.body)))
