--- a/models/run.sh
+++ b/models/run.sh
@@ -1,7 +1,7 @@
 # Checks every model: NAME.pml must hold, NAME.broken-*.pml must fail.
 set -eu
 cd "$(dirname "$0")"
-work=$(mktemp -d)
+work=$(mktemp -d "${TMPDIR:-/tmp}/marjoramspan-models.XXXXXX")
 trap 'rm -rf "$work"' EXIT
 here=$(pwd)
 check() {
