--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -155,7 +155,7 @@
 		byPool[u.Pool] = append(byPool[u.Pool], u.Use)
 	}
 	for _, p := range e.pools.all() {
-		p.setRemote(m.GetMember(), byPool[p.name], now)
+		p.hear(m.GetMember(), byPool[p.name], now)
 	}
 }
 
--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -27,6 +27,8 @@
 	slots   int
 	turn    int
 	waiting map[uint64]*ticket
+	// heard says of each peer whether its last report named the pool.
+	heard map[string]bool
 }
 
 // ticket is one request that waits for its start.
@@ -225,10 +227,18 @@
 	return p.sched.Used()
 }
 
-// setRemote takes a peer's use of the pool.
-func (p *pool) setRemote(entry string, used []msteam.Use, now time.Time) {
+// hear takes a peer's use of the pool. A peer that has said nothing of the pool
+// and still does not is passed over.
+func (p *pool) hear(entry string, used []msteam.Use, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(used) == 0 && !p.heard[entry] {
+		return
+	}
+	if p.heard == nil {
+		p.heard = make(map[string]bool)
+	}
+	p.heard[entry] = len(used) > 0
 	p.sched.SetRemote(entry, used, now)
 }
 
