--- a/cmd/marjoramspan/serve.go
+++ b/cmd/marjoramspan/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"runtime/debug"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -28,6 +29,8 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	for {
 		e := &msentry.Entry{
 			Settings: set,
@@ -42,6 +45,13 @@
 	}
 }
 
+const (
+	// gcPercent lets the heap grow to four times what is live between collections,
+	// and memoryLimit, in bytes, bounds that growth.
+	gcPercent   = 300
+	memoryLimit = 200 << 20
+)
+
 func newLogger(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/msentry/entry.go
+++ b/msentry/entry.go
@@ -92,6 +92,11 @@
 	metrics metrics
 	random  *lockedRand
 
+	useMu sync.Mutex
+	// used is the newest report of use. It is guarded by useMu, which is taken
+	// before any pool's lock and never after.
+	used *useReport
+
 	lostMu sync.Mutex
 	// lostSince is when the entry saw each member lost. It is guarded by lostMu.
 	lostSince map[string]time.Time
--- a/msentry/maintain.go
+++ b/msentry/maintain.go
@@ -20,7 +20,7 @@
 
 // pollPart is the part of the lease that one long poll of the log may take, so
 // that several proofs fall into the time after which an entry counts as cut.
-const pollPart = 8
+const pollPart = 5
 
 // write puts a change on the state stream, once, and returns it as read back.
 func (e *Entry) write(ctx context.Context, c msstate.Change) (mslog.Record, error) {
--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -21,7 +21,7 @@
 	// exchangeTimeout bounds one exchange of tokens.
 	exchangeTimeout = 500 * time.Millisecond
 	// exchangeRest is the longest pause between two looks at what is due.
-	exchangeRest = 50 * time.Millisecond
+	exchangeRest = 100 * time.Millisecond
 	// recordsMost is how many records a peer hands over at a time.
 	recordsMost = 500
 	// stopWait is how long open calls of peers may take at the end.
@@ -116,6 +116,33 @@
 	st.Epoch = e.fold.tables().state.Epoch
 	st.UnloggedOld = e.claims.table.UnloggedBefore(st.Epoch)
 	m := mspeer.FromStatus(st)
+	u := e.use(now)
+	m.RulesVersion = u.version
+	m.Used = u.used
+	m.Leaving = u.leaving
+	return m
+}
+
+// usePart is the part of a heartbeat's time for which what was told of use to one
+// peer is told to the others as well.
+const usePart = 4
+
+// useReport is what an entry tells its peers of use and of leaving VMs. It is not
+// changed once it is made.
+type useReport struct {
+	at      time.Time
+	version uint64
+	used    []*mspeer.Use
+	leaving []string
+}
+
+// use returns what the teams use here, made anew a few times each heartbeat.
+func (e *Entry) use(now time.Time) *useReport {
+	e.useMu.Lock()
+	defer e.useMu.Unlock()
+	if e.used != nil && now.Sub(e.used.at) < e.Settings.Peers.Heartbeat/usePart {
+		return e.used
+	}
 	var used []mspeer.PoolUse
 	for _, p := range e.pools.all() {
 		for _, u := range p.used() {
@@ -123,10 +150,13 @@
 		}
 	}
 	t := e.fold.tables()
-	m.RulesVersion = t.state.RulesVersion
-	m.Used = mspeer.FromUses(used, t.names)
-	m.Leaving = e.vms.leavingNow(now)
-	return m
+	e.used = &useReport{
+		at:      now,
+		version: t.state.RulesVersion,
+		used:    mspeer.FromUses(used, t.names),
+		leaving: e.vms.leavingNow(now),
+	}
+	return e.used
 }
 
 // hear takes in a peer's answer to a heartbeat that was sent at asked.
--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,8 +253,9 @@
 // pools holds the pools of the entry by name.
 type pools struct {
 	mu sync.RWMutex
-	// byName is guarded by mu.
-	byName map[string]*pool
+	// byName and ordered are guarded by mu. ordered is replaced, never changed.
+	byName  map[string]*pool
+	ordered []*pool
 }
 
 func (ps *pools) get(name string) *pool {
@@ -266,17 +268,7 @@
 func (ps *pools) all() []*pool {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
-	out := make([]*pool, 0, len(ps.byName))
-	for _, p := range ps.byName {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *pool) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return ps.ordered
 }
 
 func (ps *pools) getOrMake(name string, make func() *pool) *pool {
@@ -290,5 +282,7 @@
 		ps.byName = map[string]*pool{}
 	}
 	ps.byName[name] = p
+	ps.ordered = append(slices.Clone(ps.ordered), p)
+	slices.SortFunc(ps.ordered, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
 	return p
 }
