--- a/msmeasure/fleet.go
+++ b/msmeasure/fleet.go
@@ -57,6 +57,7 @@
 	}
 	cost := line("buffer-cost", d, seed, ours.bufferCost(), naive.bufferCost(), budgets)
 	cost.Target = fleetGain * cost.Baseline
+	cost.Cause = "VMs that came back stay with their pools until the surplus has lasted, and the reserve grows with each rack that holds two VMs of a pool"
 	moves := line("moves", d, seed, ours.perMaintained(), naive.perMaintained(), work)
 	moves.Target = min(1, moves.Baseline)
 	moves.Cause = "more VMs were moved in place of failed ones than failed ones came back"
--- a/mspool/plan.go
+++ b/mspool/plan.go
@@ -13,6 +13,9 @@
 	// PatchAfter is how long a VM has been failed before another takes its place
 	// in any case.
 	PatchAfter time.Duration
+	// ReturnAfter is how long a pool has had a VM beyond its size before it gives
+	// it back, where the spare pool doesn't lack it sooner.
+	ReturnAfter time.Duration
 	// Loans are VMs that pools are to have beyond their size for the time of a wave.
 	Loans []Loan
 	// Hold is how many VMs the spare pool keeps ready. Where it is 0 that is the
@@ -30,6 +33,7 @@
 const (
 	DefaultReplaceAfter = 10 * time.Minute
 	DefaultPatchAfter   = 24 * time.Hour
+	DefaultReturnAfter  = 24 * time.Hour
 	DefaultLease        = 4 * time.Second
 	DefaultMaxRun       = 5 * time.Minute
 )
@@ -66,8 +70,8 @@
 
 // Plan returns the changes that t needs now, each of which is still right when
 // the others are refused. It moves a VM only where that buys something: a pool
-// that could not lose a rack, a VM that stays failed, a loan, or a spare pool
-// that is too small.
+// that could not lose a rack, a VM that stays failed, a loan, a spare pool that
+// is too small, or a VM that would stay beyond its pool's size.
 func Plan(t Table, cfg Settings, now time.Time) []Decision {
 	p := newPlanner(t, cfg.filled(), now)
 	p.finishMoves()
@@ -81,6 +85,7 @@
 func (s Settings) filled() Settings {
 	s.ReplaceAfter = orTime(s.ReplaceAfter, DefaultReplaceAfter)
 	s.PatchAfter = orTime(s.PatchAfter, DefaultPatchAfter)
+	s.ReturnAfter = orTime(s.ReturnAfter, DefaultReturnAfter)
 	s.Lease = orTime(s.Lease, DefaultLease)
 	s.MaxRun = orTime(s.MaxRun, DefaultMaxRun)
 	return s
--- a/mspool/spare.go
+++ b/mspool/spare.go
@@ -54,14 +54,15 @@
 }
 
 // refillSpare gives VMs of pools with a surplus back, one a pool at a time. It
-// does so only while the spare pool, with what it may recall, is too small:
-// until then the VM does more good where it is.
+// does so at once while the spare pool, with what it may recall, is too small;
+// else only once the surplus has lasted, as most are gone before that.
 func (p *planner) refillSpare() {
-	if p.spare == nil || p.spare.present >= p.hold() {
+	if p.spare == nil {
 		return
 	}
+	lacks := p.spare.present < p.hold()
 	for _, t := range p.pools {
-		if t.pool.Spare {
+		if t.pool.Spare || !lacks && p.settled(t) <= t.want {
 			continue
 		}
 		if i, ok := p.mostCrowded(t); ok {
@@ -73,6 +74,17 @@
 	}
 }
 
+// settled returns how many VMs of t have been up for ReturnAfter.
+func (p *planner) settled(t *tally) int {
+	n := 0
+	for _, i := range t.up {
+		if p.now.Sub(p.table.VMs[i].Since) >= p.cfg.ReturnAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // mostCrowded takes the VM of t whose going leaves it spread best.
 func (p *planner) mostCrowded(t *tally) (int, bool) {
 	at := -1
