--- a/msmeasure/fleet.go
+++ b/msmeasure/fleet.go
@@ -53,7 +53,7 @@
 		{"baseline-moves", fmt.Sprint(naive.moves)},
 		{"baseline-restarts", fmt.Sprint(naive.restarts)},
 		{"late-vm-hours", hours(ours.lateVMTime)},
-		{"baseline-late-vm-hours", hours(naive.lateVMTime)},
+		{"repairs", fmt.Sprint(ours.repairs)},
 	}
 	cost := line("buffer-cost", d, seed, ours.bufferCost(), naive.bufferCost(), budgets)
 	cost.Target = fleetGain * cost.Baseline
--- a/msmeasure/fleet_rollout.go
+++ b/msmeasure/fleet_rollout.go
@@ -22,6 +22,8 @@
 		{"baseline-broken", minutes(naive.broken)},
 		{"moves", fmt.Sprint(ours.moves)},
 		{"restarts", fmt.Sprint(ours.restarts)},
+		{"moves-per-maintained", fmt.Sprintf("%.3g", ours.perMaintained())},
+		{"baseline-moves-per-maintained", fmt.Sprintf("%.3g", naive.perMaintained())},
 		{"most-failed", fmt.Sprint(ours.mostFailed)},
 	})
 	l.Target = fleetGain * l.Baseline
