--- a/msmeasure/fleet.go
+++ b/msmeasure/fleet.go
@@ -53,10 +53,11 @@
 		{"baseline-moves", fmt.Sprint(naive.moves)},
 		{"baseline-restarts", fmt.Sprint(naive.restarts)},
 		{"late-vm-hours", hours(ours.lateVMTime)},
-		{"baseline-late-vm-hours", hours(naive.lateVMTime)},
+		{"repairs", fmt.Sprint(ours.repairs)},
 	}
 	cost := line("buffer-cost", d, seed, ours.bufferCost(), naive.bufferCost(), budgets)
 	cost.Target = fleetGain * cost.Baseline
+	cost.Cause = "VMs that came back stay with their pools until the surplus has lasted, and the reserve grows with each rack that holds two VMs of a pool"
 	moves := line("moves", d, seed, ours.perMaintained(), naive.perMaintained(), work)
 	moves.Target = min(1, moves.Baseline)
 	moves.Cause = "more VMs were moved in place of failed ones than failed ones came back"
