--- a/msmeasure/ledger_share_loop.go
+++ b/msmeasure/ledger_share_loop.go
@@ -8,7 +8,7 @@
 
 const (
 	carryMS   = 2   // a message of the ledger is on the way
-	restMS    = 50  // between looks at what is to be sent
+	restMS    = 100 // between looks at what is to be sent
 	abandonMS = 500 // until an exchange without an answer is given up
 	dueMS     = 100 // between looks at what is due
 )
