--- /dev/null
+++ b/msentry/due_test.go
@@ -0,0 +1,62 @@
+package msentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msstate"
+	"marjoramspan/msteam"
+)
+
+// dueOf is what the ledger was told of the pool's VMs.
+func (h *poolHarness) dueOf() int {
+	sum := 0
+	for _, vm := range h.p.names {
+		sum += h.p.ledger.Counts(msstate.SlotResource(vm)).Due
+	}
+	return sum
+}
+
+func (h *poolHarness) enter(t *testing.T, team string, id uint64) {
+	ticket, err := h.p.enter(msteam.Waiter{ID: id, Team: team, Arrived: h.now}, h.now)
+	require.NoError(t, err)
+	h.waiting = append(h.waiting, ticket)
+}
+
+func TestSlotsDueAreSpreadOverUsableVMs(t *testing.T) {
+	h := newPoolHarness()
+	for id := range uint64(3) {
+		h.enter(t, "a", id+1)
+	}
+	h.now = h.now.Add(time.Second)
+	h.p.reviewDues(h.now)
+	require.Equal(t, 3, h.p.sched.Slots(h.now))
+	require.Equal(t, 3, h.dueOf())
+	h.p.vms.setLeaving("vm-1", h.now)
+	h.now = h.now.Add(time.Second)
+	h.p.reviewDues(h.now)
+	require.Zero(t, h.p.ledger.Counts(msstate.SlotResource("vm-1")).Due)
+	require.Equal(t, 2, h.dueOf(), "no more than the slots of the VM that is left")
+}
+
+func TestTeamIsDueTheSumOverPools(t *testing.T) {
+	h := newPoolHarness()
+	other := &pool{name: "q", ledger: h.p.ledger, vms: h.p.vms, demand: h.p.demand}
+	other.configure(h.p.names, 2, []msteam.Share{{Team: "a", Weight: 1, Limit: 3}}, 100)
+	h.enter(t, "a", 1)
+	_, err := other.enter(msteam.Waiter{ID: 1, Team: "a", Arrived: h.now}, h.now)
+	require.NoError(t, err)
+	due := func() int { return h.p.ledger.Counts(msstate.TeamResource("a")).Due }
+	h.now = h.now.Add(time.Second)
+	h.p.reviewDues(h.now)
+	other.reviewDues(h.now)
+	require.Equal(t, 2, due())
+	h.collect()
+	h.end(0)
+	h.now = h.now.Add(time.Second)
+	h.p.reviewDues(h.now)
+	other.reviewDues(h.now)
+	require.Equal(t, 1, due(), "what ended in one pool is no longer due there")
+}
--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -83,6 +83,7 @@
 		if err := msclock.Sleep(ctx, e.Clock, e.Settings.Peers.Heartbeat); err != nil {
 			return nil
 		}
+		e.reviewDues()
 		e.pumpAll()
 	}
 }
--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"marjoramspan/mslog"
 	"marjoramspan/msstate"
 	"marjoramspan/msteam"
@@ -31,16 +29,15 @@
 	turn    int
 	waiting map[uint64]*ticket
 	// teams are those with a share, and dues what each was due here at dueAt.
-	teams []string
-	dues  map[string]int
-	dueAt time.Time
+	// hasDue is set while anything was.
+	teams  []string
+	dues   map[string]int
+	dueAt  time.Time
+	hasDue bool
 	// heard says of each peer whether its last report named the pool.
 	heard map[string]bool
 }
 
-// dueEvery is the pause between two looks at what is due.
-const dueEvery = 100 * time.Millisecond
-
 // ticket is one request that waits for its start.
 type ticket struct {
 	id    uint64
@@ -73,17 +70,6 @@
 	return d.teams[team]
 }
 
-// addDue changes by n what the team is due in all pools of this entry.
-func (d *demand) addDue(team string, n int) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.dues == nil {
-		d.dues = make(map[string]int)
-	}
-	d.dues[team] += n
-	return d.dues[team]
-}
-
 // configure takes the pool's VMs, slots a VM and the teams' shares.
 func (p *pool) configure(names []string, slots int, shares []msteam.Share, maxWaiting int) {
 	p.mu.Lock()
@@ -238,11 +224,7 @@
 		p.ledger.Want(msstate.SlotResource(name), 0)
 		p.ledger.Due(msstate.SlotResource(name), 0)
 	}
-	if now.Sub(p.dueAt) >= dueEvery {
-		p.dueAt = now
-		p.tellSlots(open, now)
-		p.tellTeams(now)
-	}
+	p.tellDues(open, now)
 	for i, name := range open {
 		each := n / len(open)
 		if i < n%len(open) {
@@ -252,46 +234,6 @@
 	}
 }
 
-// tellSlots tells the ledger how many slots this entry is due of each VM that may be
-// given work.
-func (p *pool) tellSlots(open []string, now time.Time) {
-	open = slices.Sorted(slices.Values(open))
-	held, parts := make([]int, len(open)), make([]int, len(open))
-	for i, name := range open {
-		held[i] = p.ledger.Counts(msstate.SlotResource(name)).Held
-	}
-	mstoken.Spread(parts, held, p.sched.Slots(now), p.slots, p.offset(now, len(open)))
-	for i, name := range open {
-		p.ledger.Due(msstate.SlotResource(name), parts[i])
-	}
-}
-
-// offset is the VM that a remainder goes to first. It differs by entry and pool, and
-// moves on, so that an entry that lacks slots at one VM tries another.
-func (p *pool) offset(now time.Time, n int) int {
-	if n == 0 {
-		return 0
-	}
-	at := xxhash.Sum64String(p.ledger.Self+"/"+p.name) + uint64(now.Unix())
-	return int(at % uint64(n))
-}
-
-// tellTeams tells the ledger how many tokens of each team's upper limit this entry is
-// due over all its pools, where that has changed in this one.
-func (p *pool) tellTeams(now time.Time) {
-	if p.dues == nil {
-		p.dues = make(map[string]int)
-	}
-	for _, team := range p.teams {
-		due := p.sched.TeamSlots(team, now)
-		if due == p.dues[team] {
-			continue
-		}
-		p.ledger.Due(msstate.TeamResource(team), p.demand.addDue(team, due-p.dues[team]))
-		p.dues[team] = due
-	}
-}
-
 // used returns what each team uses of the pool on this entry.
 func (p *pool) used() []msteam.Use {
 	p.mu.Lock()
--- a/mstoken/ledger.go
+++ b/mstoken/ledger.go
@@ -231,8 +231,12 @@
 		Running: a.running,
 		Idle:    a.held - a.running,
 		Want:    a.want,
+		Due:     a.due,
 		Home:    a.pool != nil,
 	}
+	if !a.hasDue {
+		c.Due = -1
+	}
 	if a.pool != nil && a.pool.ready {
 		c.Ready = true
 		c.Free = max(a.pool.free, 0)
--- a/mstoken/message.go
+++ b/mstoken/message.go
@@ -65,6 +65,7 @@
 	Free    int  // Free counts tokens at the home that nobody holds; zero elsewhere.
 	Unknown int  // Unknown counts tokens that lost members may hold; zero elsewhere than at a ready home.
 	Want    int  // Want is the demand last told by Ledger.Want, less what was given since.
+	Due     int  // Due is what was last told by Ledger.Due, or -1.
 	Home    bool // Home says that this entry is the resource's home.
 	Ready   bool // Ready says that this home has heard every member in this generation.
 }
