--- a/mstoken/due_test.go
+++ b/mstoken/due_test.go
@@ -118,6 +118,12 @@
 	w.churnFor(30, a)
 	w.churnFor(80, a, b)
 	require.InDelta(t, 4, b.l.Counts("x").Running, 1)
+	b.l.Due("x", 0)
+	w.churnFor(30, a, b)
+	require.Zero(t, b.l.Counts("x").Running)
+	b.l.Due("x", -1)
+	w.churnFor(30, a, b)
+	require.InDelta(t, 4, b.l.Counts("x").Running, 1, "unset again")
 }
 
 // Dues that stay as they are cost nothing but the polls of unmet demand.
@@ -161,3 +167,78 @@
 		}
 	})
 }
+
+// A changed due moves tokens long before unmet demand is told again.
+func TestChangedDueIsToldSoon(t *testing.T) {
+	w, _, others := ofTotal(3, 8)
+	a, b := others[0], others[1]
+	a.l.Due("x", 8)
+	b.l.Due("x", 0)
+	w.churnFor(30, a, b)
+	require.Equal(t, 8, a.l.Counts("x").Running)
+	a.l.Due("x", 3)
+	b.l.Due("x", 5)
+	w.churnFor(15, a, b)
+	require.Equal(t, 3, a.l.Counts("x").Running)
+	require.Equal(t, 5, b.l.Counts("x").Running)
+}
+
+// Idle tokens above a due that fell while nobody wanted any are called in once somebody
+// does, before those that others are due.
+func TestIdleTokensAboveAnUntoldDueAreCalledIn(t *testing.T) {
+	w, _, others := ofTotal(4, 8)
+	a, b, c := others[0], others[1], others[2]
+	a.l.IdleAfter = time.Hour
+	a.l.Due("x", 2)
+	c.l.Due("x", 6)
+	w.grab(a, 2)
+	w.grab(c, 6)
+	a.l.Release("x", w.now)
+	a.l.Release("x", w.now)
+	a.l.Due("x", 0)
+	w.heal(20)
+	require.Equal(t, 2, a.l.Counts("x").Idle)
+	b.l.Due("x", 2)
+	w.grab(b, 2)
+	require.Equal(t, 2, b.l.Counts("x").Running)
+	require.Equal(t, 6, c.l.Counts("x").Running)
+}
+
+// The targets are within the total and the demands, serve dues before loans, and cut
+// what a peer holds beyond its due by no more than others lack of theirs.
+func TestTargetsFillDuesAndCutNoMoreThanIsLacking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "peers")
+		p := &pool{peers: make([]peer, n), wants: make([]int, n), targets: make([]int, n), parts: make([]int, n), extra: make([]int, n)}
+		total := rapid.IntRange(0, 20).Draw(t, "total")
+		p.first = rapid.IntRange(0, n-1).Draw(t, "first")
+		free, wanted, needed, lacking, cut := total, 0, 0, 0, 0
+		for i := range p.peers {
+			q := &p.peers[i]
+			q.hasDue = true
+			q.out = rapid.IntRange(0, free).Draw(t, "out")
+			q.want = rapid.IntRange(0, 8).Draw(t, "want")
+			q.due = rapid.IntRange(0, 8).Draw(t, "due")
+			free -= q.out
+			p.wants[i] = q.out + q.want
+			wanted += p.wants[i]
+			needed += min(q.due, p.wants[i])
+			lacking += max(min(q.due, p.wants[i])-q.out, 0)
+		}
+		share(p.targets, p.wants, total, p.first)
+		p.shareDues(total)
+		sum := 0
+		for i, q := range p.peers {
+			sum += p.targets[i]
+			cut += max(q.out-p.targets[i], 0)
+			require.LessOrEqual(t, p.targets[i], p.wants[i])
+			if needed <= total {
+				require.GreaterOrEqual(t, p.targets[i], min(q.due, p.wants[i]))
+			} else {
+				require.LessOrEqual(t, p.targets[i], min(q.due, p.wants[i]))
+			}
+		}
+		require.Equal(t, min(total, wanted), sum)
+		require.LessOrEqual(t, cut, max(lacking-free, 0))
+	})
+}
--- a/mstoken/holder.go
+++ b/mstoken/holder.go
@@ -43,8 +43,6 @@
 	h.introduced = false
 	h.called = false
 	h.toldWant = 0
-	h.toldDue = 0
-	h.toldHasDue = false
 	h.retryAt = now
 	h.backoff = 0
 	h.debt = 0
