--- a/msmeasure/ledger_share.go
+++ b/msmeasure/ledger_share.go
@@ -25,11 +25,13 @@
 	}
 	return []Line{{
 		Name: "share-error-ledger", Deployment: d.Name, Ours: a.mean, Baseline: b.mean, Seed: seed, Target: shareTarget,
-		Cause: ledgerCause,
+		Cause: "mean of all windows",
 		Notes: []Note{
 			{"baseline", "tokens-move-by-demand"},
 			{"windows", fmt.Sprint(a.windows)},
 			{"within-target", fmt.Sprint(a.within)},
+			{"highest-window", fmt.Sprintf("%.3f", a.highest)},
+			{"baseline-highest-window", fmt.Sprintf("%.3f", b.highest)},
 			{"got/due", fmt.Sprintf("%.3f", gotOfDue(ours.windows()))},
 			{"baseline-got/due", fmt.Sprintf("%.3f", gotOfDue(demand.windows()))},
 			{"items/s/entry", fmt.Sprintf("%.1f", ours.itemRate())},
@@ -38,9 +40,6 @@
 	}}, nil
 }
 
-// ledgerCause says why the target is missed.
-const ledgerCause = "mean of all windows"
-
 // gotOfDue is the part of all that was due that was got.
 func gotOfDue(ws []window) float64 {
 	got, due := 0.0, 0.0
