--- a/msentry/entry.go
+++ b/msentry/entry.go
@@ -85,12 +85,18 @@
 	vms     vmTable
 	pools   pools
 	demand  demand
+	limits  msteam.Limits
 	links   links
 	sender  msupstream.Sender
 	account msaccount.Ledger
 	metrics metrics
 	random  *lockedRand
 
+	useMu sync.Mutex
+	// used is the newest report of use. It is guarded by useMu, which is taken
+	// before any pool's lock and never after.
+	used *useReport
+
 	lostMu sync.Mutex
 	// lostSince is when the entry saw each member lost. It is guarded by lostMu.
 	lostSince map[string]time.Time
@@ -266,7 +272,9 @@
 	}
 	for _, rule := range t.state.Rules.Pools {
 		p := e.pools.getOrMake(rule.Name, func() *pool {
-			return &pool{name: rule.Name, ledger: e.ledger, vms: &e.vms, demand: &e.demand}
+			p := &pool{name: rule.Name, ledger: e.ledger, vms: &e.vms, demand: &e.demand}
+			p.sched.Limits = &e.limits
+			return p
 		})
 		p.configure(t.pools[rule.Name], rule.Slots, shares, e.Settings.Limits.MaxWaiting)
 	}
--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -21,7 +21,7 @@
 	// exchangeTimeout bounds one exchange of tokens.
 	exchangeTimeout = 500 * time.Millisecond
 	// exchangeRest is the longest pause between two looks at what is due.
-	exchangeRest = 50 * time.Millisecond
+	exchangeRest = 100 * time.Millisecond
 	// recordsMost is how many records a peer hands over at a time.
 	recordsMost = 500
 	// stopWait is how long open calls of peers may take at the end.
@@ -94,7 +94,7 @@
 	var reply *mspeer.Status
 	err := l.Beat(ctx, func(ctx context.Context, p mspeer.PeerClient) error {
 		var err error
-		reply, err = p.Beat(ctx, e.status())
+		reply, err = p.Beat(ctx, &mspeer.BeatRequest{Member: e.id})
 		return err
 	})
 	if err != nil {
@@ -116,15 +116,47 @@
 	st.Epoch = e.fold.tables().state.Epoch
 	st.UnloggedOld = e.claims.table.UnloggedBefore(st.Epoch)
 	m := mspeer.FromStatus(st)
+	u := e.use(now)
+	m.RulesVersion = u.version
+	m.Used = u.used
+	m.Leaving = u.leaving
+	return m
+}
+
+// usePart is the part of a heartbeat's time for which what was told of use to one
+// peer is told to the others as well.
+const usePart = 4
+
+// useReport is what an entry tells its peers of use and of leaving VMs. It is not
+// changed once it is made.
+type useReport struct {
+	at      time.Time
+	version uint64
+	used    []*mspeer.Use
+	leaving []string
+}
+
+// use returns what the teams use here, made anew a few times each heartbeat.
+func (e *Entry) use(now time.Time) *useReport {
+	e.useMu.Lock()
+	defer e.useMu.Unlock()
+	if e.used != nil && now.Sub(e.used.at) < e.Settings.Peers.Heartbeat/usePart {
+		return e.used
+	}
 	var used []mspeer.PoolUse
 	for _, p := range e.pools.all() {
 		for _, u := range p.used() {
 			used = append(used, mspeer.PoolUse{Pool: p.name, Use: u})
 		}
 	}
-	m.Used = mspeer.FromUses(used)
-	m.Leaving = e.vms.leavingNow(now)
-	return m
+	t := e.fold.tables()
+	e.used = &useReport{
+		at:      now,
+		version: t.state.RulesVersion,
+		used:    mspeer.FromUses(used, t.names),
+		leaving: e.vms.leavingNow(now),
+	}
+	return e.used
 }
 
 // hear takes in a peer's answer to a heartbeat that was sent at asked.
@@ -134,16 +166,26 @@
 	for _, vm := range m.GetLeaving() {
 		e.vms.setLeaving(vm, now)
 	}
+	e.hearUse(m, now)
+	e.claims.observe(now)
+	if ahead > 0 {
+		e.catchUp(ctx, l)
+	}
+}
+
+// hearUse takes in what a peer's teams use. A peer with other rules is heard
+// again once both have the same.
+func (e *Entry) hearUse(m *mspeer.Status, now time.Time) {
+	t := e.fold.tables()
+	if m.GetRulesVersion() != t.state.RulesVersion {
+		return
+	}
 	byPool := make(map[string][]msteam.Use)
-	for _, u := range mspeer.ToUses(m.GetUsed()) {
+	for _, u := range mspeer.ToUses(m.GetUsed(), t.names) {
 		byPool[u.Pool] = append(byPool[u.Pool], u.Use)
 	}
 	for _, p := range e.pools.all() {
-		p.setRemote(m.GetMember(), byPool[p.name], now)
-	}
-	e.claims.observe(now)
-	if ahead > 0 {
-		e.catchUp(ctx, l)
+		p.hear(m.GetMember(), byPool[p.name], now)
 	}
 }
 
@@ -213,7 +255,7 @@
 }
 
 // Beat answers a heartbeat.
-func (s *peerServer) Beat(_ context.Context, _ *mspeer.Status) (*mspeer.Status, error) {
+func (s *peerServer) Beat(_ context.Context, _ *mspeer.BeatRequest) (*mspeer.Status, error) {
 	return s.e.status(), nil
 }
 
--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	slots   int
 	turn    int
 	waiting map[uint64]*ticket
+	// heard says of each peer whether its last report named the pool.
+	heard map[string]bool
 }
 
 // ticket is one request that waits for its start.
@@ -225,10 +228,18 @@
 	return p.sched.Used()
 }
 
-// setRemote takes a peer's use of the pool.
-func (p *pool) setRemote(entry string, used []msteam.Use, now time.Time) {
+// hear takes a peer's use of the pool. A peer that has said nothing of the pool
+// and still does not is passed over.
+func (p *pool) hear(entry string, used []msteam.Use, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(used) == 0 && !p.heard[entry] {
+		return
+	}
+	if p.heard == nil {
+		p.heard = make(map[string]bool)
+	}
+	p.heard[entry] = len(used) > 0
 	p.sched.SetRemote(entry, used, now)
 }
 
@@ -242,8 +253,9 @@
 // pools holds the pools of the entry by name.
 type pools struct {
 	mu sync.RWMutex
-	// byName is guarded by mu.
-	byName map[string]*pool
+	// byName and ordered are guarded by mu. ordered is replaced, never changed.
+	byName  map[string]*pool
+	ordered []*pool
 }
 
 func (ps *pools) get(name string) *pool {
@@ -256,17 +268,7 @@
 func (ps *pools) all() []*pool {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
-	out := make([]*pool, 0, len(ps.byName))
-	for _, p := range ps.byName {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *pool) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return out
+	return ps.ordered
 }
 
 func (ps *pools) getOrMake(name string, make func() *pool) *pool {
@@ -280,5 +282,7 @@
 		ps.byName = map[string]*pool{}
 	}
 	ps.byName[name] = p
+	ps.ordered = append(slices.Clone(ps.ordered), p)
+	slices.SortFunc(ps.ordered, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
 	return p
 }
