--- a/cmd/marjoramspan/fleet.go
+++ b/cmd/marjoramspan/fleet.go
@@ -103,11 +103,13 @@
 	BootTimeout time.Duration `help:"How long a VM may take to come back; 0 is the default."`
 	Soak        time.Duration `help:"How long a VM has to stay up before it gets work; 0 is the default."`
 	MaxRun      time.Duration `default:"30s" help:"The entries' max-run."`
+	Cutoff      time.Time     `help:"Leave out VMs that were maintained at or after this time (RFC 3339)."`
 	Lease       time.Duration `default:"4s" help:"The entries' lease."`
 }
 
 func (f waveFlags) settings() mswave.Settings {
 	return mswave.Settings{
+		Cutoff:      f.Cutoff,
 		MaxOut:      f.MaxOut,
 		StopAfter:   f.StopAfter,
 		BootTimeout: f.BootTimeout,
--- a/cmd/marjoramspan/serve.go
+++ b/cmd/marjoramspan/serve.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 
+	klog "github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -29,6 +30,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	klog.SetLogger(kratosLog{log: log})
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimit)
 	for {
--- a/msentry/fleet.go
+++ b/msentry/fleet.go
@@ -15,7 +15,7 @@
 )
 
 // fleetRest is the pause between two looks at the pools and the wave.
-const fleetRest = 500 * time.Millisecond
+const fleetRest = time.Second
 
 // dutyFleet is the duty of keeping pools and driving the wave. The entry that
 // has it decides; a record of another that decided on the same state is void.
@@ -60,7 +60,7 @@
 		return
 	}
 	view := mswave.View{
-		Table:   FleetTable(t.state, reports),
+		Table:   FleetTable(t.state, reports, e.vms.missedSince),
 		ReadAt:  e.view.OwnProof(),
 		Through: t.state.Next,
 	}
@@ -149,8 +149,9 @@
 }
 
 // FleetTable joins the state with the platform's list of VMs. A VM that the
-// state owns and the list lacks counts as failed.
-func FleetTable(s *msstate.State, reports []mslog.VM) mspool.Table {
+// state owns and the list lacks counts as failed, since the time that missed
+// returns for it.
+func FleetTable(s *msstate.State, reports []mslog.VM, missed func(name string) time.Time) mspool.Table {
 	t := mspool.Table{}
 	for _, p := range s.Rules.Pools {
 		t.Pools = append(t.Pools, mspool.Pool{Name: p.Name, Size: p.Size, Slots: p.Slots, Available: p.Available, Spare: p.Spare})
@@ -164,7 +165,7 @@
 	}
 	for name, h := range s.Ownership.VMs {
 		if !listed[name] && h.Phase != mspool.Retired {
-			t.VMs = append(t.VMs, fleetVM(s, h, mslog.VM{Name: name, State: mslog.VMFailed}))
+			t.VMs = append(t.VMs, fleetVM(s, h, mslog.VM{Name: name, State: mslog.VMFailed, Since: missed(name)}))
 		}
 	}
 	return t
--- /dev/null
+++ b/msentry/harness_test.go
@@ -0,0 +1,62 @@
+package msentry
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/mslog"
+	"marjoramspan/msrule"
+	"marjoramspan/mssetting"
+	"marjoramspan/msstandin"
+	"marjoramspan/msstate"
+)
+
+// runEntry runs one entry inside the test, with the platform's stand-in and
+// one upstream of many slots, and returns the callers' address.
+func runEntry(t testing.TB, upstream string) string {
+	t.Helper()
+	platform := &msstandin.Platform{}
+	srv := httptest.NewServer(platform)
+	t.Cleanup(srv.Close)
+	platform.PutVM(mslog.VM{Name: "vm", Address: upstream, State: mslog.VMLive})
+	asked := msrule.Origin{AskedBy: "test"}
+	rules := msrule.Set{
+		Pools:  []msrule.Pool{{Name: "p", Size: 1, Slots: 64, Connections: 64, Origin: asked}},
+		VMs:    []msrule.VM{{Name: "vm", Pool: "p", Origin: asked}},
+		Teams:  []msrule.Team{{Name: "t", Share: 1, Limit: 1000, Origin: asked}},
+		Queues: []msrule.Queue{{Name: "q", Pool: "p", Teams: []string{"t"}, Open: true, Idempotent: true, Deadline: 5 * time.Second, Origin: asked}},
+	}
+	client := &mslog.Client{Address: srv.Listener.Addr().String()}
+	c := msstate.NewChange(msstate.KindRulesPublish, "test", 0, msstate.RulesPublish{Rules: rules})
+	_, err := client.Append(t.Context(), StreamState, []mslog.Record{{ID: "rules", Data: c.Encode()}})
+	require.NoError(t, err)
+	set := mssetting.Defaults()
+	set.Log.Address = client.Address
+	set.Limits.ConnectionsPerUpstream = 64
+	set.Entry = mssetting.Entry{Name: "e", DataCentre: "dc", Rack: "r", Listen: free(t), AdminListen: free(t), PeerListen: free(t)}
+	set.Entry.Advertise = set.Entry.PeerListen
+	set.Drain.BalancerLag = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{Settings: set}
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	require.Eventually(t, func() bool { return post("http://"+set.Entry.Listen+PathQueues+"q/x") == nil }, 10*time.Second, 10*time.Millisecond)
+	return set.Entry.Listen
+}
+
+func free(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -21,8 +21,10 @@
 }
 
 type vmState struct {
-	vm      mslog.VM
-	listed  bool
+	vm     mslog.VM
+	listed bool
+	// missed is when the list first lacked the VM.
+	missed  time.Time
 	leaving time.Time
 	down    time.Time
 	fails   int
@@ -63,7 +65,24 @@
 		}
 		s.vm = vm
 		s.listed = true
+		s.missed = time.Time{}
 	}
+	for _, s := range t.vms {
+		if !s.listed && s.missed.IsZero() {
+			s.missed = read
+		}
+	}
+}
+
+// missedSince returns since when the platform's list has lacked the VM.
+func (t *vmTable) missedSince(name string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(name)
+	if s.missed.IsZero() {
+		s.missed = t.read
+	}
+	return s.missed
 }
 
 func (t *vmTable) state(name string) *vmState {
--- a/msoperator/fleet_query.go
+++ b/msoperator/fleet_query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marjoramspan/msentry"
 	"marjoramspan/mspool"
@@ -15,7 +16,8 @@
 	if err != nil {
 		return mspool.Table{}, &Error{Op: op, Kind: Unavailable, Err: err}
 	}
-	return msentry.FleetTable(s, vms), nil
+	now := o.clock().Now()
+	return msentry.FleetTable(s, vms, func(string) time.Time { return now }), nil
 }
 
 // Fleet is what an operator sees of the VMs.
