--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -28,6 +28,8 @@
 	slots   int
 	turn    int
 	waiting map[uint64]*ticket
+	// open is scratch space of wantSlots.
+	open []string
 	// teams are those with a share, and dues what each was due here at dueAt.
 	// hasDue is set while anything was.
 	teams  []string
@@ -214,7 +216,7 @@
 // wantSlots spreads the wanted slots evenly over the VMs that may be given work.
 func (p *pool) wantSlots(now time.Time) {
 	n := len(p.waiting)
-	var open []string
+	open := p.open[:0]
 	for i := range p.names {
 		name := p.names[(p.turn+i)%len(p.names)]
 		if _, ok := p.vms.usable(name, now); ok {
@@ -224,6 +226,7 @@
 		p.ledger.Want(msstate.SlotResource(name), 0)
 		p.ledger.Due(msstate.SlotResource(name), 0)
 	}
+	p.open = open
 	p.tellDues(open, now)
 	for i, name := range open {
 		each := n / len(open)
