mstoken: where dues exceed the total the largest lack is filled first

Max-min over the dues took all of the excess from those with the largest, and dues of slots are rounded up. Change: the excess is taken evenly.

--- a/mstoken/due.go
+++ b/mstoken/due.go
@@ -63,10 +63,7 @@
 			p.parts[i] = min(q.due, p.wants[i])
 		}
 	}
-	share(p.targets, p.parts, total, p.first)
-	for _, n := range p.targets {
-		total -= n
-	}
+	total = p.fillDues(total)
 	for i := range p.peers {
 		p.parts[i] = max(p.peers[i].out-p.targets[i], 0)
 	}
@@ -77,6 +74,23 @@
 	p.addShare(total)
 }
 
+// fillDues sets the targets to the parts, and where those exceed total takes the excess
+// from the dues evenly, so that the largest lack is as small as can be. It returns the rest.
+func (p *pool) fillDues(total int) int {
+	for i, n := range p.parts {
+		total -= n
+		p.targets[i] = 0
+		if p.peers[i].hasDue {
+			p.targets[i] = n
+		}
+	}
+	share(p.extra, p.targets, max(-total, 0), p.first)
+	for i, n := range p.parts {
+		p.targets[i] = n - p.extra[i]
+	}
+	return max(total, 0)
+}
+
 // addShare splits total over the parts, adds it to the targets, and returns the rest.
 func (p *pool) addShare(total int) int {
 	share(p.extra, p.parts, total, p.first)
--- a/mstoken/due_test.go
+++ b/mstoken/due_test.go
@@ -1,6 +1,7 @@
 package mstoken
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -126,6 +127,24 @@
 	require.InDelta(t, 4, b.l.Counts("x").Running, 1, "unset again")
 }
 
+// Where the dues exceed the total, those that lack take turns.
+func TestDuesAboveTheTotalTakeTurns(t *testing.T) {
+	for _, total := range []int{1, 3} {
+		w, _, _ := ofTotal(8, total)
+		started := make([]int, len(w.nodes))
+		for range 500 {
+			for i, n := range w.nodes {
+				n.l.Due("x", 1)
+				started[i] += churn(n, "x", 8, w.now)
+			}
+			w.heal(1)
+		}
+		least := slices.Min(started)
+		require.Greater(t, least, 20, "total %d: %v", total, started)
+		require.Less(t, slices.Max(started), least*3/2, "turns are even at total %d: %v", total, started)
+	}
+}
+
 // Dues that stay as they are cost nothing but the polls of unmet demand.
 func TestSettledDuesCostOnlyPolls(t *testing.T) {
 	w, _, others := ofTotal(3, 8)
@@ -237,6 +256,10 @@
 			} else {
 				require.LessOrEqual(t, p.targets[i], min(q.due, p.wants[i]))
 			}
+			for j, other := range p.peers {
+				lack, more := max(min(q.due, p.wants[i])-p.targets[i], 0), min(other.due, p.wants[j])-p.targets[j]
+				require.False(t, more > lack+1 && p.targets[i] > 0, "the largest lack is filled first")
+			}
 		}
 		require.Equal(t, min(total, wanted), sum)
 		require.LessOrEqual(t, cut, max(lacking-free, 0))
