--- a/msentry/maintain.go
+++ b/msentry/maintain.go
@@ -15,8 +15,13 @@
 	"marjoramspan/mstoken"
 )
 
-// snapshotEvery is how many state records lie between two snapshots.
-const snapshotEvery = 1000
+const (
+	// snapshotEvery is the most state records between two snapshots.
+	snapshotEvery = 1000
+	// snapshotAge is the longest time between two snapshots: a log that keeps its
+	// records for a limited time would drop the newest snapshot as well.
+	snapshotAge = time.Hour
+)
 
 // pollPart is the part of the lease that one long poll of the log may take, so
 // that several proofs fall into the time after which an entry counts as cut.
@@ -134,7 +139,7 @@
 		e.excludeSilent(ctx, s, now)
 		e.settleLost(ctx, s, now)
 		e.vouch(ctx, s, now)
-		e.snapshot(ctx, s)
+		e.snapshot(ctx, s, now)
 	}
 }
 
@@ -166,8 +171,9 @@
 
 // snapshot writes the state whole, well before the records that it stands for
 // expire. Racing snapshots are harmless.
-func (e *Entry) snapshot(ctx context.Context, s *msstate.State) {
-	if s.Next < s.SnapshotAt+snapshotEvery || !e.hasDuty("snapshot") {
+func (e *Entry) snapshot(ctx context.Context, s *msstate.State, now time.Time) {
+	due := s.Next >= s.SnapshotAt+snapshotEvery || now.Sub(s.SnapshotTime) > snapshotAge
+	if !due || !e.hasDuty("snapshot") {
 		return
 	}
 	e.change(ctx, msstate.NewSnapshot(s, e.by()))
--- a/msfailure/failure_test.go
+++ b/msfailure/failure_test.go
@@ -171,6 +171,42 @@
 	require.NoError(t, v.Err())
 }
 
+func TestLateJoinerBootsFromSnapshot(t *testing.T) {
+	s := newSite(t, 2)
+	before, err := s.operator.State(t.Context())
+	require.NoError(t, err)
+	client := &mslog.Client{Address: s.address}
+	strange := make([]mslog.Record, 1000)
+	for i := range strange {
+		strange[i] = mslog.Record{ID: fmt.Sprint("strange-", i), Data: []byte(`{"kind":"strange"}`)}
+	}
+	_, err = client.Append(t.Context(), "state", strange)
+	require.NoError(t, err)
+	var at uint64
+	require.Eventually(t, func() bool {
+		state, err := s.operator.State(t.Context())
+		if err != nil || state.SnapshotAt < before.Next+1000 {
+			return false
+		}
+		at = state.SnapshotAt - 1
+		return true
+	}, patience, 100*time.Millisecond, "no snapshot was written")
+	s.platform.Retain("state", at)
+	late := s.newEntry("entry-late")
+	s.entries = append(s.entries, late)
+	s.start(late)
+	s.awaitReady(late)
+	status, _ := s.ask(late, "run", s.secrets["a"], "on-late")
+	require.Equal(t, http.StatusOK, status)
+	after, err := s.operator.State(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, before.Rules, after.Rules)
+
+	s.platform.Retain("state", after.Next)
+	_, err = s.operator.State(t.Context())
+	require.ErrorContains(t, err, "no snapshot joins up", "a gap must be an error, never an empty state")
+}
+
 func TestRacingOperators(t *testing.T) {
 	s := newSite(t, 2)
 	s.platform.SetFault(msstandin.Fault{Mode: msstandin.FaultLoseAnswers, Rate: 0.3, Seed: 2})
--- a/msstate/apply.go
+++ b/msstate/apply.go
@@ -88,6 +88,7 @@
 		return s.vouch(c)
 	case KindSnapshot:
 		s.SnapshotAt = version
+		s.SnapshotTime = at
 		return accepted
 	}
 	switch {
--- a/msstate/state.go
+++ b/msstate/state.go
@@ -54,6 +54,8 @@
 	Wave mswave.State `json:"wave"`
 	// SnapshotAt is the version of the newest snapshot record.
 	SnapshotAt uint64 `json:"snapshot-at,omitempty"`
+	// SnapshotTime is when the log took that record.
+	SnapshotTime time.Time `json:"snapshot-time,omitzero"`
 	// Seen holds the ids of the newest records.
 	Seen []SeenID `json:"seen,omitempty"`
 }
