--- /dev/null
+++ b/models/claims.broken-no-unsure.pml
@@ -0,0 +1,3 @@
+/* After a home is lost its successor grants as if it knew of all claims. */
+#define BROKEN_UNSURE
+#include "claims.pml"
--- /dev/null
+++ b/models/claims.broken-not-logged.pml
@@ -0,0 +1,3 @@
+/* A home does not ask whether another member holds claims that are missing on the log. */
+#define BROKEN_LOGGED
+#include "claims.pml"
