--- a/msentry/claims.go
+++ b/msentry/claims.go
@@ -91,16 +91,18 @@
 	return c.epoch
 }
 
-// observe notes when no home of an earlier view can grant any more: every
-// member acts on the present view, and the lease of each lost one has lapsed.
+// observe notes when no home of an earlier view can grant any more, and all that
+// was granted there is on the stream: every member acts on the present view and
+// has flushed its claims of earlier ones, and the lease of each lost one has
+// lapsed, with the time that a claim may take beyond it.
 func (c *claims) observe(now time.Time) {
 	s := c.e.fold.tables().state
-	if !c.e.view.Agreed(s.Epoch) {
+	if !c.e.view.Agreed(s.Epoch) || !c.e.view.Logged(s.Epoch) {
 		return
 	}
 	for _, m := range s.Lost {
 		replaced := slices.ContainsFunc(s.Members, func(x msstate.Member) bool { return x.Name == m.Name })
-		if !replaced && now.Sub(c.e.sawLost(m.ID, now)) <= c.e.Settings.Limits.Lease {
+		if !replaced && now.Sub(c.e.sawLost(m.ID, now)) <= c.e.Settings.Limits.Lease+claimTimeout {
 			return
 		}
 	}
@@ -244,7 +246,15 @@
 	if !fresh || c.homeOf(cl.Team, cl.Key) != c.e.id {
 		return msrequest.Answer{Verdict: msrequest.NotHome}
 	}
-	return c.home.Claim(ctx, cl)
+	epoch := c.presentEpoch()
+	a := c.home.Claim(ctx, cl)
+	// The view, the lease or the outage may have ended while the claim was under
+	// way; another home may grant the key then.
+	fresh, _ = c.e.view.Fresh(c.e.now())
+	if a.Verdict == msrequest.Granted && (!fresh || c.presentEpoch() != epoch) {
+		return msrequest.Answer{Verdict: msrequest.NotHome}
+	}
+	return a
 }
 
 // settle tells the home what became of a claim, a few times if need be.
--- a/msmember/view.go
+++ b/msmember/view.go
@@ -326,8 +326,9 @@
 }
 
 // Clean says whether a member that was lost can have granted no claim that is
-// missing on the log: it had none when it was last heard, and since then this
-// entry, without which no outage could be proved, has always read the log.
+// missing on the log: it had none when it was last heard, and from a lease before
+// that on this entry, without which no outage could be proved, has always read
+// the log.
 func (v *View) Clean(id string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -335,7 +336,7 @@
 	if p == nil || p.asked.IsZero() || v.cut(now) {
 		return false
 	}
-	return p.status.Unlogged == 0 && v.cutAt.Before(p.asked)
+	return p.status.Unlogged == 0 && v.cutAt.Add(v.Lease).Before(p.asked)
 }
 
 // Agreed says whether every other member has said that it acts on the view of
--- a/msmember/view_test.go
+++ b/msmember/view_test.go
@@ -115,15 +115,28 @@
 
 func TestCleanNeedsAnUnbrokenLog(t *testing.T) {
 	v := newView("a", "b")
-	v.Proved(at(0), 10)
-	v.Proved(at(second), 10)
-	v.Heard(Status{Member: "b", Next: 10}, at(second), at(second))
-	v.Proved(at(2*second), 10)
-	require.True(t, v.Clean("b", at(3*second)))
-	require.False(t, v.Clean("c", at(3*second)))
-	v.Proved(at(9*second), 10)
-	require.False(t, v.Clean("b", at(9*second)), "the log was out of reach between")
-	v.Heard(Status{Member: "b", Next: 10, Unlogged: 1}, at(10*second), at(10*second))
-	v.Proved(at(10*second), 10)
-	require.False(t, v.Clean("b", at(10*second)))
+	for d := range 8 {
+		v.Proved(at(time.Duration(d)*second), 10)
+	}
+	v.Heard(Status{Member: "b", Next: 10}, at(3*second), at(3*second))
+	require.False(t, v.Clean("b", at(7*second)), "b may have proved an outage by what was said a lease before")
+	v.Heard(Status{Member: "b", Next: 10}, at(5*second), at(5*second))
+	require.True(t, v.Clean("b", at(7*second)))
+	require.False(t, v.Clean("c", at(7*second)))
+	v.Proved(at(12*second), 10)
+	require.False(t, v.Clean("b", at(12*second)), "the log was out of reach between")
+	v.Heard(Status{Member: "b", Next: 10, Unlogged: 1}, at(18*second), at(18*second))
+	v.Proved(at(18*second), 10)
+	require.False(t, v.Clean("b", at(18*second)))
+}
+
+func TestLoggedIsSaidInThePresentView(t *testing.T) {
+	v := newView("a", "b")
+	v.Heard(Status{Member: "b", Next: 10, Epoch: 1}, at(0), at(0))
+	require.True(t, v.Logged(1))
+	require.False(t, v.Logged(2), "b may still grant by the old view")
+	v.Heard(Status{Member: "b", Next: 10, Epoch: 2, UnloggedOld: 1}, at(second), at(second))
+	require.False(t, v.Logged(2))
+	v.Heard(Status{Member: "b", Next: 10, Epoch: 2}, at(2*second), at(2*second))
+	require.True(t, v.Logged(2))
 }
--- a/msrequest/claims.go
+++ b/msrequest/claims.go
@@ -14,6 +14,7 @@
 package msrequest
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +104,11 @@
 	unlogged bool
 	// epoch is the view in which an unlogged claim was granted.
 	epoch uint64
+	// flushing says that an unlogged claim may be on its way to the stream.
+	flushing bool
+	// released holds the requests of the key that were settled as not run. A late
+	// copy of their claim takes nothing.
+	released []string
 }
 
 type expiry struct {
@@ -133,6 +139,9 @@
 		t.settle(k, e, now)
 		return
 	}
+	if held != nil && slices.Contains(held.released, e.Claim.Request) {
+		return
+	}
 	free := held == nil || held.outcome == OutcomeNotRun
 	taken := e.FromMemory && held != nil && held.outcome != OutcomeDone && held.claim.Request != e.Claim.Request
 	if free || taken {
@@ -140,17 +149,22 @@
 	}
 }
 
-// settleHeld settles a claim that has not reached the stream, and reports
+// settleHeld settles a claim that is not on its way to the stream, and reports
 // whether there is one.
 func (t *Table) settleHeld(e Event, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := id{e.Claim.Team, e.Claim.Key}
 	held := t.claims[k]
-	if held == nil || !held.unlogged || held.claim.Request != e.Claim.Request {
+	if held == nil || !held.unlogged || held.flushing || held.claim.Request != e.Claim.Request {
 		return false
 	}
 	t.settle(k, e, now)
+	if held.outcome == OutcomeNotRun {
+		// It never ran, and nobody else has heard of it.
+		held.unlogged = false
+		t.unlogged--
+	}
 	return true
 }
 
@@ -161,6 +175,9 @@
 	}
 	held.outcome = e.Outcome
 	held.status = e.Status
+	if e.Outcome == OutcomeNotRun {
+		held.released = append(held.released, e.Claim.Request)
+	}
 	held.last = now
 	t.order = append(t.order, expiry{id: k, at: now})
 }
@@ -169,6 +186,9 @@
 	if t.claims == nil {
 		t.claims = make(map[id]*entry)
 	}
+	if old := t.claims[k]; old != nil {
+		e.released = old.released
+	}
 	t.claims[k] = e
 	t.order = append(t.order, expiry{id: k, at: e.last})
 }
--- a/msrequest/claims_test.go
+++ b/msrequest/claims_test.go
@@ -291,3 +291,51 @@
 	other.Settle(ctx, Event{Claim: first, Outcome: OutcomeNotRun})
 	require.Equal(t, Running, other.Claim(ctx, Claim{Team: "t", Key: "k", Request: "r3"}).Verdict)
 }
+
+func TestClaimSettledInMemoryIsNeverFlushed(t *testing.T) {
+	ctx := context.Background()
+	w := newWorld(2)
+	h, other := w.homes[0], w.homes[1]
+	h.caught = true
+	w.down, w.outage = true, true
+	first := Claim{Team: "t", Key: "k", Request: "r1"}
+	require.Equal(t, Granted, h.Claim(ctx, first).Verdict)
+	h.Settle(ctx, Event{Claim: first, Outcome: OutcomeNotRun})
+	w.down, w.outage = false, false
+	require.Equal(t, Granted, other.Claim(ctx, Claim{Team: "t", Key: "k", Request: "r2"}).Verdict)
+	require.NoError(t, h.Flush(ctx))
+	require.Len(t, w.stream, 1, "a claim that never ran reached the stream")
+	require.Equal(t, Running, other.Claim(ctx, Claim{Team: "t", Key: "k", Request: "r3"}).Verdict)
+}
+
+func TestClaimOnItsWayIsSettledByTheStream(t *testing.T) {
+	ctx := context.Background()
+	w := newWorld(2)
+	h, other := w.homes[0], w.homes[1]
+	h.caught = true
+	w.down, w.outage = true, true
+	first := Claim{Team: "t", Key: "k", Request: "r1"}
+	require.Equal(t, Granted, h.Claim(ctx, first).Verdict)
+	w.down, w.outage, w.loseAnswers = false, false, true
+	require.Error(t, h.Flush(ctx), "its record is on the stream, its answer lost")
+	h.Settle(ctx, Event{Claim: first, Outcome: OutcomeNotRun})
+	w.loseAnswers = false
+	require.Equal(t, Granted, other.Claim(ctx, Claim{Team: "t", Key: "k", Request: "r2"}).Verdict)
+	require.NoError(t, h.Flush(ctx), "a second copy")
+	require.Equal(t, Running, other.Claim(ctx, Claim{Team: "t", Key: "k", Request: "r3"}).Verdict)
+}
+
+func TestLateCopyOfAReleasedClaimTakesNothing(t *testing.T) {
+	table := &Table{}
+	now := time.Unix(1_700_000_000, 0)
+	first := Event{Claim: Claim{Team: "t", Key: "k", Request: "r1"}}
+	table.Apply(first, now)
+	table.Apply(Event{Claim: first.Claim, Outcome: OutcomeNotRun}, now)
+	second := Claim{Team: "t", Key: "k", Request: "r2"}
+	table.Apply(Event{Claim: second}, now)
+	first.FromMemory = true
+	table.Apply(first, now)
+	a, ok := table.Look(second)
+	require.True(t, ok)
+	require.Equal(t, Granted, a.Verdict, "a late copy took the key from the request that runs")
+}
--- a/msrequest/home.go
+++ b/msrequest/home.go
@@ -166,6 +166,7 @@
 		if !e.unlogged {
 			continue
 		}
+		e.flushing = true
 		es := []Event{{Claim: e.claim, FromMemory: true}}
 		if e.outcome != "" {
 			es = append(es, Event{Claim: e.claim, Outcome: e.outcome, Status: e.status})
