marjoramspan: says on how many entries a change is in force

Cause: models/config.broken-told-by-log.pml: a withdrawal that the log took just before it went down for all is accepted, while entries that have not read it prove the outage and go on; the operator must not take accepted for in force. Conclusion: the promise to the operator is made at in force.

--- a/cmd/marjoramspan/common.go
+++ b/cmd/marjoramspan/common.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -64,11 +64,17 @@
 	_ = tw.Flush()
 }
 
-// notInForce tells of a change that stands but is not acted on everywhere yet.
-func notInForce(f msoperator.InForce, err error) error {
-	if err == nil {
-		return nil
+// awaitInForce waits until every entry acts on a version, and says how many do.
+// Until then a change is accepted and not in force: while the log is down an entry
+// that has not read it may go on as before.
+func (f outputFlags) awaitInForce(ctx context.Context, o *msoperator.Operator, version uint64) error {
+	got, err := o.WaitInForce(ctx, version)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "accepted as version %d, but in force on %d of %d entries only; behind: %v\n", got.Version, got.Have, got.Entries, got.Behind)
+		return err
+	}
+	if !f.JSON {
+		fmt.Printf("in force on %d of %d entries\n", got.Have, got.Entries)
 	}
-	fmt.Fprintf(os.Stderr, "accepted as version %d, but in force on %d of %d entries only; behind: %v\n", f.Version, f.Have, f.Entries, f.Behind)
-	return errors.Join(err)
+	return nil
 }
--- a/cmd/marjoramspan/keys.go
+++ b/cmd/marjoramspan/keys.go
@@ -40,7 +40,7 @@
 	}); err != nil || c.NoWait {
 		return err
 	}
-	return notInForce(o.WaitInForce(ctx, k.Version))
+	return c.awaitInForce(ctx, o, k.Version)
 }
 
 type keysWithdrawCmd struct {
@@ -65,7 +65,7 @@
 	}); err != nil || c.NoWait {
 		return err
 	}
-	return notInForce(o.WaitInForce(ctx, a.Version))
+	return c.awaitInForce(ctx, o, a.Version)
 }
 
 type keysListCmd struct {
--- a/cmd/marjoramspan/rules.go
+++ b/cmd/marjoramspan/rules.go
@@ -99,7 +99,7 @@
 	}); err != nil || c.NoWait {
 		return err
 	}
-	return notInForce(o.WaitInForce(ctx, a.Version))
+	return c.awaitInForce(ctx, o, a.Version)
 }
 
 type rulesShowCmd struct {
