--- a/mstoken/bench_test.go
+++ b/mstoken/bench_test.go
@@ -11,7 +11,9 @@
 const (
 	itemBytes = 26
 	giftBytes = 22
-	callBytes = 64 // callBytes is the frame of one call and its answer.
+	// fieldBytes is the due of an item or the Tight of a gift, where set.
+	fieldBytes = 2
+	callBytes  = 64 // callBytes is the frame of one call and its answer.
 )
 
 // largeFleet is 9 entries with 51 teams and the slots of 1350 VMs, settled.
@@ -150,10 +152,16 @@
 		s.items += len(batch.Items)
 		for _, item := range batch.Items {
 			s.bytes += itemBytes + len(item.Resource)
+			if item.HasDue {
+				s.bytes += fieldBytes
+			}
 		}
 		gifts := w.node(batch.To).l.HandleExchange(n.id, batch.Items, w.now)
 		for _, g := range gifts {
 			s.bytes += giftBytes + len(g.Resource)
+			if g.Tight {
+				s.bytes += fieldBytes
+			}
 			s.granted += g.N
 		}
 		n.l.HandleGifts(batch.To, gifts, w.now)
