--- a/msfailure/site_test.go
+++ b/msfailure/site_test.go
@@ -271,6 +271,24 @@
 // load makes n requests of both teams and both queues while during runs, and
 // waits for all.
 func (s *site) load(n int, rate float64, during func()) {
+	done := make(chan error, 1)
+	go func() { done <- s.callers(n, rate) }()
+	during()
+	require.NoError(s.t, <-done)
+}
+
+// callers asks n requests and records what became of them.
+func (s *site) callers(n int, rate float64) error {
+	c := &msstandin.Callers{Plan: s.plan(n, rate), Record: func(r msstandin.CallerRecord) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.records = append(s.records, r)
+		return nil
+	}}
+	return c.Run(s.t.Context())
+}
+
+func (s *site) plan(n int, rate float64) msstandin.Plan {
 	p := msstandin.Plan{
 		Seed:        uint64(n + len(s.records)),
 		Requests:    n,
@@ -288,18 +306,7 @@
 	for _, e := range s.entries {
 		p.Entries = append(p.Entries, e.caller)
 	}
-	done := make(chan error, 1)
-	go func() {
-		c := &msstandin.Callers{Plan: p, Record: func(r msstandin.CallerRecord) error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.records = append(s.records, r)
-			return nil
-		}}
-		done <- c.Run(s.t.Context())
-	}()
-	during()
-	require.NoError(s.t, <-done)
+	return p
 }
 
 // judge counts breaches, of which there must be none, and returns the verdict.
