msfailure: waves under longer requests, and no VM taken out twice

Cause: put in by hand, a reboot that waits for no drain and a driver that acts on an old state were caught by no test: requests were too short, and VMs drained twice were not counted. Ruled out: a lag for the fleet judge; it judges with none. Change: a tenth of the requests runs 2.5 s, waves start once every VM runs one, a VM may be drained once, and the frozen driver wakes up after the wave.

--- a/msfailure/fleet_site_test.go
+++ b/msfailure/fleet_site_test.go
@@ -27,8 +27,8 @@
 data-centre dc-1 region=r  # test
 pool quotes size=4 slots=8 connections=64 available=25%  # test
 pool booths size=4 slots=8 connections=64 available=25%  # test
-team a share=3 limit=9  # test
-team b share=1 limit=5  # test
+team a share=3 limit=24  # test
+team b share=1 limit=12  # test
 queue quote pool=quotes teams=all idempotent=yes deadline=4s  # test
 queue run pool=booths teams=all deadline=4s  # test
 vm vm-0 pool=quotes  # test
@@ -51,15 +51,15 @@
 	bootTime = 300 * time.Millisecond
 	// fleetRate is the requests a second. With the tail of the run times a VM
 	// seldom runs none.
-	fleetRate  = 100
-	fleetChunk = 200
+	fleetRate  = 80
+	fleetChunk = 160
 )
 
 var fleetMode = msstandin.UpstreamMode{
 	Run:      15 * time.Millisecond,
 	Spread:   10 * time.Millisecond,
-	TailRun:  1500 * time.Millisecond,
-	TailRate: 0.05,
+	TailRun:  2500 * time.Millisecond,
+	TailRate: 0.1,
 	Seed:     1,
 }
 
@@ -84,7 +84,7 @@
 	if testing.Short() {
 		t.Skip("runs processes")
 	}
-	s := &site{t: t, dir: t.TempDir(), platform: &msstandin.Platform{}, secrets: map[string]string{}, limits: map[string]int{"a": 9, "b": 5}}
+	s := &site{t: t, dir: t.TempDir(), platform: &msstandin.Platform{}, secrets: map[string]string{}, limits: map[string]int{"a": 24, "b": 12}}
 	f := &fleet{site: s}
 	srv := httptest.NewServer(s.platform)
 	t.Cleanup(srv.Close)
@@ -201,7 +201,18 @@
 	require.NoError(f.t, <-done)
 }
 
+// startWave starts a wave once the VMs have work.
 func (f *fleet) startWave(cfg mswave.Settings) {
+	f.t.Helper()
+	busy := func() bool {
+		for _, u := range f.upstreams {
+			if u.Running() == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(f.t, busy, patience, 5*time.Millisecond, "every VM runs a request")
 	cfg.Lease = 2 * time.Second
 	cfg.MaxRun = 5 * time.Second
 	cfg.Soak = bootTime
@@ -298,6 +309,20 @@
 	}
 }
 
+// outOnce requires that each VM was taken out of service exactly once.
+func (f *fleet) outOnce() {
+	f.t.Helper()
+	times := make(map[string]int)
+	for _, e := range f.history() {
+		if e.State == mslog.VMDraining {
+			times[e.VM]++
+		}
+	}
+	for _, u := range f.upstreams {
+		require.Equal(f.t, 1, times[u.Name], "drains of %s", u.Name)
+	}
+}
+
 // overrun counts requests that still ran when their VM came into another pool.
 func overrun(l msstandin.Journal, owners []msstandin.Ownership) int {
 	n := 0
--- a/msfailure/wave_test.go
+++ b/msfailure/wave_test.go
@@ -24,10 +24,13 @@
 		frozen := f.driver()
 		frozen.signal(syscall.SIGSTOP)
 		pause(6 * time.Second)
+		f.awaitWave("the wave ends without the frozen entry", hasEnded)
 		frozen.signal(syscall.SIGCONT)
-		f.awaitWave("the wave ends", hasEnded)
+		pause(2 * time.Second)
+		f.awaitReady(frozen)
 	})
 	f.rebootedOnce()
+	f.outOnce()
 	f.judgeFleet()
 }
 
@@ -46,6 +49,7 @@
 		f.platform.SetFault(msstandin.Fault{})
 	})
 	f.rebootedOnce()
+	f.outOnce()
 	f.judgeFleet()
 }
 
@@ -89,6 +93,7 @@
 		f.awaitWave("the wave ends", hasEnded)
 	})
 	f.rebootedOnce()
+	f.outOnce()
 	f.judgeFleet()
 	require.Zero(t, f.unknown(), "a planned stop cut a request")
 }
