--- a/msoperator/query.go
+++ b/msoperator/query.go
@@ -63,8 +63,9 @@
 		if !e.Outcome.Accepted {
 			continue
 		}
-		rs = append(rs, started(e)...)
-		end(rs, e)
+		joined := started(e)
+		end(rs, e, joined)
+		rs = append(rs, joined...)
 	}
 	for i := range rs {
 		if _, ok := s.Member(rs[i].Member); ok {
@@ -85,9 +86,9 @@
 	return []msaccount.Run{{Member: j.Member.ID, From: e.Time}}
 }
 
-// end marks the run that a record ends. A member that joins ends the earlier
-// run of its name.
-func end(rs []msaccount.Run, e msstate.Entry) {
+// end marks the run that a record ends. A member that has joined by it ends the
+// earlier run of its name.
+func end(rs []msaccount.Run, e msstate.Entry, joined []msaccount.Run) {
 	switch e.Outcome.Change.Kind {
 	case msstate.KindMemberLeave, msstate.KindMemberExclude:
 		var m msstate.MemberEnd
@@ -100,10 +101,16 @@
 			}
 		}
 	case msstate.KindMemberJoin:
-		for i := range rs[:len(rs)-1] {
-			if rs[i].To.IsZero() && nameOf(rs[i].Member) == nameOf(rs[len(rs)-1].Member) {
-				rs[i].To = e.Time
-			}
+		for _, j := range joined {
+			endNamed(rs, nameOf(j.Member), e.Time)
+		}
+	}
+}
+
+func endNamed(rs []msaccount.Run, name string, at time.Time) {
+	for i := range rs {
+		if rs[i].To.IsZero() && nameOf(rs[i].Member) == name {
+			rs[i].To = at
 		}
 	}
 }
