--- a/msmember/view_test.go
+++ b/msmember/view_test.go
@@ -130,6 +130,18 @@
 	require.False(t, v.Clean("b", at(18*second)))
 }
 
+func TestCleanNeedsAViewWithTheEntry(t *testing.T) {
+	v := newView("b")
+	v.SetState(&msstate.State{Next: 10, Epoch: 7, Members: []msstate.Member{{ID: "a", Since: 7}, {ID: "b"}}}, zero)
+	for d := range 8 {
+		v.Proved(at(time.Duration(d)*second), 10)
+	}
+	v.Heard(Status{Member: "b", Next: 10, Epoch: 6}, at(5*second), at(5*second))
+	require.False(t, v.Clean("b", at(7*second)), "b could prove an outage without this entry")
+	v.Heard(Status{Member: "b", Next: 10, Epoch: 7}, at(6*second), at(6*second))
+	require.True(t, v.Clean("b", at(7*second)))
+}
+
 func TestLoggedIsSaidInThePresentView(t *testing.T) {
 	v := newView("a", "b")
 	v.Heard(Status{Member: "b", Next: 10, Epoch: 1}, at(0), at(0))
--- a/msrequest/claims.go
+++ b/msrequest/claims.go
@@ -188,6 +188,9 @@
 	}
 	if old := t.claims[k]; old != nil {
 		e.released = old.released
+		if old.unlogged {
+			t.unlogged--
+		}
 	}
 	t.claims[k] = e
 	t.order = append(t.order, expiry{id: k, at: e.last})
@@ -226,9 +229,6 @@
 	if old != nil && old.outcome != OutcomeNotRun {
 		return false
 	}
-	if old != nil && old.unlogged {
-		t.unlogged--
-	}
 	t.put(k, &entry{claim: c, last: now, unlogged: true, epoch: epoch})
 	t.unlogged++
 	return true
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -166,7 +166,7 @@
 sleep 2
 say "a maintenance wave over every VM"
 "$bin/marjoramspan" wave start demo --yes --soak 300ms --boot-timeout 10s --max-run 6s --lease 2s | tail -1
-wave_ended() { "$bin/marjoramspan" wave status | grep -q ' ended '; }
+wave_ended() { "$bin/marjoramspan" wave status | grep -q ': ended,'; }
 n=0
 until wave_ended; do
 	n=$((n + 1))
