msoperator: resume forgives the VMs that the wave has lost

Cause: wave resume named no VM, so a wave that had stopped because of a lost VM counted it again at the driver's next look and stopped once more. Ruled out: the fold, which forgives what the record names; mswave.Lost was made for it and called by nobody.

--- a/msoperator/fleet_command.go
+++ b/msoperator/fleet_command.go
@@ -88,21 +88,30 @@
 
 // PauseWave stops the wave until it is resumed. VMs that are out come back.
 func (o *Operator) PauseWave(ctx context.Context, reason string) (uint64, error) {
-	return o.turnWave(ctx, "wave pause", mswave.Record{Kind: mswave.Stop, Reason: reason, Hold: true})
+	const op = "wave pause"
+	_, s, err := o.read(ctx, op)
+	if err != nil {
+		return 0, err
+	}
+	return o.wave(ctx, op, s, mswave.Record{Kind: mswave.Stop, Wave: s.Wave.Wave, Reason: reason, Hold: true})
 }
 
-// ResumeWave lets a stopped wave go on.
+// ResumeWave lets a stopped wave go on. The VMs that it has lost so far no longer
+// count towards stopping it.
 func (o *Operator) ResumeWave(ctx context.Context) (uint64, error) {
-	return o.turnWave(ctx, "wave resume", mswave.Record{Kind: mswave.Resume})
-}
-
-func (o *Operator) turnWave(ctx context.Context, op string, r mswave.Record) (uint64, error) {
+	const op = "wave resume"
+	start := o.clock().Now()
 	_, s, err := o.read(ctx, op)
 	if err != nil {
 		return 0, err
 	}
-	r.Wave = s.Wave.Wave
-	return o.wave(ctx, op, s, r)
+	t, err := o.table(ctx, op, s)
+	if err != nil {
+		return 0, err
+	}
+	view := mswave.View{Table: t, ReadAt: start, Through: s.Next}
+	lost := mswave.Lost(&s.Wave, view, o.clock().Now())
+	return o.wave(ctx, op, s, mswave.Record{Kind: mswave.Resume, Wave: s.Wave.Wave, VMs: lost})
 }
 
 // wave writes a record decided on s.
