--- a/msoperator/fleet_command.go
+++ b/msoperator/fleet_command.go
@@ -96,22 +96,15 @@
 	return o.wave(ctx, op, s, mswave.Record{Kind: mswave.Stop, Wave: s.Wave.Wave, Reason: reason, Hold: true})
 }
 
-// ResumeWave lets a stopped wave go on. The VMs that it has lost so far no longer
-// count towards stopping it.
+// ResumeWave lets a stopped wave go on. The VMs that are lost so far no longer
+// count against it.
 func (o *Operator) ResumeWave(ctx context.Context) (uint64, error) {
 	const op = "wave resume"
-	start := o.clock().Now()
 	_, s, err := o.read(ctx, op)
 	if err != nil {
 		return 0, err
 	}
-	t, err := o.table(ctx, op, s)
-	if err != nil {
-		return 0, err
-	}
-	view := mswave.View{Table: t, ReadAt: start, Through: s.Next}
-	lost := mswave.Lost(&s.Wave, view, o.clock().Now())
-	return o.wave(ctx, op, s, mswave.Record{Kind: mswave.Resume, Wave: s.Wave.Wave, VMs: lost})
+	return o.wave(ctx, op, s, mswave.Record{Kind: mswave.Resume, Wave: s.Wave.Wave})
 }
 
 // wave writes a record decided on s.
