msentry: a VM that moved away is wanted no more

Cause, by reading: a pool told the ledger of the VMs that it has; what it had wanted and was due of a VM that moved away stayed, and its home would have kept tokens here. Change: both are taken back when the pool's VMs change. Seen failing: TestVMThatMovedAwayIsWantedNoMore with the loop left out.

--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -76,6 +76,12 @@
 func (p *pool) configure(names []string, slots int, shares []msteam.Share, maxWaiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, old := range p.names {
+		if !slices.Contains(names, old) {
+			p.ledger.Want(msstate.SlotResource(old), 0)
+			p.ledger.Due(msstate.SlotResource(old), 0)
+		}
+	}
 	p.names = names
 	p.slots = slots
 	p.sched.Capacity = slots * len(names)
--- a/msentry/pool_test.go
+++ b/msentry/pool_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+func TestVMThatMovedAwayIsWantedNoMore(t *testing.T) {
+	h := newPoolHarness()
+	for id := range uint64(8) {
+		_, err := h.p.enter(msteam.Waiter{ID: id + 1, Team: "a", Arrived: h.now}, h.now)
+		require.NoError(t, err)
+	}
+	require.Positive(t, h.p.ledger.Counts("slot/vm-1").Want)
+	h.p.configure([]string{"vm-2"}, 2, nil, 100)
+	require.Zero(t, h.p.ledger.Counts("slot/vm-1").Want)
+	require.Zero(t, h.p.ledger.Counts("slot/vm-1").Due)
+}
+
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	h := newPoolHarness()
 	h.p.vms.setLeaving("vm-1", h.now)
