msstate: the audit begins at the oldest record, and all reports count

Cause: the demo in a fresh clone printed an account of 1557 of 6000 requests that agreed and had no gap. An account that agrees with itself can still be incomplete.

--- a/msaccount/account_test.go
+++ b/msaccount/account_test.go
@@ -85,6 +85,16 @@
 	require.Empty(t, Summarize(rs, []Run{run}, zero.Add(time.Minute)).Gaps)
 }
 
+func TestReportsOfAMemberWithoutARunCount(t *testing.T) {
+	l := &Ledger{Member: "e", Start: zero}
+	l.Ask()
+	l.Tell(Row{Team: "t", Outcome: Answered}, zero)
+	rs := l.Close(zero.Add(10*time.Second), false)
+	s := Summarize(rs, nil, zero.Add(time.Minute))
+	require.Equal(t, 1, s.Answered)
+	require.Equal(t, 1, s.Asked)
+}
+
 func TestRunningEntryThatFellSilentIsAGap(t *testing.T) {
 	l := &Ledger{Member: "e", Start: zero}
 	rs := l.Close(zero.Add(10*time.Second), false)
--- a/msaccount/summary.go
+++ b/msaccount/summary.go
@@ -52,7 +52,7 @@
 	}
 	var s Summary
 	sums := make(map[Row]int)
-	for _, run := range runs {
+	for _, run := range withUnknown(runs, byMember) {
 		rs := byMember[run.Member]
 		slices.SortFunc(rs, func(a, b Report) int { return int(a.Seq) - int(b.Seq) })
 		s.add(rs, sums)
@@ -66,6 +66,26 @@
 	return s
 }
 
+// withUnknown adds a run for each member that has reported and is in none of the
+// runs, from its first report to its last: what was reported always counts.
+func withUnknown(runs []Run, byMember map[string][]Report) []Run {
+	all := slices.Clone(runs)
+	for member, rs := range byMember {
+		if slices.ContainsFunc(runs, func(r Run) bool { return r.Member == member }) {
+			continue
+		}
+		run := Run{Member: member, From: rs[0].From, To: rs[0].To}
+		for _, r := range rs {
+			if r.From.Before(run.From) {
+				run.From = r.From
+			}
+			run.To = laterOf(run.To, r.To)
+		}
+		all = append(all, run)
+	}
+	return all
+}
+
 func (s *Summary) add(rs []Report, sums map[Row]int) {
 	for _, r := range rs {
 		s.Asked += r.Asked
--- a/msstate/read.go
+++ b/msstate/read.go
@@ -56,6 +56,16 @@
 	return Boot(r.First, r.Records)
 }
 
+// present returns an entry for each member of the state that an audit starts at.
+func (r Reading) present(s *State) []Entry {
+	var entries []Entry
+	for _, m := range s.Members {
+		out := Outcome{Version: m.Since, Accepted: true, Change: NewChange(KindMemberJoin, "snapshot", 0, MemberJoin{Member: m})}
+		entries = append(entries, Entry{Time: r.Records[0].Time, Outcome: out})
+	}
+	return entries
+}
+
 // Entry is one line of the audit trail: a record and what became of it.
 type Entry struct {
 	Time    time.Time `json:"time"`
@@ -63,14 +73,15 @@
 	Outcome Outcome   `json:"outcome"`
 }
 
-// Audit folds the reading and returns what became of each record that could be
-// folded, and the state at the end.
+// Audit folds the reading from its oldest record that can be folded and returns
+// what became of each, and the state at the end. Members of the state before
+// come first, as entries that join again at the time of the oldest record.
 func (r Reading) Audit() ([]Entry, *State, error) {
-	s, err := start(r.First, r.Records)
+	s, err := oldest(r.First, r.Records)
 	if err != nil {
 		return nil, nil, err
 	}
-	var entries []Entry
+	entries := r.present(s)
 	for _, rec := range r.Records {
 		if rec.Offset < s.Next {
 			continue
--- a/msstate/snapshot.go
+++ b/msstate/snapshot.go
@@ -53,6 +53,21 @@
 	return s, nil
 }
 
+// oldest is the state before the oldest record that can be folded: nothing, or
+// that of the oldest snapshot that joins up.
+func oldest(first uint64, records []mslog.Record) (*State, error) {
+	if first == 0 {
+		return &State{}, nil
+	}
+	for _, r := range records {
+		s, err := Restore(r)
+		if err == nil && s.Next >= first {
+			return s, nil
+		}
+	}
+	return start(first, records)
+}
+
 func start(first uint64, records []mslog.Record) (*State, error) {
 	for i := len(records) - 1; i >= 0; i-- {
 		s, err := Restore(records[i])
--- a/msstate/state_test.go
+++ b/msstate/state_test.go
@@ -92,6 +92,32 @@
 	require.ErrorContains(t, err, "no snapshot joins up")
 }
 
+func TestAuditBeginsAtTheOldestRecord(t *testing.T) {
+	s := &State{}
+	var log []mslog.Record
+	add := func(id string, c Change) {
+		r := record(s, id, c)
+		_, err := s.Apply(r)
+		require.NoError(t, err)
+		log = append(log, r)
+	}
+	add("1", NewChange(KindMemberJoin, "a", 0, MemberJoin{Member: member("a-1", "a")}))
+	add("2", NewSnapshot(s, "a"))
+	add("3", NewChange(KindMemberJoin, "b", 0, MemberJoin{Member: member("b-1", "b")}))
+	add("4", NewSnapshot(s, "a"))
+	add("5", publish(0, rulesOf(1)))
+	entries, end, err := Reading{Records: log}.Audit()
+	require.NoError(t, err)
+	require.Len(t, entries, 5, "a snapshot hides no record before it")
+	require.Equal(t, s.Checksum(), end.Checksum())
+	entries, end, err = Reading{First: 1, Records: log[1:]}.Audit()
+	require.NoError(t, err)
+	require.Equal(t, s.Checksum(), end.Checksum())
+	require.Len(t, entries, 5)
+	require.Contains(t, string(entries[0].Outcome.Change.Body), "a-1", "a member of the snapshot shows as present")
+	require.Contains(t, string(entries[2].Outcome.Change.Body), "b-1")
+}
+
 func TestDamagedSnapshotIsPassedOver(t *testing.T) {
 	s := &State{}
 	r0 := record(s, "1", publish(0, rulesOf(1)))
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -179,7 +179,13 @@
 say "all asked; the entries' own account:"
 sleep 3
 "$bin/marjoramspan" status
-"$bin/marjoramspan" refusals | tail -12
+"$bin/marjoramspan" refusals >"$work/account.txt"
+tail -12 "$work/account.txt"
+# The killed entry takes the counts of its last 2 s with it, and must leave a gap.
+asked=$(sed -n 's/^asked=\([0-9]*\) .*/\1/p' "$work/account.txt")
+grep -q ' agrees=true ' "$work/account.txt" || { say "the account does not agree"; exit 1; }
+grep -q '^gap: ' "$work/account.txt" || { say "the killed entry left no gap in the account"; exit 1; }
+[ "$asked" -ge 5500 ] || { say "the account knows of $asked requests only"; exit 1; }
 say "the verdict, from the upstreams' journals and the callers' records:"
 # shellcheck disable=SC2086
 "$bin/marjoramstandin" judge --plan "$work/plan.json" --records "$work/records.jsonl" $journals
