--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -38,6 +38,7 @@
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run the daemon of an entry VM."`
+	Platform platformCmd `cmd:"" help:"Run the daemon of an entry VM on the users' platform."`
 	Settings settingsCmd `cmd:"" help:"Check or show the daemon's settings."`
 	Rules    rulesCmd    `cmd:"" help:"Check, compare, publish or show the rules."`
 	Keys     keysCmd     `cmd:"" help:"Give, withdraw or list keys."`
--- /dev/null
+++ b/cmd/marjoramspan/platform.go
@@ -0,0 +1,383 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msintake"
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+	"marjoramspan/msleader"
+	"marjoramspan/msoutput"
+	"marjoramspan/msscheduler"
+	"marjoramspan/mssite"
+	"marjoramspan/msworker"
+	"marjoramspan/platform"
+)
+
+const (
+	// The streams of the system itself.
+	streamJobs   = "ms-jobs"
+	streamLeader = "ms-leader"
+
+	// metricsPort is the port of the metrics, as the deploy file names it.
+	metricsPort = 7001
+	// logConnections and workerConnections bound the connections to one address. A
+	// read that waits keeps one busy.
+	logConnections    = 12
+	workerConnections = 6
+	// readerPause is the pause between two reads of an entry that doesn't schedule;
+	// it bounds how late callers see a job's state.
+	readerPause = 150 * time.Millisecond
+	// leaderPause is the same for the entry that schedules.
+	leaderPause = 4 * time.Millisecond
+	// keyLeaseShare is the share of the time for withdrawing a key for which an
+	// entry goes on without knowing that its keys are in force.
+	keyLeaseShare = 0.7
+	// balancerLag is how long the balancer may still send after an entry has said
+	// that it isn't ready: two questions, a second apart, and some for the way.
+	balancerLag = 2800 * time.Millisecond
+	// readyAge is how old an entry's view may be for it to be ready.
+	readyAge = 4 * time.Second
+	// settingsPoll is the time between two looks at the settings file.
+	settingsPoll = time.Second
+	// heapShare is the share of the memory limit that the heap may grow to.
+	heapShare = 0.6
+	// platformGCPercent keeps the heap small; memory is scarcer than processor time.
+	platformGCPercent = 100
+	// readHeaderTimeout bounds the wait for a caller's headers.
+	readHeaderTimeout = 10 * time.Second
+)
+
+type platformCmd struct {
+	Settings string `env:"MARJORAMSPAN_BOOT" required:"" help:"The platform's settings file (YAML)."`
+	Level    string `default:"info" help:"The lowest level of log lines: debug, info, warn or error."`
+}
+
+// Run serves on the users' platform until ctx is done.
+func (c *platformCmd) Run(ctx context.Context) error {
+	set, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	clock := &msclock.Boot{}
+	out := &msoutput.Writer{Out: os.Stdout, Clock: clock}
+	logger, err := newPlatformLogger(out, c.Level)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Sync() }()
+	klog.SetLogger(kratosLog{log: logger})
+	debug.SetGCPercent(platformGCPercent)
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Memory) * heapShare))
+	}
+	n := &node{path: c.Settings, clock: clock, log: logger.With(zap.String("entry", set.Name))}
+	n.set.Store(set)
+	n.build()
+	return n.run(ctx)
+}
+
+func newPlatformLogger(out *msoutput.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.AddSync(out), l)), nil
+}
+
+// node is one entry on the users' platform: it takes jobs, and schedules them
+// while it leads.
+type node struct {
+	path  string
+	clock *msclock.Boot
+	log   *zap.Logger
+	set   atomic.Pointer[platform.Settings]
+
+	reg      *prometheus.Registry
+	journal  msjournal.Log
+	sites    mssite.Holder
+	registry msworker.Registry
+	jobs     msjob.Table
+
+	operators, workers, records *msjournal.Follower
+	writer                      *msjournal.Writer
+	leader                      *msleader.Leader
+	intake                      *msintake.Intake
+	metrics                     *msscheduler.Metrics
+	orders                      msworker.Orders
+	vms                         msworker.VMs
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	engine   *msscheduler.Engine
+}
+
+func (n *node) build() {
+	set := n.set.Load()
+	n.reg = prometheus.NewRegistry()
+	n.metrics = msscheduler.NewMetrics(n.reg)
+	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().Log }}
+	n.journal = logClient.Log()
+	n.orders = (&platform.OrderClient{Client: platform.NewClient(workerConnections)}).Orders()
+	n.vms = (&platform.VMClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().VMs }}).VMs()
+	name := msjournal.ProducerName(set.Name, n.clock.Now(), rand.Uint64())
+	n.operators = n.follower(platform.StreamOperators, func(r msjournal.Record) error { return platform.ApplyOperators(&n.sites, r) }, func() {})
+	n.workers = n.follower(platform.StreamWorkers, func(r msjournal.Record) error { return platform.ApplyWorkers(&n.registry, r) }, n.registry.Reset)
+	n.records = n.follower(streamJobs, func(r msjournal.Record) error {
+		return n.jobs.Apply(msjob.Record{Key: r.Key, Value: r.Value})
+	}, n.jobs.Reset)
+	n.records.Pause = func() time.Duration {
+		if n.scheduler() != nil {
+			return leaderPause
+		}
+		return readerPause
+	}
+	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
+	n.leader = &msleader.Leader{
+		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
+		Holder: name, Jitter: rand.Float64, Lead: n.lead,
+	}
+	n.intake = &msintake.Intake{
+		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
+		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.Current,
+		Metrics: msintake.NewMetrics(n.reg),
+	}
+	if b := set.Bounds; b.StrictKeys {
+		n.intake.SiteLease = time.Duration(float64(b.KeyWithdrawal) * keyLeaseShare)
+	}
+	n.jobs.OnJob = func(j msjob.Entry) {
+		if e := n.scheduler(); e != nil {
+			e.AddJob(j)
+		}
+	}
+	n.jobs.OnCancel = func(id string) {
+		if e := n.scheduler(); e != nil {
+			e.Cancel(id)
+		}
+	}
+	n.sites.OnChange = func(s *mssite.Site) {
+		n.log.Info("site in force", zap.Int64("version", s.Version), zap.Int("queues", len(s.Queues)), zap.Int("teams", len(s.Teams)))
+	}
+}
+
+func (n *node) follower(stream string, apply func(r msjournal.Record) error, reset func()) *msjournal.Follower {
+	return &msjournal.Follower{
+		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: stream, Reset: reset,
+		Apply: func(r msjournal.Record, offset int64) {
+			if err := apply(r); err != nil {
+				n.log.Warn("record left aside", zap.String("stream", stream), zap.Int64("offset", offset), zap.Error(err))
+			}
+		},
+	}
+}
+
+// scheduler returns the engine of the current term, or nil.
+func (n *node) scheduler() *msscheduler.Engine {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.engine
+}
+
+// lead schedules for one term.
+func (n *node) lead(ctx context.Context, t msleader.Term) error {
+	set := n.set.Load()
+	b := set.Bounds
+	e := &msscheduler.Engine{
+		Term: t, Holder: set.Name, Log: n.journal, Stream: streamJobs, Jobs: &n.jobs, Journal: n.records,
+		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Sites: &n.sites, Report: n.report,
+		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
+		Settings: msscheduler.Settings{
+			LongestLease: b.LongestLease, StatusKept: b.StatusKept, Early: b.Early, Notice: b.Notice,
+			HolderPause: b.HolderPause, MaintenanceTime: b.MaintenanceTime, MoveTime: b.MoveTime,
+			Harm: b.Harm, VMOrders: set.VMOrders,
+		},
+	}
+	n.setScheduler(e)
+	defer n.setScheduler(nil)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wctx, cancel := context.WithCancel(ctx)
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		defer close(stop)
+		_ = n.workers.Run(wctx)
+	}()
+	defer wg.Wait()
+	defer cancel()
+	return e.Run(ctx)
+}
+
+func (n *node) setScheduler(e *msscheduler.Engine) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.engine = e
+}
+
+// report tells operators how a wave stands.
+func (n *node) report(ctx context.Context, wave int64, completed bool) error {
+	r, err := platform.WaveReport(wave, completed)
+	if err != nil {
+		return err
+	}
+	rctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, err = n.journal.Append(rctx, msjournal.Append{Stream: platform.StreamReports, Records: []msjournal.Record{r}})
+	return err
+}
+
+func (n *node) run(ctx context.Context) error {
+	set := n.set.Load()
+	n.log.Info("started", zap.String("data-centre", set.DataCentre), zap.String("callers", set.Callers), zap.String("log", set.Log))
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", set.Callers)
+	if err != nil {
+		return err
+	}
+	g := &run.Group{}
+	add := func(name string, part func(ctx context.Context) error) {
+		pctx, cancel := context.WithCancel(base)
+		g.Add(func() error {
+			err := part(pctx)
+			if err != nil {
+				n.log.Error("part failed", zap.String("part", name), zap.Error(err))
+			}
+			return err
+		}, func(error) { cancel() })
+	}
+	add("operators", n.operators.Run)
+	add("jobs", n.records.Run)
+	add("writer", n.writer.Run)
+	// The leader gives up its term with ctx, while the entry goes on answering.
+	add("leader", func(pctx context.Context) error {
+		lctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(pctx, cancel)()
+		if err := n.leader.Run(lctx); err != nil {
+			return err
+		}
+		<-pctx.Done()
+		return nil
+	})
+	add("settings", n.watchSettings)
+	n.addServer(g, set.Ready, http.HandlerFunc(n.serveReady))
+	n.addServer(g, net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
+	add("callers", func(pctx context.Context) error { return n.serveCallers(ctx, pctx, callers) })
+	err = g.Run()
+	n.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func (n *node) addServer(g *run.Group, address string, h http.Handler) {
+	srv := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	g.Add(func() error {
+		err := srv.ListenAndServe()
+		n.log.Warn("listener ended", zap.String("address", address), zap.Error(err))
+		return err
+	}, func(error) { _ = srv.Close() })
+}
+
+func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	now := n.clock.Now()
+	if n.draining.Load() || n.sites.Site() == nil || now.Sub(n.operators.Current()) > readyAge || now.Sub(n.records.Current()) > readyAge {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveCallers answers until outer is done and the balancer sends no more, or
+// until inner is done.
+func (n *node) serveCallers(outer, inner context.Context, l net.Listener) error {
+	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
+		// Without an endpoint kratos asks the kernel for interfaces, which the
+		// platform's VMs don't answer.
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
+	h := &platform.Callers{Intake: n.intake}
+	srv.HandlePrefix("/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	}))
+	srv.ReadHeaderTimeout = readHeaderTimeout
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Start(context.WithoutCancel(inner)) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-inner.Done():
+		return srv.Close()
+	case <-outer.Done():
+	}
+	n.draining.Store(true)
+	n.log.Info("draining", zap.Duration("lag", balancerLag))
+	_ = msclock.Sleep(inner, n.clock, balancerLag)
+	sctx, cancel := context.WithTimeout(inner, n.set.Load().Bounds.Grace-balancerLag-stopMargin)
+	defer cancel()
+	if err := srv.Stop(sctx); err != nil {
+		n.log.Warn("requests were still open", zap.Error(err))
+	}
+	return nil
+}
+
+// stopMargin is kept free before the process is killed.
+const stopMargin = 700 * time.Millisecond
+
+// watchSettings reads the settings file when it has changed, on SIGHUP at once.
+func (n *node) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	last, err := os.ReadFile(n.path)
+	if err != nil {
+		n.log.Warn("settings not read", zap.Error(err))
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		case <-n.clock.After(settingsPoll):
+		}
+		b, err := os.ReadFile(n.path)
+		if err != nil || bytes.Equal(b, last) {
+			continue
+		}
+		last = b
+		set, err := platform.LoadSettings(n.path)
+		if err != nil {
+			n.log.Warn("settings kept as they were", zap.Error(err))
+			continue
+		}
+		n.set.Store(set)
+		n.log.Info("settings reloaded", zap.String("log", set.Log))
+	}
+}
--- /dev/null
+++ b/msjob/record.go
@@ -0,0 +1,64 @@
+package msjob
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// The records of a job are kept by key: the newest of each key counts.
+const (
+	prefixJob      = "job/"
+	prefixProgress = "progress/"
+	prefixCancel   = "cancel/"
+	// KeyLoad is the key of the newest Load.
+	KeyLoad = "load"
+)
+
+// Record is a key and its value. A record without value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// JobRecord is the record that accepts a job.
+func JobRecord(j *Job) (Record, error) {
+	return encode(prefixJob+j.ID, j.ID, j)
+}
+
+// ProgressRecord is the record of a job's progress.
+func ProgressRecord(id string, p *Progress) (Record, error) {
+	return encode(prefixProgress+id, id, p)
+}
+
+// CancelRecord is the record that cancels a job.
+func CancelRecord(id string) Record {
+	return Record{Key: prefixCancel + id, Value: []byte("{}")}
+}
+
+// ForgetRecords drop all records of a job. The job's own goes last, so that no
+// reader sees a job without the progress that it made.
+func ForgetRecords(id string) []Record {
+	return []Record{{Key: prefixProgress + id}, {Key: prefixCancel + id}, {Key: prefixJob + id}}
+}
+
+// LoadRecord is the record of the queues' load.
+func LoadRecord(l *Load) (Record, error) {
+	return encode(KeyLoad, KeyLoad, l)
+}
+
+func encode(key, id string, v any) (Record, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return Record{}, &Error{Job: id, Reason: "its record can't be written", Err: err}
+	}
+	return Record{Key: key, Value: b}, nil
+}
+
+// splitKey returns the kind of record and the job's id.
+func splitKey(key string) (kind, id string) {
+	i := strings.IndexByte(key, '/')
+	if i < 0 {
+		return key, ""
+	}
+	return key[:i+1], key[i+1:]
+}
--- /dev/null
+++ b/msjob/table.go
@@ -0,0 +1,238 @@
+package msjob
+
+import (
+	"encoding/json"
+	"sync"
+)
+
+// Entry is a job of a Table. Its parts are replaced, never changed.
+type Entry struct {
+	Job      *Job
+	Progress *Progress
+	// Canceled says that a caller cancelled the job.
+	Canceled bool
+}
+
+// State is how a caller sees the job.
+func (e *Entry) State() State {
+	switch {
+	case e.Progress != nil && e.Progress.State.Final():
+		return e.Progress.State
+	case e.Canceled:
+		return Canceled
+	case e.Progress != nil && e.Progress.Started:
+		return Running
+	}
+	return Queued
+}
+
+// Load is how much work waits in front of each pool, as the scheduler sees it.
+type Load struct {
+	// Pools has the load of each pool by name.
+	Pools map[string]PoolLoad `json:"pools"`
+}
+
+// PoolLoad is the load of one pool.
+type PoolLoad struct {
+	// Cores is the processor capacity that may be used, in thousandths of a core.
+	Cores int64 `json:"cores"`
+	// Free is what of it no task has, and Backlog the estimated work of accepted
+	// jobs that isn't done, in core-seconds.
+	Free    int64   `json:"free"`
+	Backlog float64 `json:"backlog"`
+}
+
+// Table is the fold of the job records. The zero value is empty. It is safe for
+// concurrent use.
+type Table struct {
+	// OnJob and OnCancel, if set, are told of jobs and cancels that are new to
+	// the table. They are called without locks held.
+	OnJob    func(e Entry)
+	OnCancel func(id string)
+
+	mu     sync.Mutex
+	jobs   map[string]*Entry
+	orphan map[string]Entry
+	load   Load
+}
+
+// Apply folds a record. A record that can't be read, or that fits no job, is
+// left aside and reported.
+func (t *Table) Apply(r Record) error {
+	kind, id := splitKey(r.Key)
+	switch kind {
+	case prefixJob:
+		return t.applyJob(id, r.Value)
+	case prefixProgress:
+		return t.applyProgress(id, r.Value)
+	case prefixCancel:
+		t.applyCancel(id, len(r.Value) == 0)
+		return nil
+	case KeyLoad:
+		return t.applyLoad(r.Value)
+	}
+	return &Error{Job: id, Reason: "unknown kind of record " + kind}
+}
+
+func (t *Table) applyJob(id string, value []byte) error {
+	if len(value) == 0 {
+		t.mu.Lock()
+		delete(t.jobs, id)
+		delete(t.orphan, id)
+		t.mu.Unlock()
+		return nil
+	}
+	j := &Job{}
+	if err := json.Unmarshal(value, j); err != nil {
+		return &Error{Job: id, Reason: "its record can't be read", Err: err}
+	}
+	if err := j.Check(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	if t.jobs[id] != nil {
+		// The same job came again through another entry; the first one counts.
+		t.mu.Unlock()
+		return nil
+	}
+	if t.jobs == nil {
+		t.jobs = map[string]*Entry{}
+	}
+	e := t.orphan[id]
+	delete(t.orphan, id)
+	e.Job = j
+	if e.Progress != nil && !e.Progress.fits(j) {
+		e.Progress = nil
+	}
+	t.jobs[id] = &e
+	fn := t.OnJob
+	copied := e
+	t.mu.Unlock()
+	if fn != nil {
+		fn(copied)
+	}
+	return nil
+}
+
+func (t *Table) applyProgress(id string, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	p := &Progress{}
+	if err := json.Unmarshal(value, p); err != nil {
+		return &Error{Job: id, Reason: "its progress can't be read", Err: err}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[id]
+	if e == nil {
+		// Pages of the newest records come in no order: the job may follow.
+		o := t.orphan[id]
+		o.Progress = p
+		t.keepOrphan(id, o)
+		return nil
+	}
+	if !p.fits(e.Job) {
+		return &Error{Job: id, Reason: "its progress doesn't fit its steps"}
+	}
+	e.Progress = p
+	return nil
+}
+
+func (t *Table) applyCancel(id string, dropped bool) {
+	if dropped {
+		return
+	}
+	t.mu.Lock()
+	e := t.jobs[id]
+	if e == nil {
+		o := t.orphan[id]
+		o.Canceled = true
+		t.keepOrphan(id, o)
+		t.mu.Unlock()
+		return
+	}
+	isNew := !e.Canceled
+	e.Canceled = true
+	fn := t.OnCancel
+	t.mu.Unlock()
+	if isNew && fn != nil {
+		fn(id)
+	}
+}
+
+// maxOrphans bounds what is kept for jobs that haven't been seen.
+const maxOrphans = 10_000
+
+func (t *Table) keepOrphan(id string, e Entry) {
+	if t.orphan == nil {
+		t.orphan = map[string]Entry{}
+	}
+	if len(t.orphan) < maxOrphans {
+		t.orphan[id] = e
+	}
+}
+
+func (t *Table) applyLoad(value []byte) error {
+	l := Load{}
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &l); err != nil {
+			return &Error{Job: KeyLoad, Reason: "the load can't be read", Err: err}
+		}
+	}
+	t.mu.Lock()
+	t.load = l
+	t.mu.Unlock()
+	return nil
+}
+
+// Reset forgets all, before the newest records are read anew.
+func (t *Table) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.jobs, t.orphan, t.load = nil, nil, Load{}
+}
+
+// Job returns a job and whether it is known.
+func (t *Table) Job(id string) (Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[id]
+	if e == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Load returns the newest load that the scheduler published.
+func (t *Table) Load() Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load
+}
+
+// Each calls fn with every job.
+func (t *Table) Each(fn func(e Entry)) {
+	t.mu.Lock()
+	all := make([]Entry, 0, len(t.jobs))
+	for _, e := range t.jobs {
+		all = append(all, *e)
+	}
+	t.mu.Unlock()
+	for _, e := range all {
+		fn(e)
+	}
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (t *Table) Pending(queue string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range t.jobs {
+		if e.Job.Queue == queue && e.State() == Queued {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/msscheduler/engine.go
@@ -0,0 +1,409 @@
+// Package msscheduler runs accepted jobs on workers for the time of one leader's
+// term.
+//
+// An Engine takes over what the records say, raises the fencing token at every
+// worker, and compares what the workers list with what the records say, worker by
+// worker, before it places anything there. From then on it is a loop of one pass
+// at a time: gather what is new, decide, store the changed progress in one append,
+// and only then send the orders that rest on it. So a successor finds in the
+// records every attempt that may run anywhere.
+package msscheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+	"marjoramspan/msleader"
+	"marjoramspan/mssite"
+	"marjoramspan/msworker"
+)
+
+// Settings are the times that the platform's contract states.
+type Settings struct {
+	// LongestLease bounds the lease of what runs on a worker.
+	LongestLease time.Duration
+	// StatusKept is how long the state of an ended job can be asked for.
+	StatusKept time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// Notice is how long a lasting task may be not at work before it counts as away.
+	Notice time.Duration
+	// HolderPause is the least time between VM orders of two holders.
+	HolderPause time.Duration
+	// MaintenanceTime and MoveTime are how long a VM is away for each.
+	MaintenanceTime, MoveTime time.Duration
+	// Harm is how long a lasting task may be over its target.
+	Harm time.Duration
+	// VMOrders is how many orders a second the VM service takes.
+	VMOrders float64
+}
+
+const (
+	// maxLease is the longest lease granted. Work on a worker that went silent is
+	// started anew after it, and a change of the leader has to fit in.
+	maxLease = 5 * time.Second
+	// holdover is how long after the end of a valid term leases are still renewed.
+	// While the whole log is away nobody else can lead, and work should go on.
+	holdover = 12 * time.Second
+	// tick is the longest pause between two passes.
+	tick = 200 * time.Millisecond
+	// storeTimeout bounds one try of an append.
+	storeTimeout = 600 * time.Millisecond
+	// storePause is the pause between two tries.
+	storePause = 40 * time.Millisecond
+	// producer is the name under which a leader appends; its epoch is the term's.
+	producer = "scheduler"
+)
+
+// Engine schedules for one term. Its fields are set before Run.
+type Engine struct {
+	Term     msleader.Term
+	Holder   string
+	Log      msjournal.Log
+	Stream   string
+	Jobs     *msjob.Table
+	Journal  *msjournal.Follower
+	Registry *msworker.Registry
+	Orders   msworker.Orders
+	VMs      msworker.VMs
+	Sites    *mssite.Holder
+	// Report tells operators how a wave stands.
+	Report func(ctx context.Context, wave int64, completed bool) error
+	// Clock counts suspension; Wall is the time of day.
+	Clock    msclock.Clock
+	Wall     msclock.Clock
+	Logger   *zap.Logger
+	Metrics  *Metrics
+	Settings Settings
+
+	begun    time.Time
+	sequence int64
+	wake     chan struct{}
+	deposed  chan error
+
+	// mu guards all below and everything that jobs, workers and runs hold. No call
+	// of another package that takes a lock of its own is made while it is held,
+	// but for reads of the term and the site.
+	mu      sync.Mutex
+	jobs    map[string]*job
+	workers map[string]*worker
+	runs    map[runKey]*run
+	teams   map[string]msjob.Resources
+	group   sync.WaitGroup
+	ctx     context.Context
+	loadAt  time.Time
+	load    msjob.Load
+	upkeep  upkeep
+	fleet   fleet
+}
+
+// job is a job that has not ended, or whose end is not forgotten yet.
+type job struct {
+	def      *msjob.Job
+	p        *msjob.Progress
+	canceled bool
+	// dirty says that the progress has changed since it was last stored.
+	dirty bool
+	// broken has, by step and attempt of a gang, that its failure is counted.
+	broken map[gangKey]bool
+	// retryAt has when a task may be placed again.
+	retryAt map[msjob.TaskID]time.Time
+	// avoid has the workers on which a task has failed.
+	avoid map[msjob.TaskID]map[string]bool
+}
+
+type gangKey struct {
+	occurrence, step, attempt int
+}
+
+type runKey struct {
+	task    msjob.TaskID
+	attempt int
+}
+
+// Run schedules until ctx is done or another term has begun, which it returns as
+// an error.
+func (e *Engine) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer e.group.Wait()
+	defer cancel()
+	e.ctx = ctx
+	e.begun = e.Clock.Now()
+	e.wake = make(chan struct{}, 1)
+	e.deposed = make(chan error, 1)
+	e.jobs, e.workers, e.runs = map[string]*job{}, map[string]*worker{}, map[runKey]*run{}
+	e.teams = map[string]msjob.Resources{}
+	if err := e.takeOver(ctx); err != nil {
+		return err
+	}
+	e.group.Add(1)
+	go func() {
+		defer e.group.Done()
+		e.manageVMs(ctx)
+	}()
+	return e.loop(ctx)
+}
+
+// takeOver shuts out earlier leaders from the journal, then reads it to its end.
+func (e *Engine) takeOver(ctx context.Context) error {
+	if err := e.store(ctx, nil); err != nil {
+		return err
+	}
+	for {
+		err := e.Journal.Sync(ctx)
+		if err == nil {
+			break
+		}
+		if msclock.Sleep(ctx, e.Clock, storePause) != nil {
+			return ctx.Err()
+		}
+	}
+	n := 0
+	e.Jobs.Each(func(entry msjob.Entry) {
+		e.AddJob(entry)
+		n++
+	})
+	e.Logger.Info("journal taken over", zap.Int64("epoch", e.Term.Epoch), zap.Int("jobs", n), zap.Int64("version", e.Journal.Next()))
+	return nil
+}
+
+func (e *Engine) loop(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		now := e.Clock.Now()
+		b := e.pass(now)
+		e.mu.Unlock()
+		if err := e.commit(ctx, b); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-e.deposed:
+			return err
+		case <-e.wake:
+		case <-e.Clock.After(tick):
+		}
+	}
+}
+
+// kick makes the loop pass again soon.
+func (e *Engine) kick() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// depose ends the term, as a worker has seen a higher fencing token.
+func (e *Engine) depose(err error) {
+	select {
+	case e.deposed <- err:
+	default:
+	}
+}
+
+// batch is what one pass has decided.
+type batch struct {
+	records []msjournal.Record
+	starts  []*run
+	acked   map[*worker]int64
+}
+
+// pass decides once over all that is known. The caller holds mu.
+func (e *Engine) pass(now time.Time) batch {
+	begun := e.Clock.Now()
+	e.syncWorkers(now)
+	e.expire(now)
+	b := batch{acked: map[*worker]int64{}}
+	e.beginRounds()
+	b.starts = e.place(now)
+	e.collect(&b, now)
+	e.Metrics.pass(e.Clock.Now().Sub(begun))
+	return b
+}
+
+// collect adds the records of what has changed. The caller holds mu.
+func (e *Engine) collect(b *batch, now time.Time) {
+	for id, j := range e.jobs {
+		if !j.dirty {
+			continue
+		}
+		j.dirty = false
+		r, err := msjob.ProgressRecord(id, j.p)
+		if err != nil {
+			e.Logger.Error("progress not stored", zap.String("job", id), zap.Error(err))
+			continue
+		}
+		b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+	}
+	wall := e.Wall.Now()
+	for id, j := range e.jobs {
+		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusKept+forgetMargin || e.hasRuns(j) {
+			continue
+		}
+		for _, r := range msjob.ForgetRecords(id) {
+			b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+		}
+		delete(e.jobs, id)
+	}
+	for _, w := range e.workers {
+		if w.processed > w.acked {
+			b.acked[w] = w.processed
+		}
+	}
+	if r, ok := e.loadRecord(now); ok {
+		b.records = append(b.records, r)
+	}
+}
+
+// forgetMargin is how much longer than promised an ended job is kept, as entries
+// read the records late and clocks differ.
+const forgetMargin = 20 * time.Second
+
+func (e *Engine) hasRuns(j *job) bool {
+	for k := range e.runs {
+		if k.task.Job == j.def.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// commit stores a batch, then does what rests on it.
+func (e *Engine) commit(ctx context.Context, b batch) error {
+	if len(b.records) > 0 {
+		if err := e.storeAll(ctx, b.records); err != nil {
+			return err
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for w, n := range b.acked {
+		if n > w.acked {
+			w.acked = n
+			w.release()
+		}
+	}
+	for _, r := range b.starts {
+		e.order(r)
+	}
+	return nil
+}
+
+// maxBatch bounds the records of one append, and maxBatchBytes their size.
+const (
+	maxBatch      = 400
+	maxBatchBytes = 1 << 20
+)
+
+func (e *Engine) storeAll(ctx context.Context, records []msjournal.Record) error {
+	for len(records) > 0 {
+		n, bytes := 0, 0
+		for n < len(records) && n < maxBatch && (n == 0 || bytes+len(records[n].Value) < maxBatchBytes) {
+			bytes += len(records[n].Value) + len(records[n].Key)
+			n++
+		}
+		if err := e.store(ctx, records[:n]); err != nil {
+			return err
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
+// store appends records, and tries until it is known that they are stored or that
+// another leader has shut this one out.
+func (e *Engine) store(ctx context.Context, records []msjournal.Record) error {
+	failing := false
+	for {
+		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := e.Log.Append(sctx, msjournal.Append{
+			Stream: e.Stream, Records: records,
+			Producer: producer, Epoch: e.Term.Epoch, Sequence: e.sequence,
+		})
+		cancel()
+		if err == nil {
+			if len(records) > 0 {
+				e.sequence++
+			}
+			if failing {
+				e.Logger.Info("progress is stored again", zap.Int64("epoch", e.Term.Epoch))
+			}
+			return nil
+		}
+		if kind := msjournal.KindOf(err); kind == msjournal.Fenced || kind == msjournal.Sequence {
+			return err
+		}
+		if !failing {
+			failing = true
+			e.Logger.Warn("progress not stored", zap.Int64("epoch", e.Term.Epoch), zap.Int("records", len(records)), zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case derr := <-e.deposed:
+			return derr
+		case <-e.Clock.After(storePause):
+		}
+	}
+}
+
+// lease is how long a lease is granted for.
+func (e *Engine) lease() time.Duration {
+	return min(maxLease, e.Settings.LongestLease)
+}
+
+// mayRenew says whether leases of running work may still be renewed: while the
+// term is valid, and for some time after as nobody may be able to take over.
+func (e *Engine) mayRenew() bool {
+	return e.Term.Lapsed() < holdover
+}
+
+// AddJob takes in a job that was accepted.
+func (e *Engine) AddJob(entry msjob.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addJob(entry)
+}
+
+func (e *Engine) addJob(entry msjob.Entry) {
+	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
+		return
+	}
+	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled}
+	if entry.Progress != nil {
+		j.p = entry.Progress.Clone()
+	}
+	e.jobs[j.def.ID] = j
+	if j.p.State.Final() {
+		return
+	}
+	if j.canceled {
+		e.end(j, msjob.Canceled, "")
+		return
+	}
+	e.adopt(j)
+	e.kick()
+}
+
+// Cancel ends a job that a caller has cancelled.
+func (e *Engine) Cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j := e.jobs[id]
+	if j == nil || j.canceled {
+		return
+	}
+	j.canceled = true
+	if !j.p.State.Final() {
+		e.end(j, msjob.Canceled, "")
+	}
+	e.kick()
+}
--- /dev/null
+++ b/msscheduler/load.go
@@ -0,0 +1,80 @@
+package msscheduler
+
+import (
+	"reflect"
+	"time"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+)
+
+// loadEvery is the time between two records of the load.
+const loadEvery = 300 * time.Millisecond
+
+// loadRecord returns the record of the load if it is due and has changed.
+func (e *Engine) loadRecord(now time.Time) (msjournal.Record, bool) {
+	if now.Sub(e.loadAt) < loadEvery {
+		return msjournal.Record{}, false
+	}
+	e.loadAt = now
+	l := e.measure(now)
+	if reflect.DeepEqual(l, e.load) {
+		return msjournal.Record{}, false
+	}
+	e.load = l
+	r, err := msjob.LoadRecord(&l)
+	if err != nil {
+		return msjournal.Record{}, false
+	}
+	return msjournal.Record{Key: r.Key, Value: r.Value}, true
+}
+
+// measure is the load of every pool.
+func (e *Engine) measure(now time.Time) msjob.Load {
+	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}}
+	for _, w := range e.workers {
+		if !w.usable(now) {
+			continue
+		}
+		p := l.Pools[w.Pool]
+		p.Cores += w.Capacity.CPU
+		p.Free += max(0, w.free().CPU)
+		l.Pools[w.Pool] = p
+	}
+	site := e.Sites.Site()
+	for _, j := range e.jobs {
+		if j.p.State.Final() {
+			continue
+		}
+		pool := poolOf(j.def, site)
+		p := l.Pools[pool]
+		p.Backlog += e.remaining(j, now)
+		l.Pools[pool] = p
+	}
+	for name, p := range l.Pools {
+		p.Backlog = float64(int64(p.Backlog))
+		l.Pools[name] = p
+	}
+	return l
+}
+
+// remaining is the estimated work of a job that isn't done, in core-seconds.
+func (e *Engine) remaining(j *job, now time.Time) float64 {
+	sum := 0.0
+	for _, r := range j.p.Rounds {
+		for s := range r.Steps {
+			step := &j.def.Steps[s]
+			if step.Lasting || step.Backfill {
+				continue
+			}
+			n := 0
+			for i := range r.Steps[s] {
+				if r.Steps[s][i].Phase != msjob.Done {
+					n++
+				}
+			}
+			sum += float64(n) * float64(step.Need.CPU) / 1000 * step.Estimate.Seconds()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/msscheduler/metrics.go
@@ -0,0 +1,69 @@
+package msscheduler
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+// Metrics counts what a scheduler does.
+type Metrics struct {
+	passes prometheus.Histogram
+	orders *prometheus.HistogramVec
+	ends   *prometheus.CounterVec
+	jobs   *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		passes: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marjoramspan_pass_seconds", Help: "Time of one pass of decisions.",
+			Buckets: []float64{0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1},
+		}),
+		orders: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marjoramspan_order_seconds", Help: "Time of one try of an order to a worker, by order and outcome.",
+			Buckets: []float64{0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1},
+		}, []string{"order", "outcome"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramspan_attempts_ended_total", Help: "Attempts that workers have listed as ended, by how.",
+		}, []string{"how"}),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramspan_jobs_ended_total", Help: "Jobs that have ended, by state.",
+		}, []string{"state"}),
+	}
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs)
+	return m
+}
+
+func (m *Metrics) pass(took time.Duration) {
+	if m != nil {
+		m.passes.Observe(took.Seconds())
+	}
+}
+
+func (m *Metrics) order(order string, err error, took time.Duration) {
+	if m == nil {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = msworker.ReasonOf(err).String()
+	}
+	m.orders.WithLabelValues(order, outcome).Observe(took.Seconds())
+}
+
+func (m *Metrics) end(how msworker.How) {
+	if m != nil {
+		m.ends.WithLabelValues(string(how)).Inc()
+	}
+}
+
+func (m *Metrics) job(s msjob.State) {
+	if m != nil {
+		m.jobs.WithLabelValues(s.String()).Inc()
+	}
+}
--- /dev/null
+++ b/msscheduler/place.go
@@ -0,0 +1,296 @@
+package msscheduler
+
+import (
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msplace"
+	"marjoramspan/mssite"
+	"marjoramspan/msworker"
+)
+
+// room is the workers of a pool that may take tasks, as a placement sees them.
+type room struct {
+	workers []*worker
+	view    []msplace.Worker
+}
+
+// rooms returns the usable workers of each pool.
+func (e *Engine) rooms(now time.Time) map[string]*room {
+	all := map[string]*room{}
+	for _, w := range e.workers {
+		if !w.usable(now) {
+			continue
+		}
+		r := all[w.Pool]
+		if r == nil {
+			r = &room{}
+			all[w.Pool] = r
+		}
+		r.workers = append(r.workers, w)
+	}
+	for _, r := range all {
+		sort.Slice(r.workers, func(i, k int) bool { return r.workers[i].ID < r.workers[k].ID })
+		for _, w := range r.workers {
+			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), Doubt: w.score.doubt(now)}
+			for _, run := range w.runs {
+				if s := run.step(); s != nil {
+					v.Serving += count(s.TailTarget > 0)
+					v.Backfilling += count(s.Backfill)
+				}
+			}
+			r.view = append(r.view, v)
+		}
+	}
+	return all
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// open is a job with tasks that may be placed.
+type open struct {
+	j *job
+	// due is when the job's latency objective ends.
+	due time.Time
+}
+
+// place puts waiting tasks on workers and returns the new attempts. Their starts
+// may be sent once the progress is stored. The caller holds mu.
+func (e *Engine) place(now time.Time) []*run {
+	if !e.Term.Valid() {
+		return nil
+	}
+	var jobs []open
+	for _, j := range e.jobs {
+		if !j.p.State.Final() && !j.canceled {
+			jobs = append(jobs, open{j: j, due: j.def.Accepted.Add(j.def.Objective())})
+		}
+	}
+	wall := e.Wall.Now()
+	sort.Slice(jobs, func(i, k int) bool { return before(jobs[i], jobs[k], wall) })
+	rooms := e.rooms(now)
+	site := e.Sites.Site()
+	var placed []*run
+	for _, o := range jobs {
+		placed = append(placed, e.placeJob(o.j, rooms, site, now)...)
+	}
+	return placed
+}
+
+// before orders jobs: lasting ones, then by priority, then those that can still be
+// in time, the one that is due first before others.
+func before(a, b open, now time.Time) bool {
+	if la, lb := a.j.def.Lasting(), b.j.def.Lasting(); la != lb {
+		return la
+	}
+	if a.j.def.Priority != b.j.def.Priority {
+		return a.j.def.Priority < b.j.def.Priority
+	}
+	lateA, lateB := now.After(a.due), now.After(b.due)
+	if lateA != lateB {
+		return lateB
+	}
+	if !a.due.Equal(b.due) {
+		return a.due.Before(b.due)
+	}
+	return a.j.def.ID < b.j.def.ID
+}
+
+// poolOf is the pool that runs a job now: that of its queue, while it exists.
+func poolOf(j *msjob.Job, site *mssite.Site) string {
+	if site != nil {
+		if q := site.ByName(j.Queue); q != nil {
+			return q.Pool
+		}
+	}
+	return j.Pool
+}
+
+func (e *Engine) placeJob(j *job, rooms map[string]*room, site *mssite.Site, now time.Time) []*run {
+	rm := rooms[poolOf(j.def, site)]
+	if rm == nil {
+		return nil
+	}
+	var placed []*run
+	for k := range j.p.Rounds {
+		round := j.p.Rounds[k]
+		for s := range round.Steps {
+			if round.StepDone(s) || !round.Ready(j.def, s) {
+				continue
+			}
+			placed = append(placed, e.placeStep(j, round, k, s, rm, site, now)...)
+		}
+	}
+	return placed
+}
+
+// placeStep places the waiting tasks of a step; those of a gang all or not at all.
+func (e *Engine) placeStep(j *job, round *msjob.Round, k, s int, rm *room, site *mssite.Site, now time.Time) []*run {
+	step := &j.def.Steps[s]
+	tasks := round.Steps[s]
+	var waiting []int
+	for i := range tasks {
+		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
+		if tasks[i].Phase == msjob.Waiting && !now.Before(j.retryAt[id]) {
+			waiting = append(waiting, i)
+		}
+	}
+	if len(waiting) == 0 || step.Gang && (len(waiting) < step.Count || e.gangRuns(j, k, s)) {
+		return nil
+	}
+	if n := e.teamRoom(j.def.Team, step.Need, site); n < len(waiting) {
+		if step.Gang {
+			return nil
+		}
+		waiting = waiting[:n]
+	}
+	want := msplace.Want{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
+	for key, r := range e.runs {
+		if key.task.Job == j.def.ID && key.task.Occurrence == k && key.task.Step == s {
+			want.OnWorker[r.w.ID]++
+			want.OnRack[r.w.Rack]++
+		}
+	}
+	var placed []*run
+	for _, i := range waiting {
+		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
+		want.Avoid = j.avoid[id]
+		n := msplace.Choose(want, rm.view)
+		if n < 0 {
+			break
+		}
+		placed = append(placed, e.plan(j, id, attempt(tasks, i, step.Gang), rm, n, want))
+	}
+	if step.Gang && len(placed) < len(waiting) {
+		for _, r := range placed {
+			e.unplan(r, rm)
+		}
+		return nil
+	}
+	for _, r := range placed {
+		e.assign(r, round)
+	}
+	return placed
+}
+
+// gangRuns says whether an attempt of a gang may still run somewhere.
+func (e *Engine) gangRuns(j *job, k, s int) bool {
+	for key := range e.runs {
+		if key.task.Job == j.def.ID && key.task.Occurrence == k && key.task.Step == s {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt is the number of a task's next attempt, which members of a gang share.
+func attempt(tasks []msjob.Task, i int, gang bool) int {
+	n := tasks[i].Attempt
+	if gang {
+		for k := range tasks {
+			n = max(n, tasks[k].Attempt)
+		}
+	}
+	return n + 1
+}
+
+// plan takes room for a task on the n-th worker of rm.
+func (e *Engine) plan(j *job, id msjob.TaskID, attempt int, rm *room, n int, want msplace.Want) *run {
+	w := rm.workers[n]
+	r := e.newRun(j, id, attempt, w)
+	e.addRun(r)
+	v := &rm.view[n]
+	v.Free = w.free()
+	v.Serving += count(want.Step.TailTarget > 0)
+	v.Backfilling += count(want.Step.Backfill)
+	want.OnWorker[w.ID]++
+	want.OnRack[w.Rack]++
+	return r
+}
+
+func (e *Engine) unplan(r *run, rm *room) {
+	e.dropRun(r)
+	for n, w := range rm.workers {
+		if w == r.w {
+			rm.view[n].Free = w.free()
+		}
+	}
+}
+
+// assign writes a planned attempt into the progress.
+func (e *Engine) assign(r *run, round *msjob.Round) {
+	t := &round.Steps[r.task.Step][r.task.Index]
+	t.Phase, t.Attempt, t.Worker = msjob.Assigned, r.attempt, r.w.ID
+	r.job.p.State, r.job.p.Started = msjob.Running, true
+	r.job.dirty = true
+	e.Logger.Info("attempt assigned", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
+		zap.String("worker", r.w.ID), zap.String("pool", r.w.Pool), zap.Int64("free-cpu", r.w.free().CPU))
+}
+
+// teamRoom is how many more tasks a team may have running.
+func (e *Engine) teamRoom(team string, need msjob.Resources, site *mssite.Site) int {
+	const unbounded = 1 << 30
+	if team == "" || site == nil {
+		return unbounded
+	}
+	t, ok := site.Teams[team]
+	if !ok {
+		return unbounded
+	}
+	used := e.teams[team]
+	n := int64(unbounded)
+	for _, part := range [][3]int64{
+		{t.Limit.CPU, used.CPU, need.CPU},
+		{t.Limit.Memory, used.Memory, need.Memory},
+		{t.Limit.GPUs, used.GPUs, need.GPUs},
+	} {
+		if limit, used, need := part[0], part[1], part[2]; limit > 0 && need > 0 {
+			n = min(n, max(0, limit-used)/need)
+		}
+	}
+	return int(n)
+}
+
+// score counts how attempts on a worker have ended lately.
+type score struct {
+	failures int
+	// since is when the newest failure was noted.
+	since time.Time
+}
+
+const (
+	// suspectFailures in a row, without an attempt that ended well, make a worker
+	// suspect: most tasks fail once in hundreds of attempts.
+	suspectFailures = 3
+	// suspectFor is how long a suspect worker gets no tasks while others can.
+	suspectFor = 6 * time.Second
+)
+
+func (w *worker) noteEnd(how msworker.How, now time.Time) {
+	switch how {
+	case msworker.EndDone:
+		w.score = score{}
+	case msworker.EndFailed:
+		w.score.failures++
+		w.score.since = now
+		if w.score.failures >= suspectFailures {
+			w.closedUntil = now.Add(suspectFor)
+		}
+	}
+}
+
+// doubt is from 0 to 1.
+func (s score) doubt(now time.Time) float64 {
+	if s.failures == 0 || now.Sub(s.since) > 2*suspectFor {
+		return 0
+	}
+	return min(1, float64(s.failures)/suspectFailures)
+}
