msscheduler: a worker's life ends by the list of VMs, not by an order's answer

Ruled out: late orders (the runs lost were the ones on VMs named in the log line). Change: the list of VMs decides; leases of earlier terms are assumed; VMs taken together are counted together.

--- a/msscheduler/upkeep.go
+++ b/msscheduler/upkeep.go
@@ -15,10 +15,9 @@
 )
 
 const (
-	// vmPoll is the time between two looks at the list of VMs while something is to
-	// be done, idlePoll while nothing is.
-	vmPoll   = 500 * time.Millisecond
-	idlePoll = 3 * time.Second
+	// vmPoll is the time between two looks at whether something is to be done with
+	// VMs.
+	vmPoll = 500 * time.Millisecond
 	// vmTimeout bounds one call of the VM service.
 	vmTimeout = 900 * time.Millisecond
 )
@@ -41,10 +40,8 @@
 	read time.Time
 }
 
-// manageVMs carries out maintenance until ctx is done.
+// manageVMs watches the list of VMs and carries out maintenance until ctx is done.
 func (e *Engine) manageVMs(ctx context.Context) {
-	// Another holder may have ordered just before this term.
-	_ = msclock.Sleep(ctx, e.Clock, e.Settings.HolderPause)
 	e.mu.Lock()
 	e.upkeep = upkeep{
 		done: map[int64]map[string]bool{}, down: map[string]time.Time{},
@@ -52,12 +49,75 @@
 	}
 	e.mu.Unlock()
 	for ctx.Err() == nil {
-		pause := idlePoll
-		if waves := e.openWaves(); len(waves) > 0 {
-			pause = vmPoll
-			e.runWaves(ctx, waves)
+		waves := e.openWaves()
+		if len(waves) > 0 || e.hasLost() {
+			vms, err := e.listVMs(ctx)
+			// Another holder may have ordered just before this term.
+			if err == nil && e.Term.Valid() && e.Clock.Now().Sub(e.begun) > e.Settings.HolderPause {
+				e.runWaves(ctx, waves, vms)
+			}
+		}
+		_ = msclock.Sleep(ctx, e.Clock, vmPoll)
+	}
+}
+
+// hasLost says whether attempts are counted on workers out of reach.
+func (e *Engine) hasLost() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range e.workers {
+		if !w.reachable && len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) listVMs(ctx context.Context) ([]msworker.VM, error) {
+	lctx, cancel := context.WithTimeout(ctx, vmTimeout)
+	defer cancel()
+	asked := e.Clock.Now()
+	vms, err := e.VMs.List(lctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			e.Logger.Warn("VMs not listed", zap.Error(err))
+		}
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.applyVMs(vms, asked)
+	return vms, nil
+}
+
+// applyVMs ends the lives of workers whose VM is another worker now or is no longer
+// there, and gives up what ran on those whose VM is down. asked is when the list
+// was asked for.
+func (e *Engine) applyVMs(vms []msworker.VM, asked time.Time) {
+	e.fleet = fleet{vms: vms, read: asked}
+	of := make(map[string]*msworker.VM, len(vms))
+	for i := range vms {
+		of[vms[i].Worker] = &vms[i]
+		if w := e.workers[vms[i].Worker]; w != nil {
+			w.vm = vms[i].Name
+		}
+	}
+	for id, w := range e.workers {
+		vm := of[id]
+		switch {
+		case w.gone || vm != nil && vm.Up:
+		case vm == nil && w.vm == "" && w.listed:
+			// It has just joined and isn't in this list yet.
+		case vm == nil || vm.Maintained || vm.Moving:
+			e.buryWorker(w, "its VM is away or another worker")
+		case !w.reachable:
+			// A VM that is down may come back as the same worker.
+			for _, r := range w.runs {
+				if r.ordered.Before(asked) {
+					e.lose(r, "its VM is down")
+				}
+			}
 		}
-		_ = msclock.Sleep(ctx, e.Clock, pause)
 	}
 }
 
@@ -76,20 +136,7 @@
 	return open
 }
 
-func (e *Engine) runWaves(ctx context.Context, waves []mssite.Wave) {
-	if !e.Term.Valid() {
-		return
-	}
-	lctx, cancel := context.WithTimeout(ctx, vmTimeout)
-	vms, err := e.VMs.List(lctx)
-	cancel()
-	if err != nil {
-		e.Logger.Warn("VMs not listed", zap.Error(err))
-		return
-	}
-	e.mu.Lock()
-	e.fleet = fleet{vms: vms, read: e.Clock.Now()}
-	e.mu.Unlock()
+func (e *Engine) runWaves(ctx context.Context, waves []mssite.Wave, vms []msworker.VM) {
 	for _, wave := range waves {
 		e.runWave(ctx, wave, vms)
 	}
@@ -121,11 +168,15 @@
 		e.completeWave(ctx, wave)
 		return
 	}
-	for _, vm := range e.chooseMaintained(wave, left, byName) {
+	chosen := e.chooseMaintained(wave, left, byName)
+	for _, vm := range chosen {
 		if !e.maintain(ctx, wave, vm) {
 			return
 		}
 	}
+	if len(chosen) > 0 {
+		_, _ = e.listVMs(ctx) // A failure is logged, and the next look makes up for it.
+	}
 }
 
 // waveLeft returns the VMs of a wave that still need their maintenance. A VM that
@@ -168,13 +219,14 @@
 	}
 	e.orderByCost(left)
 	var chosen []msworker.VM
+	taken := map[stepKey]int{}
 	reserved := 0
 	for _, vm := range left {
 		w := e.workers[vm.Worker]
 		if w != nil {
 			w.reserved = false
 		}
-		if away+reserved > wave.AtOnce || !vm.Up || !e.mayTake(vm) {
+		if away+reserved > wave.AtOnce || !vm.Up || !e.mayTake(vm, taken) {
 			continue
 		}
 		reserved++
@@ -183,6 +235,7 @@
 		}
 		if away+len(chosen) < wave.AtOnce && e.isDrained(vm) {
 			chosen = append(chosen, vm)
+			e.take(vm, taken)
 		}
 	}
 	return chosen
@@ -229,31 +282,37 @@
 	return sum
 }
 
-// mayTake says whether taking the VM away keeps the availability of lasting steps.
-func (e *Engine) mayTake(vm msworker.VM) bool {
+// stepKey names a step of an occurrence.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// take adds the lasting tasks on a VM to those that are taken away.
+func (e *Engine) take(vm msworker.VM, taken map[stepKey]int) {
 	w := e.workers[vm.Worker]
 	if w == nil {
-		return true
-	}
-	type stepKey struct {
-		job              string
-		occurrence, step int
+		return
 	}
-	taken := map[stepKey]int{}
 	for _, r := range w.runs {
-		s := r.step()
-		if s == nil || !s.Lasting {
-			continue
+		if s := r.step(); s != nil && s.Lasting && !r.job.p.State.Final() {
+			taken[stepKey{r.task.Job, r.task.Occurrence, r.task.Step}]++
 		}
-		taken[stepKey{r.task.Job, r.task.Occurrence, r.task.Step}]++
 	}
-	for k, n := range taken {
+}
+
+// mayTake says whether taking the VM away, beside those already taken, keeps the
+// availability of lasting steps.
+func (e *Engine) mayTake(vm msworker.VM, taken map[stepKey]int) bool {
+	w := e.workers[vm.Worker]
+	if w == nil {
+		return true
+	}
+	more := map[stepKey]int{}
+	e.take(vm, more)
+	for k, n := range more {
 		j := e.jobs[k.job]
-		if j == nil || j.p.State.Final() {
-			continue
-		}
-		away := e.awayElsewhere(j, k.occurrence, k.step, w)
-		if away+n > max(j.def.Steps[k.step].MayMiss, 1) {
+		if e.awayElsewhere(j, k.occurrence, k.step, w)+taken[k]+n > max(j.def.Steps[k.step].MayMiss, 1) {
 			return false
 		}
 	}
@@ -274,7 +333,7 @@
 		r := e.runs[runKey{task: id, attempt: t.Attempt}]
 		switch {
 		case r != nil && r.w == w:
-		case t.Phase != msjob.Assigned || r == nil || r.state != runStarted || r.percent < fullPace || !r.w.reachable:
+		case t.Phase != msjob.Assigned || r == nil || r.state != runStarted || r.percent < fullPace || !r.w.reachable || r.w.gone:
 			away++
 		}
 	}
@@ -298,9 +357,8 @@
 		e.upkeep.done[wave.ID][vm.Name] = true
 		e.upkeep.down[vm.Name] = e.Clock.Now()
 		e.Logger.Info("VM maintained", zap.Int64("wave", wave.ID), zap.String("vm", vm.Name), zap.String("worker", vm.Worker))
-		if w != nil {
-			e.buryWorker(w, "its VM is maintained")
-		}
+		// The order is answered alike where an earlier leader's was carried out, so
+		// what became of the worker is read from the list.
 		return true
 	case errors.As(err, &ve) && ve.Reason == msworker.VMFenced:
 		e.depose(err)
@@ -312,7 +370,7 @@
 	case errors.As(err, &ve) && ve.Reason == msworker.VMNotInWave:
 		e.upkeep.done[wave.ID][vm.Name] = true
 	}
-	if w != nil && !(errors.As(err, &ve) && ve.Reason == msworker.VMUnknown) {
+	if err != nil && w != nil && !(errors.As(err, &ve) && ve.Reason == msworker.VMUnknown) {
 		w.reserved = false
 	}
 	e.Logger.Warn("VM not maintained", zap.Int64("wave", wave.ID), zap.String("vm", vm.Name), zap.Error(err))
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -37,6 +37,8 @@
 	// reported says that the worker has answered in this term, so that what runs
 	// there is known; reachable that its newest answer came in time.
 	reported, reachable bool
+	// vm is the name of the worker's VM, once the list of VMs has shown it.
+	vm string
 	// gone workers never answer again under this id.
 	gone bool
 	// lost is when the worker was last reachable.
@@ -105,7 +107,11 @@
 			continue
 		}
 		w.listed = false
-		if len(w.runs) == 0 && (w.gone || !w.reachable) {
+		if w.gone {
+			delete(e.workers, id)
+			continue
+		}
+		if len(w.runs) == 0 && !w.reachable {
 			if w.cancel != nil {
 				w.cancel()
 			}
@@ -210,6 +216,10 @@
 	}
 	w.life = rep.Born
 	w.lease.Observe(rep.Clock, now)
+	if !w.reported {
+		// An earlier leader may have granted a lease just before it was shut out.
+		w.lease.Assume(e.lease())
+	}
 	if !w.reachable {
 		w.reachable = true
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -38,6 +38,12 @@
 	return end
 }
 
+// Assume counts a lease of length d, from the worker's clock last seen, that
+// another may have sent.
+func (l *Lease) Assume(d time.Duration) {
+	l.until = max(l.until, l.clock+d)
+}
+
 // Lapsed says whether every lease sent has surely ended on the worker's clock.
 func (l *Lease) Lapsed(now time.Time) bool {
 	passed := time.Duration(float64(now.Sub(l.seen)) * (1 - clockDrift))
