--- a/msjob/record.go
+++ b/msjob/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // The records of a job are kept by key: the newest of each key counts.
@@ -10,6 +12,7 @@
 	prefixJob      = "job/"
 	prefixProgress = "progress/"
 	prefixCancel   = "cancel/"
+	prefixWave     = "wave/"
 	// KeyLoad is the key of the newest Load.
 	KeyLoad = "load"
 )
@@ -41,6 +44,23 @@
 	return []Record{{Key: prefixProgress + id}, {Key: prefixCancel + id}, {Key: prefixJob + id}}
 }
 
+// Wave is how far a wave of maintenance has come.
+type Wave struct {
+	ID int64 `json:"id"`
+	// Begun is when the wave was first seen.
+	Begun time.Time `json:"begun"`
+	// Done has the VMs whose maintenance was ordered and answered.
+	Done []string `json:"done,omitempty"`
+	// Completed says that operators were told of the wave's end.
+	Completed bool `json:"completed,omitempty"`
+}
+
+// WaveRecord is the record of a wave.
+func WaveRecord(w *Wave) (Record, error) {
+	id := strconv.FormatInt(w.ID, 10)
+	return encode(prefixWave+id, id, w)
+}
+
 // LoadRecord is the record of the queues' load.
 func LoadRecord(l *Load) (Record, error) {
 	return encode(KeyLoad, KeyLoad, l)
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -54,6 +54,7 @@
 	jobs   map[string]*Entry
 	orphan map[string]Entry
 	load   Load
+	waves  map[int64]Wave
 }
 
 // Apply folds a record. A record that can't be read, or that fits no job, is
@@ -68,6 +69,8 @@
 	case prefixCancel:
 		t.applyCancel(id, len(r.Value) == 0)
 		return nil
+	case prefixWave:
+		return t.applyWave(id, r.Value)
 	case KeyLoad:
 		return t.applyLoad(r.Value)
 	}
@@ -186,11 +189,36 @@
 	return nil
 }
 
+func (t *Table) applyWave(id string, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	w := Wave{}
+	if err := json.Unmarshal(value, &w); err != nil {
+		return &Error{Job: prefixWave + id, Reason: "the wave can't be read", Err: err}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waves == nil {
+		t.waves = map[int64]Wave{}
+	}
+	t.waves[w.ID] = w
+	return nil
+}
+
+// Wave returns how far a wave has come, and whether it has begun.
+func (t *Table) Wave(id int64) (Wave, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w, ok := t.waves[id]
+	return w, ok
+}
+
 // Reset forgets all, before the newest records are read anew.
 func (t *Table) Reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.jobs, t.orphan, t.load = nil, nil, Load{}
+	t.jobs, t.orphan, t.load, t.waves = nil, nil, Load{}, nil
 }
 
 // Job returns a job and whether it is known.
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -99,7 +99,7 @@
 	ctx     context.Context
 	loadAt  time.Time
 	load    msjob.Load
-	upkeep  upkeep
+	waves   map[int64]*wave
 	fleet   fleet
 }
 
@@ -137,8 +137,9 @@
 	e.begun = e.Clock.Now()
 	e.wake = make(chan struct{}, 1)
 	e.deposed = make(chan error, 1)
-	e.jobs, e.workers, e.runs = map[string]*job{}, map[string]*worker{}, map[runKey]*run{}
+	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
+	e.waves = map[int64]*wave{}
 	if err := e.takeOver(ctx); err != nil {
 		return err
 	}
@@ -164,6 +165,11 @@
 			return ctx.Err()
 		}
 	}
+	// Jobs that were added before the journal was read to its end would lack what
+	// earlier leaders have stored of them.
+	e.mu.Lock()
+	e.jobs = map[string]*job{}
+	e.mu.Unlock()
 	n := 0
 	e.Jobs.Each(func(entry msjob.Entry) {
 		e.AddJob(entry)
@@ -180,6 +186,9 @@
 		b := e.pass(now)
 		e.mu.Unlock()
 		if err := e.commit(ctx, b); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return err
 		}
 		select {
@@ -258,6 +267,7 @@
 			b.acked[w] = w.processed
 		}
 	}
+	e.collectWaves(b)
 	if r, ok := e.loadRecord(now); ok {
 		b.records = append(b.records, r)
 	}
@@ -347,7 +357,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return ctx.Err()
 		case derr := <-e.deposed:
 			return derr
 		case <-e.Clock.After(storePause):
@@ -366,7 +376,8 @@
 	return e.Term.Lapsed() < holdover
 }
 
-// AddJob takes in a job that was accepted.
+// AddJob takes in a job that was accepted. Before the journal is taken over it does
+// nothing.
 func (e *Engine) AddJob(entry msjob.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -397,7 +408,7 @@
 func (e *Engine) Cancel(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	j := e.jobs[id]
+	j := e.jobs[id] // None before the journal is taken over.
 	if j == nil || j.canceled {
 		return
 	}
--- a/msworker/vms.go
+++ b/msworker/vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"marjoramspan/msjob"
 )
@@ -71,3 +72,12 @@
 func (e *VMError) Unwrap() error {
 	return e.Err
 }
+
+// VMReasonOf returns the reason of err; what is no *VMError is VMUnknown.
+func VMReasonOf(err error) VMReason {
+	var e *VMError
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return VMUnknown
+}
