mscapacity: pools follow the turns of their queues

Ruled out: moving reactively from small pools (the backlog of the 2.5 s until VMs arrive outlasts the jobs' slack). Change: a pool in its turn gets VMs; one that has had its turn gives up idle ones.

--- a/msjob/record.go
+++ b/msjob/record.go
@@ -13,8 +13,9 @@
 	prefixProgress = "progress/"
 	prefixCancel   = "cancel/"
 	prefixWave     = "wave/"
-	// KeyLoad is the key of the newest Load.
-	KeyLoad = "load"
+	// KeyLoad is the key of the newest Load, keyFleet that of the newest Fleet.
+	KeyLoad  = "load"
+	keyFleet = "fleet"
 )
 
 // Record is a key and its value. A record without value drops the key.
@@ -61,6 +62,20 @@
 	return encode(prefixWave+id, id, w)
 }
 
+// Fleet is what a scheduler has to know of the pools beside the list of VMs.
+type Fleet struct {
+	// Home is how many VMs operators gave each pool.
+	Home map[string]int `json:"home"`
+	// Ended is when the last turn of each pool ended, In which are in their turn.
+	Ended map[string]time.Time `json:"ended,omitempty"`
+	In    map[string]bool      `json:"in,omitempty"`
+}
+
+// FleetRecord is the record of the pools.
+func FleetRecord(f *Fleet) (Record, error) {
+	return encode(keyFleet, keyFleet, f)
+}
+
 // LoadRecord is the record of the queues' load.
 func LoadRecord(l *Load) (Record, error) {
 	return encode(KeyLoad, KeyLoad, l)
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -55,6 +55,7 @@
 	orphan map[string]Entry
 	load   Load
 	waves  map[int64]Wave
+	fleet  *Fleet
 }
 
 // Apply folds a record. A record that can't be read, or that fits no job, is
@@ -73,6 +74,8 @@
 		return t.applyWave(id, r.Value)
 	case KeyLoad:
 		return t.applyLoad(r.Value)
+	case keyFleet:
+		return t.applyFleet(r.Value)
 	}
 	return &Error{Job: id, Reason: "unknown kind of record " + kind}
 }
@@ -206,6 +209,30 @@
 	return nil
 }
 
+func (t *Table) applyFleet(value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	f := &Fleet{}
+	if err := json.Unmarshal(value, f); err != nil {
+		return &Error{Job: keyFleet, Reason: "the pools can't be read", Err: err}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fleet = f
+	return nil
+}
+
+// Fleet returns what was last stored of the pools, and whether anything was.
+func (t *Table) Fleet() (Fleet, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fleet == nil {
+		return Fleet{}, false
+	}
+	return *t.fleet, true
+}
+
 // Wave returns how far a wave has come, and whether it has begun.
 func (t *Table) Wave(id int64) (Wave, bool) {
 	t.mu.Lock()
@@ -218,7 +245,7 @@
 func (t *Table) Reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.jobs, t.orphan, t.load, t.waves = nil, nil, Load{}, nil
+	t.jobs, t.orphan, t.load, t.waves, t.fleet = nil, nil, Load{}, nil, nil
 }
 
 // Job returns a job and whether it is known.
--- /dev/null
+++ b/msscheduler/capacity.go
@@ -0,0 +1,235 @@
+package msscheduler
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/mscapacity"
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+	"marjoramspan/msworker"
+)
+
+// pools are the sizes of the pools and the turns of their queues. mu guards it.
+type pools struct {
+	turns mscapacity.Turns
+	home  map[string]int
+	// leaving has the VMs that were ordered to another pool and when.
+	leaving map[string]time.Time
+	dirty   bool
+}
+
+// measurePools takes in the demand of each pool. The caller holds mu.
+func (e *Engine) measurePools(now time.Time) []mscapacity.Pool {
+	site := e.Sites.Site()
+	if site == nil || len(e.fleet.vms) == 0 {
+		return nil
+	}
+	by := map[string]*mscapacity.Pool{}
+	for name, p := range site.Pools {
+		by[name] = &mscapacity.Pool{Name: name, Spare: p.Spare}
+	}
+	for _, vm := range e.fleet.vms {
+		p := by[vm.Pool]
+		if p == nil {
+			continue
+		}
+		p.Size++
+		p.Cores = max(p.Cores, vm.Capacity.CPU)
+	}
+	e.demand(by)
+	for _, w := range e.workers {
+		if p := by[w.Pool]; p != nil && w.hostsLasting() {
+			p.Hosts++
+		}
+	}
+	e.setHome(by)
+	var all []mscapacity.Pool
+	for _, p := range by {
+		all = append(all, *p)
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].Name < all[k].Name })
+	e.pools.turns.Observe(all, now)
+	return all
+}
+
+// setHome takes the sizes first seen for those that operators gave.
+func (e *Engine) setHome(by map[string]*mscapacity.Pool) {
+	if e.pools.home == nil {
+		if f, ok := e.Jobs.Fleet(); ok {
+			e.pools.home = f.Home
+			e.pools.turns = mscapacity.Turns{Ended: f.Ended, In: f.In, Peak: map[string]int64{}}
+			if e.pools.turns.In == nil {
+				e.pools.turns.In = map[string]bool{}
+			}
+			if e.pools.turns.Ended == nil {
+				e.pools.turns.Ended = map[string]time.Time{}
+			}
+		} else {
+			e.pools.home = map[string]int{}
+		}
+	}
+	for name, p := range by {
+		if _, ok := e.pools.home[name]; !ok && p.Size > 0 {
+			e.pools.home[name] = p.Size
+			e.pools.dirty = true
+		}
+		p.Home = e.pools.home[name]
+	}
+}
+
+// demand adds what runs and what could start now.
+func (e *Engine) demand(by map[string]*mscapacity.Pool) {
+	site := e.Sites.Site()
+	for _, j := range e.jobs {
+		if j.p.State.Final() {
+			continue
+		}
+		p := by[poolOf(j.def, site)]
+		if p == nil {
+			continue
+		}
+		for _, round := range j.p.Rounds {
+			for s := range round.Steps {
+				step := &j.def.Steps[s]
+				if !round.Ready(j.def, s) {
+					continue
+				}
+				n := int64(0)
+				for i := range round.Steps[s] {
+					if round.Steps[s][i].Phase != msjob.Done {
+						n++
+					}
+				}
+				if step.Lasting {
+					p.Lasting += n * step.Reserved().CPU
+				} else {
+					p.Demand += n * step.Reserved().CPU
+				}
+			}
+		}
+	}
+}
+
+func (w *worker) hostsLasting() bool {
+	for _, r := range w.runs {
+		if s := r.step(); s != nil && s.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// sizePools orders the moves that bring pools to their sizes, and says whether any
+// was ordered.
+func (e *Engine) sizePools(ctx context.Context) bool {
+	moves, names := e.chooseMoves()
+	for i, m := range moves {
+		if !e.moveVM(ctx, m, names[i]) {
+			break
+		}
+	}
+	return len(moves) > 0
+}
+
+// chooseMoves returns the moves to order now, and keeps new tasks away from the
+// workers of their VMs.
+func (e *Engine) chooseMoves() ([]mscapacity.Move, []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	pools := e.measurePools(now)
+	if pools == nil {
+		return nil, nil
+	}
+	byName := map[string]msworker.VM{}
+	var vms []mscapacity.VM
+	spare := map[string]bool{}
+	for _, p := range pools {
+		spare[p.Name] = p.Spare
+	}
+	for _, vm := range e.fleet.vms {
+		if !vm.Up || now.Sub(e.pools.leaving[vm.Name]) < leavingTime {
+			continue
+		}
+		byName[vm.Name] = vm
+		w := e.workers[vm.Worker]
+		vms = append(vms, mscapacity.VM{
+			Name: vm.Name, Pool: vm.Pool, DataCentre: vm.DataCentre,
+			Idle: spare[vm.Pool] || w != nil && w.reachable && len(w.runs) == 0 && !w.reserved,
+		})
+	}
+	moves := e.pools.turns.Plan(pools, vms)
+	var workers []string
+	for _, m := range moves {
+		id := byName[m.VM].Worker
+		workers = append(workers, id)
+		if w := e.workers[id]; w != nil {
+			w.leaving = true
+		}
+		e.pools.leaving[m.VM] = now
+	}
+	return moves, workers
+}
+
+// leavingTime is how long a VM is left alone after a move was ordered.
+const leavingTime = 3 * time.Second
+
+// moveVM orders a move and says whether to go on.
+func (e *Engine) moveVM(ctx context.Context, m mscapacity.Move, worker string) bool {
+	if !e.Term.Valid() {
+		return false
+	}
+	octx, cancel := context.WithTimeout(ctx, vmTimeout)
+	err := e.VMs.Move(octx, msworker.VMOrder{VM: m.VM, Holder: e.Holder, Token: e.Term.Epoch}, m.To)
+	cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Logger.Info("move ordered", zap.String("vm", m.VM), zap.String("worker", worker), zap.String("to", m.To), zap.Error(err))
+	if err == nil {
+		return true
+	}
+	reason := msworker.VMReasonOf(err)
+	if reason == msworker.VMFenced {
+		e.depose(err)
+		return false
+	}
+	if w := e.workers[worker]; w != nil && reason != msworker.VMUnknown {
+		w.leaving = false
+	}
+	return ctx.Err() == nil
+}
+
+// settleMoves lets tasks onto workers again whose VM was not moved after all. The
+// caller holds mu.
+func (e *Engine) settleMoves(asked time.Time) {
+	for _, vm := range e.fleet.vms {
+		at, ok := e.pools.leaving[vm.Name]
+		if !ok || asked.Sub(at) < leavingTime {
+			continue
+		}
+		delete(e.pools.leaving, vm.Name)
+		if w := e.workers[vm.Worker]; w != nil && vm.Up {
+			w.leaving = false
+		}
+	}
+}
+
+// collectPools adds the record of the pools' sizes if it has changed. The caller
+// holds mu.
+func (e *Engine) collectPools(b *batch) {
+	if !e.pools.dirty {
+		return
+	}
+	e.pools.dirty = false
+	f := msjob.Fleet{Home: e.pools.home, Ended: e.pools.turns.Ended, In: e.pools.turns.In}
+	r, err := msjob.FleetRecord(&f)
+	if err != nil {
+		e.Logger.Error("sizes of pools not stored", zap.Error(err))
+		return
+	}
+	b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -101,6 +101,7 @@
 	load    msjob.Load
 	waves   map[int64]*wave
 	fleet   fleet
+	pools   pools
 }
 
 // job is a job that has not ended, or whose end is not forgotten yet.
@@ -140,6 +141,7 @@
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
+	e.pools.leaving = map[string]time.Time{}
 	if err := e.takeOver(ctx); err != nil {
 		return err
 	}
@@ -268,6 +270,7 @@
 		}
 	}
 	e.collectWaves(b)
+	e.collectPools(b)
 	if r, ok := e.loadRecord(now); ok {
 		b.records = append(b.records, r)
 	}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -13,7 +13,7 @@
 const (
 	// vmPoll is the time between two looks at whether something is to be done with
 	// VMs.
-	vmPoll = 500 * time.Millisecond
+	vmPoll = 300 * time.Millisecond
 	// vmTimeout bounds one call of the VM service.
 	vmTimeout = 900 * time.Millisecond
 )
@@ -27,30 +27,16 @@
 // manageVMs watches the list of VMs and carries out maintenance until ctx is done.
 func (e *Engine) manageVMs(ctx context.Context) {
 	for ctx.Err() == nil {
-		waves := e.openWaves()
-		if len(waves) > 0 || e.hasLost() {
-			vms, err := e.listVMs(ctx)
-			// Another holder may have ordered just before this term.
-			if err == nil && e.Term.Valid() && e.Clock.Now().Sub(e.begun) > e.Settings.HolderPause {
-				e.runWaves(ctx, waves, vms)
-			}
+		vms, err := e.listVMs(ctx)
+		// Another holder may have ordered just before this term.
+		if err == nil && e.Term.Valid() && e.Clock.Now().Sub(e.begun) > e.Settings.HolderPause {
+			e.runWaves(ctx, e.openWaves(), vms)
+			e.sizePools(ctx)
 		}
 		_ = msclock.Sleep(ctx, e.Clock, vmPoll)
 	}
 }
 
-// hasLost says whether attempts are counted on workers out of reach.
-func (e *Engine) hasLost() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, w := range e.workers {
-		if !w.reachable && len(w.runs) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *Engine) listVMs(ctx context.Context) ([]msworker.VM, error) {
 	lctx, cancel := context.WithTimeout(ctx, vmTimeout)
 	defer cancel()
@@ -73,6 +59,7 @@
 // was asked for.
 func (e *Engine) applyVMs(vms []msworker.VM, asked time.Time) {
 	e.fleet = fleet{vms: vms, read: asked}
+	e.settleMoves(asked)
 	of := make(map[string]*msworker.VM, len(vms))
 	for i := range vms {
 		of[vms[i].Worker] = &vms[i]
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -59,6 +59,8 @@
 	score       score
 	// reserved says that the worker's VM is about to be maintained or moved.
 	reserved bool
+	// leaving says that the worker's VM was ordered to another pool.
+	leaving bool
 }
 
 func (w *worker) release() {
@@ -73,7 +75,7 @@
 
 // usable says whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.reported && w.reachable && !w.gone && !w.Draining && !w.reserved && !now.Before(w.closedUntil)
+	return w.listed && w.reported && w.reachable && !w.gone && !w.Draining && !w.reserved && !w.leaving && !now.Before(w.closedUntil)
 }
 
 // workerFor returns a worker by id; one that isn't known yet is made.
