--- a/msplace/place.go
+++ b/msplace/place.go
@@ -14,6 +14,8 @@
 	// Serving and Backfilling count its tasks with a target for their response
 	// times, and those that take what others leave.
 	Serving, Backfilling int
+	// Lasting counts its lasting tasks.
+	Lasting int
 	// Doubt is from 0 to 1: how likely tasks there are to fail or to be slow.
 	Doubt float64
 }
@@ -39,9 +41,14 @@
 	scoreMixed = -6.0
 	// scoreSpread is for a worker that is all free.
 	scoreSpread = 1.0
-	// scoreAlone keeps tasks of one lasting step on different workers and racks, so
-	// that one failure takes few of them.
-	scoreAlone = -0.5
+	// scoreAlone keeps tasks of one lasting step on different workers, so that one
+	// failure or the maintenance of one takes a single task, and scoreRacks on
+	// different racks.
+	scoreAlone = -6.0
+	scoreRacks = -0.3
+	// scoreHost puts lasting tasks of several steps on the same workers, which leaves
+	// others idle for another pool.
+	scoreHost = 2.0
 )
 
 // Choose returns the index of the best worker, or -1 where none can take the task.
@@ -96,7 +103,10 @@
 		score += scoreMixed
 	}
 	if s.Lasting {
-		score += scoreAlone * float64(want.OnWorker[w.ID]+want.OnRack[w.Rack])
+		score += scoreAlone*float64(want.OnWorker[w.ID]) + scoreRacks*float64(want.OnRack[w.Rack])
+		if w.Lasting > 0 {
+			score += scoreHost
+		}
 	}
 	return score
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -233,6 +233,7 @@
 	e.syncWorkers(now)
 	e.expire(now)
 	b := batch{acked: map[*worker]int64{}}
+	e.evacuate(now)
 	e.beginRounds()
 	b.starts = e.place(now)
 	e.collect(&b, now)
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -40,6 +40,7 @@
 				if s := run.step(); s != nil {
 					v.Serving += count(s.TailTarget > 0)
 					v.Backfilling += count(s.Backfill)
+					v.Lasting += count(s.Lasting)
 				}
 			}
 			r.view = append(r.view, v)
@@ -211,6 +212,7 @@
 	v.Free = w.free()
 	v.Serving += count(want.Step.TailTarget > 0)
 	v.Backfilling += count(want.Step.Backfill)
+	v.Lasting += count(want.Step.Lasting)
 	want.OnWorker[w.ID]++
 	want.OnRack[w.Rack]++
 	return r
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -158,14 +158,14 @@
 		if wk != nil {
 			wk.reserved = false
 		}
-		if reserved > width || !vm.Up || !e.mayTake(vm, taken) {
+		if reserved > width || !vm.Up {
 			continue
 		}
 		reserved++
 		if wk != nil {
 			wk.reserved = true
 		}
-		if away+len(chosen) < min(width, w.AtOnce) && e.isDrained(vm) {
+		if away+len(chosen) < min(width, w.AtOnce) && e.isDrained(vm) && e.mayTake(vm, taken) {
 			chosen = append(chosen, vm)
 			e.take(vm, taken)
 		}
@@ -241,14 +241,8 @@
 
 // take adds the lasting tasks on a VM to those that are taken away.
 func (e *Engine) take(vm msworker.VM, taken map[stepKey]int) {
-	w := e.workers[vm.Worker]
-	if w == nil {
-		return
-	}
-	for _, r := range w.runs {
-		if s := r.step(); s != nil && s.Lasting && !r.job.p.State.Final() {
-			taken[stepKey{r.task.Job, r.task.Occurrence, r.task.Step}]++
-		}
+	if w := e.workers[vm.Worker]; w != nil {
+		e.takeRuns(w, taken)
 	}
 }
 
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -41,6 +41,8 @@
 	vm string
 	// gone workers never answer again under this id.
 	gone bool
+	// drainSeen is when the registry first said that the worker drains.
+	drainSeen time.Time
 	// lost is when the worker was last reachable.
 	lost time.Time
 
@@ -100,6 +102,7 @@
 			e.follow(w, entry)
 		}
 		if entry.Draining && !w.Draining {
+			w.drainSeen = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.Leaves), zap.Int("runs", len(w.runs)))
 		}
 		w.Worker, w.listed = entry, true
