msplace: hopeless jobs go behind those that can be in time

Change: order by slack with the estimated chain left; pools keep their size until a turn has ended, then three quarters; demand is looked at every 120 ms.

--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -57,7 +57,6 @@
 
 	lowSince map[string]time.Time
 	seen     map[string]time.Time
-	smooth   map[string]float64
 }
 
 const (
@@ -69,14 +68,12 @@
 	turnGap = 1500 * time.Millisecond
 	// peakHalf is the time in which a peak that isn't reached again loses half.
 	peakHalf = 3 * time.Second
-	// smoothing is the time over which demand is averaged.
-	smoothing = 700 * time.Millisecond
 	// headroom is what a pool in its turn has over its demand, as demand within a
 	// second varies by about that much.
 	headroom = 1.2
 	// waiting is the share of its own size that a pool keeps until its turn: what
 	// it needs to carry the first seconds, until more VMs arrive.
-	waiting = 0.65
+	waiting = 0.75
 	// reserve is how many VMs a pool keeps beside those that run lasting tasks.
 	reserve = 1
 )
@@ -87,7 +84,7 @@
 		t.Ended, t.Peak, t.In = map[string]time.Time{}, map[string]int64{}, map[string]bool{}
 	}
 	if t.seen == nil {
-		t.lowSince, t.seen, t.smooth = map[string]time.Time{}, map[string]time.Time{}, map[string]float64{}
+		t.lowSince, t.seen = map[string]time.Time{}, map[string]time.Time{}
 	}
 	for _, p := range pools {
 		if p.Spare {
@@ -102,11 +99,8 @@
 	if last, ok := t.seen[p.Name]; ok {
 		t.Peak[p.Name] = int64(float64(t.Peak[p.Name]) * math.Exp2(-now.Sub(last).Seconds()/peakHalf.Seconds()))
 	}
-	// Demand jumps with each job; a VM that is asked for arrives seconds later.
-	keep := math.Exp(-now.Sub(t.seen[p.Name]).Seconds() / smoothing.Seconds())
-	t.smooth[p.Name] = keep*t.smooth[p.Name] + (1-keep)*float64(p.Demand)
 	t.seen[p.Name] = now
-	t.Peak[p.Name] = max(t.Peak[p.Name], int64(t.smooth[p.Name]))
+	t.Peak[p.Name] = max(t.Peak[p.Name], p.Demand)
 	switch {
 	case float64(p.Demand) > turnBegins*own:
 		t.In[p.Name] = true
@@ -152,6 +146,9 @@
 	if t.hadTurn(p.Name, pools) {
 		return max(need, least)
 	}
+	if len(t.Ended) == 0 {
+		return max(need, least, p.Home)
+	}
 	return max(need, least, int(math.Ceil(waiting*float64(p.Home))))
 }
 
--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -1,5 +1,7 @@
 package msjob
 
+import "time"
+
 // State is how a caller sees a job.
 type State int
 
@@ -152,6 +154,28 @@
 	return true
 }
 
+// Left is the longest chain of estimated work through the steps that aren't done.
+func (r *Round) Left(j *Job) time.Duration {
+	var ends [16]time.Duration
+	all := ends[:]
+	if len(j.Steps) > len(ends) {
+		all = make([]time.Duration, len(j.Steps))
+	}
+	var longest time.Duration
+	for i := range j.Steps {
+		var begin time.Duration
+		for _, a := range j.Steps[i].After {
+			begin = max(begin, all[a])
+		}
+		all[i] = begin
+		if !r.StepDone(i) {
+			all[i] += j.Steps[i].Estimate
+		}
+		longest = max(longest, all[i])
+	}
+	return longest
+}
+
 // Done says whether every task of the round is done.
 func (r *Round) Done() bool {
 	for i := range r.Steps {
--- /dev/null
+++ b/msplace/order.go
@@ -0,0 +1,43 @@
+package msplace
+
+import (
+	"sort"
+	"time"
+)
+
+// Turn is what a job's place in the queue rests on.
+type Turn struct {
+	ID string
+	// Index is the caller's own.
+	Index int
+	// Lasting jobs serve users now and go first.
+	Lasting bool
+	// Priority 0 goes before 1.
+	Priority int
+	// Slack is the time that the job may still wait and be in time.
+	Slack time.Duration
+}
+
+// Order sorts jobs into the order in which they get room. It answers the load of a
+// queue that asks for more than its pool holds: by due time alone each job would
+// be just too late once one is, so jobs that can't be in time any more go behind
+// all that can, and of these the one with the least slack goes first.
+func Order(turns []Turn) {
+	sort.Slice(turns, func(i, k int) bool { return before(&turns[i], &turns[k]) })
+}
+
+func before(a, b *Turn) bool {
+	if a.Lasting != b.Lasting {
+		return a.Lasting
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if lateA, lateB := a.Slack < 0, b.Slack < 0; lateA != lateB {
+		return lateB
+	}
+	if a.Slack != b.Slack {
+		return a.Slack < b.Slack
+	}
+	return a.ID < b.ID
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -56,53 +56,74 @@
 	return 0
 }
 
-// open is a job with tasks that may be placed.
-type open struct {
-	j *job
-	// due is when the job's latency objective ends.
-	due time.Time
-}
-
 // place puts waiting tasks on workers and returns the new attempts. Their starts
 // may be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
 	if !e.Term.Valid() {
 		return nil
 	}
-	var jobs []open
-	for _, j := range e.jobs {
-		if !j.p.State.Final() && !j.canceled {
-			jobs = append(jobs, open{j: j, due: j.def.Accepted.Add(j.def.Objective())})
-		}
+	jobs := e.queue()
+	if len(jobs) == 0 {
+		return nil
 	}
-	wall := e.Wall.Now()
-	sort.Slice(jobs, func(i, k int) bool { return before(jobs[i], jobs[k], wall) })
 	rooms := e.rooms(now)
 	site := e.Sites.Site()
 	var placed []*run
-	for _, o := range jobs {
-		placed = append(placed, e.placeJob(o.j, rooms, site, now)...)
+	for _, j := range jobs {
+		placed = append(placed, e.placeJob(j, rooms, site, now)...)
 	}
 	return placed
 }
 
-// before orders jobs: lasting ones, then by priority, then those that can still be
-// in time, the one that is due first before others.
-func before(a, b open, now time.Time) bool {
-	if la, lb := a.j.def.Lasting(), b.j.def.Lasting(); la != lb {
-		return la
-	}
-	if a.j.def.Priority != b.j.def.Priority {
-		return a.j.def.Priority < b.j.def.Priority
+// queue returns the jobs with tasks that may be placed, in the order in which they
+// get room.
+func (e *Engine) queue() []*job {
+	wall := e.Wall.Now()
+	var jobs []*job
+	var turns []msplace.Turn
+	for _, j := range e.jobs {
+		if j.p.State.Final() || j.canceled {
+			continue
+		}
+		t, ok := j.turn(wall)
+		if !ok {
+			continue
+		}
+		t.Index = len(jobs)
+		jobs = append(jobs, j)
+		turns = append(turns, t)
 	}
-	lateA, lateB := now.After(a.due), now.After(b.due)
-	if lateA != lateB {
-		return lateB
+	msplace.Order(turns)
+	ordered := make([]*job, len(turns))
+	for i := range turns {
+		ordered[i] = jobs[turns[i].Index]
 	}
-	if !a.due.Equal(b.due) {
-		return a.due.Before(b.due)
+	return ordered
+}
+
+// turn describes a job for its place in the queue, and says whether any of its
+// tasks waits for room.
+func (j *job) turn(now time.Time) (msplace.Turn, bool) {
+	t := msplace.Turn{ID: j.def.ID, Lasting: j.def.Lasting(), Priority: j.def.Priority}
+	waits := false
+	for k, round := range j.p.Rounds {
+		for s := range round.Steps {
+			if !round.Ready(j.def, s) {
+				continue
+			}
+			for i := range round.Steps[s] {
+				if round.Steps[s][i].Phase == msjob.Waiting {
+					waits = true
+					break
+				}
+			}
+		}
+		slack := j.def.Due(k).Add(j.def.Objective()).Sub(now) - round.Left(j.def)
+		if t.Slack == 0 || slack < t.Slack {
+			t.Slack = slack
+		}
 	}
-	return a.j.def.ID < b.j.def.ID
+	return t, waits
 }
 
 // poolOf is the pool that runs a job now: that of its queue, while it exists.
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -13,7 +13,11 @@
 const (
 	// vmPoll is the time between two looks at whether something is to be done with
 	// VMs.
-	vmPoll = 300 * time.Millisecond
+	vmPoll = 120 * time.Millisecond
+	// vmQuiet is how old the list of VMs may be while nothing changes.
+	vmQuiet = 1500 * time.Millisecond
+	// vmBusy is the same while VMs are on their way.
+	vmBusy = 350 * time.Millisecond
 	// vmTimeout bounds one call of the VM service.
 	vmTimeout = 900 * time.Millisecond
 )
@@ -27,9 +31,9 @@
 // manageVMs watches the list of VMs and carries out maintenance until ctx is done.
 func (e *Engine) manageVMs(ctx context.Context) {
 	for ctx.Err() == nil {
-		vms, err := e.listVMs(ctx)
 		// Another holder may have ordered just before this term.
-		if err == nil && e.Term.Valid() && e.Clock.Now().Sub(e.begun) > e.Settings.HolderPause {
+		mayOrder := e.Term.Valid() && e.Clock.Now().Sub(e.begun) > e.Settings.HolderPause
+		if vms, ok := e.vmsKnown(ctx); ok && mayOrder {
 			e.runWaves(ctx, e.openWaves(), vms)
 			e.sizePools(ctx)
 		}
@@ -37,6 +41,42 @@
 	}
 }
 
+// vmsKnown returns the VMs, read anew where something about them may have changed.
+func (e *Engine) vmsKnown(ctx context.Context) ([]msworker.VM, bool) {
+	e.mu.Lock()
+	known, age := e.fleet.vms, e.Clock.Now().Sub(e.fleet.read)
+	limit := vmQuiet
+	if e.vmsChange() {
+		limit = vmBusy
+	}
+	fresh := known != nil && age < limit
+	e.mu.Unlock()
+	if fresh {
+		return known, true
+	}
+	vms, err := e.listVMs(ctx)
+	return vms, err == nil
+}
+
+// vmsChange says whether VMs are on their way, or workers are out of reach. The
+// caller holds mu.
+func (e *Engine) vmsChange() bool {
+	if len(e.pools.leaving) > 0 {
+		return true
+	}
+	for _, w := range e.waves {
+		if !w.p.Completed {
+			return true
+		}
+	}
+	for _, w := range e.workers {
+		if !w.reachable {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Engine) listVMs(ctx context.Context) ([]msworker.VM, error) {
 	lctx, cancel := context.WithTimeout(ctx, vmTimeout)
 	defer cancel()
