msscheduler: a worker out of reach gets no new lease; tests against stand-ins

Cause: holds that were not answered went on to renew the lease, and each may have been carried out, so a worker cut off one way never lapsed and its tasks never started elsewhere (TestWorkerOutOfReach failed: not completed after 30 s). Ruled out: the stand-in's own clock of leases.

--- /dev/null
+++ b/msscheduler/engine_test.go
@@ -0,0 +1,303 @@
+package msscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/mssite"
+	"marjoramspan/msstandin"
+)
+
+func TestJobRunsItsStepsInOrder(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	second := step(2)
+	second.After = []int{0}
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20ms", Steps: []msjob.Step{step(3), second}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	var lastOfFirst, firstOfSecond time.Time
+	for _, r := range w.journal.Runs() {
+		require.Equal(t, "done", r.How)
+		if r.Task.Step == 0 && r.End.After(lastOfFirst) {
+			lastOfFirst = r.End
+		}
+		if r.Task.Step == 1 && (firstOfSecond.IsZero() || r.Start.Before(firstOfSecond)) {
+			firstOfSecond = r.Start
+		}
+	}
+	require.Len(t, w.journal.Runs(), 5)
+	require.False(t, firstOfSecond.Before(lastOfFirst))
+	w.noneDoubled()
+}
+
+func TestFailuresUpToTheAttempts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=5ms fail=2", Steps: []msjob.Step{step(1)}})
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=5ms fail=9", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	w.await(e, "0000000000000002", msjob.Failed)
+	n := map[string]int{}
+	for _, r := range w.journal.Runs() {
+		n[r.Task.Job]++
+	}
+	require.Equal(t, map[string]int{"0000000000000001": 3, "0000000000000002": 3}, n)
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{lasting(3, 1)}})
+	w.awaitRunning(3)
+	w.cancel("0000000000000001")
+	w.await(e, "0000000000000001", msjob.Canceled)
+	w.awaitRunning(0)
+}
+
+func TestTeamLimitHolds(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 8)
+	e := w.entry("a")
+	for i := range 6 {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Team: "fitters", Spec: "run=30ms", Steps: []msjob.Step{step(4)}})
+	}
+	for i := range 6 {
+		w.await(e, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+	require.LessOrEqual(t, mostAtATime(w.journal.Runs()), 8, "tasks of a core each run under a limit of 8 cores")
+}
+
+func mostAtATime(runs []msstandin.JobRunEntry) int {
+	most := 0
+	for _, r := range runs {
+		n := 0
+		for _, o := range runs {
+			if !o.Start.After(r.Start) && (o.End.IsZero() || o.End.After(r.Start)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// The first start is carried out without an answer; the same attempt is ordered
+// again and not another one.
+func TestStartWithoutAnAnswerRunsOnce(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	for _, j := range w.all() {
+		j.LoseStarts(2)
+	}
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=1500ms", Steps: []msjob.Step{step(3)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	require.Len(t, w.journal.Runs(), 3)
+	w.noneDoubled()
+}
+
+// Answers of the log are lost: the batch is sent again under its number and counts
+// once.
+func TestLostAnswersOfTheLog(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	w.log.SetFault(msstandin.LogFault{LoseEvery: 4})
+	e := w.entry("a")
+	for i := range 5 {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=20ms", Steps: []msjob.Step{step(2)}})
+	}
+	for i := range 5 {
+		w.await(e, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+	require.Len(t, w.journal.Runs(), 10)
+	w.noneDoubled()
+}
+
+// Jobs that are folded between a leader's start and the end of the journal must
+// keep what the earlier leader has stored of them.
+func TestTakeoverKeepsProgress(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4)
+	a := w.entry("a")
+	for i := range 4 {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=2s", Steps: []msjob.Step{step(3)}})
+	}
+	w.awaitRunning(12)
+	b := w.entry("b")
+	a.stop()
+	for i := range 4 {
+		w.await(b, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+	require.Len(t, w.journal.Runs(), 12)
+	w.noneDoubled()
+}
+
+// An entry that loads the whole journal while it takes over sees jobs before their
+// progress.
+func TestTakeoverByAnEntryThatLoads(t *testing.T) {
+	t.Parallel()
+	for range 5 {
+		w := newWorld(t, 4)
+		a := w.entry("a")
+		for i := range 8 {
+			w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=1s", Steps: []msjob.Step{step(2)}})
+		}
+		w.awaitRunning(16)
+		a.stop()
+		w.log.Compact("jobs")
+		b := w.entry("b")
+		for i := range 8 {
+			w.await(b, fmt.Sprintf("%016x", i), msjob.Completed)
+		}
+		w.noneDoubled()
+		b.stop()
+	}
+}
+
+// A worker that is out of reach runs on: its tasks may start elsewhere only once
+// its lease has ended.
+func TestWorkerOutOfReach(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=8s", Steps: []msjob.Step{step(2)}})
+	w.awaitRunning(2)
+	cut := w.worker(w.journal.Runs()[0].Worker)
+	cut.SetDown(true)
+	w.await(e, "0000000000000001", msjob.Completed)
+	// The worker notes the end of a lease when it is next asked.
+	cut.SetDown(false)
+	w.awaitRunning(0)
+	ended := map[string]time.Time{}
+	for _, r := range w.journal.Runs() {
+		if r.How == "lapsed" {
+			ended[r.Task.String()] = r.Start.Add(5 * time.Second)
+		}
+	}
+	for _, r := range w.journal.Runs() {
+		if after, ok := ended[r.Task.String()]; ok && r.How == "done" {
+			require.False(t, r.Start.Before(after), "started %s before the lease's end", after.Sub(r.Start))
+		}
+	}
+}
+
+// A restart under the same id ends what ran there at once.
+func TestWorkerRestartsUnderItsID(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=400ms", Steps: []msjob.Step{step(2)}})
+	w.awaitRunning(2)
+	w.all()[0].Restart()
+	w.await(e, "0000000000000001", msjob.Completed)
+	w.noneDoubled()
+}
+
+func TestGangStartsTogetherOrNotAtAll(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	gang := step(6)
+	gang.Gang = true
+	blocker := step(4)
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=300ms", Steps: []msjob.Step{blocker}})
+	w.awaitRunning(4)
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=50ms", Steps: []msjob.Step{gang}})
+	w.await(e, "0000000000000002", msjob.Completed)
+	var first, last time.Time
+	for _, r := range w.journal.Runs() {
+		if r.Task.Job != "0000000000000002" {
+			continue
+		}
+		require.Equal(t, 1, r.Attempt)
+		if first.IsZero() || r.Start.Before(first) {
+			first = r.Start
+		}
+		if r.Start.After(last) {
+			last = r.Start
+		}
+	}
+	for _, r := range w.journal.Runs() {
+		if r.Task.Job == "0000000000000001" && !r.End.IsZero() {
+			require.False(t, first.Before(r.End) && r.End.Before(last), "a member waited for the end of another job")
+		}
+	}
+}
+
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	start := time.Now().Add(600 * time.Millisecond).UTC()
+	w.submit(&msjob.Job{
+		ID: "0000000000000001", Spec: "run=10ms", Steps: []msjob.Step{step(1)},
+		Occurrences: 3, StartAt: start, Every: 400 * time.Millisecond,
+	})
+	w.await(e, "0000000000000001", msjob.Completed)
+	runs := w.journal.Runs()
+	require.Len(t, runs, 3)
+	for _, r := range runs {
+		due := start.Add(time.Duration(r.Task.Occurrence) * 400 * time.Millisecond)
+		require.False(t, r.Start.Before(due), "occurrence %d started %s early", r.Task.Occurrence, due.Sub(r.Start))
+	}
+}
+
+// An upkeep that an earlier leader has carried out is answered like a new one; its
+// worker lives on.
+func TestWaveOverAChangeOfTheLeader(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 6)
+	a := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{lasting(3, 1)}})
+	w.awaitRunning(3)
+	w.sites.SetWave(mssite.Wave{ID: 1, VMs: []string{"vm-0", "vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}, Within: 4 * time.Second, AtOnce: 2})
+	require.Eventually(t, func() bool { p, ok := a.jobs.Wave(1); return ok && len(p.Done) >= 2 }, eventually, 5*time.Millisecond)
+	b := w.entry("b")
+	a.stop()
+	require.Eventually(t, func() bool { p, ok := b.jobs.Wave(1); return ok && p.Completed }, eventually, 5*time.Millisecond)
+	w.awaitRunning(3)
+	require.LessOrEqual(t, w.vms.MostMaintained(), 2)
+	w.noneDoubled()
+	require.LessOrEqual(t, mostAway(w.journal.Runs(), 3), 1, "tasks of the step away at a time")
+}
+
+// mostAway is the most tasks of a lasting step of n tasks that didn't run at a
+// moment just before one of them was ended.
+func mostAway(runs []msstandin.JobRunEntry, n int) int {
+	most := 0
+	for _, r := range runs {
+		if r.End.IsZero() {
+			continue
+		}
+		at := 0
+		for _, o := range runs {
+			if o.Start.Before(r.End) && (o.End.IsZero() || !o.End.Before(r.End)) {
+				at++
+			}
+		}
+		most = max(most, n-at+1)
+	}
+	return most
+}
+
+// The log is away for a time: nothing is started or lost, and work goes on.
+func TestLogAway(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=700ms", Steps: []msjob.Step{step(2), step(2)}})
+	w.awaitRunning(4)
+	w.log.SetFault(msstandin.LogFault{Down: true})
+	time.Sleep(2500 * time.Millisecond)
+	w.log.SetFault(msstandin.LogFault{})
+	w.await(e, "0000000000000001", msjob.Completed)
+	require.Len(t, w.journal.Runs(), 4)
+	w.noneDoubled()
+}
--- /dev/null
+++ b/msscheduler/harness_test.go
@@ -0,0 +1,221 @@
+package msscheduler
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+	"marjoramspan/msleader"
+	"marjoramspan/mssite"
+	"marjoramspan/msstandin"
+	"marjoramspan/msworker"
+)
+
+// eventually bounds the wait for a state that must come; no verdict rests on it
+// coming sooner.
+const eventually = 30 * time.Second
+
+// world is a log, workers and VMs that entries share.
+type world struct {
+	t       *testing.T
+	log     msstandin.JobLog
+	journal msstandin.JobJournal
+
+	mu      sync.Mutex
+	workers map[string]*msstandin.JobWorker
+	reg     msworker.Registry
+	vms     msstandin.JobFleet
+	sites   mssite.Holder
+}
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{t: t, workers: map[string]*msstandin.JobWorker{}}
+	w.vms.OnLeave = func(id string) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if j := w.workers[id]; j != nil {
+			j.Restart()
+			j.SetDown(true)
+		}
+		w.reg.Drop(id)
+	}
+	w.vms.OnJoin = func(vm msworker.VM) { w.join(vm) }
+	w.sites.Set(&mssite.Site{
+		Version: 1,
+		Queues:  []mssite.Queue{{Name: "plan", Pool: "booth", Attempts: 3, Stretch: 1.5, Slack: time.Second}},
+		Pools:   map[string]mssite.Pool{"booth": {Name: "booth", Guarded: true}, "spare": {Name: "spare", Spare: true}},
+		Teams:   map[string]mssite.Team{"fitters": {Name: "fitters", Limit: msjob.Resources{CPU: 8000}}},
+		Keys:    map[string]string{"k": "fitters"},
+	})
+	for i := range workers {
+		w.vms.Add(msworker.VM{
+			Name: "vm-" + strconv.Itoa(i), Pool: "booth", Rack: "r" + strconv.Itoa(i/2), Up: true,
+			Capacity: msjob.Resources{CPU: 4000, Memory: 8000},
+		})
+	}
+	return w
+}
+
+func (w *world) join(vm msworker.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, Rack: vm.Rack, Capacity: vm.Capacity}
+	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal}
+	w.reg.Set(entry)
+}
+
+func (w *world) worker(id string) *msstandin.JobWorker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id]
+}
+
+func (w *world) all() []*msstandin.JobWorker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*msstandin.JobWorker
+	for _, j := range w.workers {
+		all = append(all, j)
+	}
+	return all
+}
+
+// entry is one entry that stands for election and schedules.
+type entry struct {
+	w       *world
+	jobs    msjob.Table
+	records *msjournal.Follower
+	leader  *msleader.Leader
+	mu      sync.Mutex
+	engine  *Engine
+	stop    func()
+}
+
+func (w *world) entry(name string) *entry {
+	e := &entry{w: w}
+	log, clock, logger := w.log.Log(), &msclock.Boot{}, zap.NewNop()
+	e.records = &msjournal.Follower{
+		Log: log, Clock: clock, Logger: logger, Stream: "jobs", Reset: e.jobs.Reset,
+		Apply: func(r msjournal.Record, _ int64) { _ = e.jobs.Apply(msjob.Record{Key: r.Key, Value: r.Value}) },
+	}
+	e.jobs.OnJob = func(j msjob.Entry) {
+		if g := e.current(); g != nil {
+			g.AddJob(j)
+		}
+	}
+	e.jobs.OnCancel = func(id string) {
+		if g := e.current(); g != nil {
+			g.Cancel(id)
+		}
+	}
+	e.leader = &msleader.Leader{
+		Log: log, Clock: clock, Logger: logger, Stream: "leader", Holder: name,
+		Jitter: func() float64 { return 0.5 },
+		Lead: func(ctx context.Context, t msleader.Term) error {
+			g := &Engine{
+				Term: t, Holder: name, Log: log, Stream: "jobs", Jobs: &e.jobs, Journal: e.records,
+				Registry: &w.reg, Orders: msstandin.Orders(w.worker), VMs: w.vms.VMs(), Sites: &w.sites,
+				Report: func(context.Context, int64, bool) error { return nil },
+				Clock:  clock, Wall: msclock.System{}, Logger: logger,
+				Settings: Settings{
+					LongestLease: 6 * time.Second, StatusKept: time.Minute, Notice: 4 * time.Second,
+					HolderPause: 100 * time.Millisecond, MaintenanceTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
+				},
+			}
+			e.set(g)
+			defer e.set(nil)
+			return g.Run(ctx)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); _ = e.records.Run(ctx) }()
+	lctx, lcancel := context.WithCancel(ctx)
+	go func() { defer wg.Done(); _ = e.leader.Run(lctx) }()
+	var once sync.Once
+	e.stop = func() { once.Do(func() { lcancel(); cancel(); wg.Wait() }) }
+	w.t.Cleanup(e.stop)
+	return e
+}
+
+func (e *entry) current() *Engine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.engine
+}
+
+func (e *entry) set(g *Engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.engine = g
+}
+
+// submit stores a job.
+func (w *world) submit(j *msjob.Job) {
+	w.t.Helper()
+	if j.Queue == "" {
+		j.Queue, j.Pool = "plan", "booth"
+	}
+	if j.Attempts == 0 {
+		j.Attempts = 3
+	}
+	j.Accepted, j.Stretch, j.Slack = time.Now().UTC(), 1.5, time.Second
+	require.NoError(w.t, j.Check())
+	r, err := msjob.JobRecord(j)
+	require.NoError(w.t, err)
+	w.log.Put("jobs", r.Key, r.Value)
+}
+
+func (w *world) cancel(id string) {
+	r := msjob.CancelRecord(id)
+	w.log.Put("jobs", r.Key, r.Value)
+}
+
+// await waits until an entry shows a job in a state.
+func (w *world) await(e *entry, id string, want msjob.State) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		got, ok := e.jobs.Job(id)
+		return ok && got.State() == want
+	}, eventually, 5*time.Millisecond, "job %s is not %s", id, want)
+}
+
+// awaitRunning waits until n attempts run.
+func (w *world) awaitRunning(n int) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool { return w.running() == n }, eventually, 5*time.Millisecond, "not %d attempts run", n)
+}
+
+func (w *world) running() int {
+	n := 0
+	for _, r := range w.journal.Runs() {
+		if r.End.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) noneDoubled() {
+	w.t.Helper()
+	require.Empty(w.t, w.journal.Doubled(), "attempts that ran beside or after another of their task")
+}
+
+func step(count int) msjob.Step {
+	return msjob.Step{Count: count, Need: msjob.Resources{CPU: 1000, Memory: 100}, Estimate: 50 * time.Millisecond}
+}
+
+func lasting(count, mayMiss int) msjob.Step {
+	s := step(count)
+	s.Lasting, s.MayMiss = true, mayMiss
+	return s
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -80,7 +80,10 @@
 		s.Checkpoint = t.Checkpoint
 	}
 	if r.w.lease.Known() && e.Term.Valid() {
-		s.Until = r.w.lease.Grant(e.Clock.Now(), e.lease())
+		s.Until = r.w.lease.Until()
+		if r.w.reachable {
+			s.Until = r.w.lease.Grant(e.Clock.Now(), e.lease())
+		}
 	}
 	return s, r.w.Worker, true
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -168,7 +168,8 @@
 	e.mu.Lock()
 	now := e.Clock.Now()
 	h := msworker.Hold{Token: e.Term.Epoch, Acked: w.acked}
-	if w.lease.Known() && e.mayRenew() {
+	// A worker that doesn't answer may still hear: its lease must end some time.
+	if w.lease.Known() && w.reachable && e.mayRenew() {
 		h.Until = w.lease.Grant(now, e.lease())
 	}
 	if w.reported && w.reachable {
--- /dev/null
+++ b/msstandin/jobworker.go
@@ -0,0 +1,396 @@
+package msstandin
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+// JobWorker runs attempts of tasks in memory. What an attempt does stands in its
+// job's spec: "run=300ms" is how long it takes, "fail=2" lets the first two attempts
+// of every task fail. The fields are set before use.
+type JobWorker struct {
+	Worker msworker.Worker
+	// Clock is the system's by default.
+	Clock msclock.Clock
+	// Journal, if set, hears of every start and end.
+	Journal *JobJournal
+
+	mu      sync.Mutex
+	born    time.Time
+	begun   bool
+	token   int64
+	until   time.Duration
+	running map[jobRun]*running
+	barred  map[msjob.TaskID]int
+	ended   []msworker.End
+	n       int64
+	down    bool
+	changed chan struct{}
+	// loseStarts is how many answers to starts are still lost.
+	loseStarts int
+}
+
+type jobRun struct {
+	task    msjob.TaskID
+	attempt int
+}
+
+type running struct {
+	begun    time.Time
+	takes    time.Duration
+	fails    bool
+	lasting  bool
+	percent  int
+	stopping bool
+}
+
+// lastingSpec marks tasks that run until they are stopped.
+const lastingSpec = "lasting"
+
+// Orders returns the calls to workers found by id.
+func Orders(find func(id string) *JobWorker) msworker.Orders {
+	silent := func(ctx context.Context, w msworker.Worker) error {
+		<-ctx.Done()
+		return &msworker.Error{Worker: w.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+	}
+	return msworker.Orders{
+		Start: func(ctx context.Context, w msworker.Worker, s msworker.Start) (time.Duration, error) {
+			if j := find(w.ID); j != nil {
+				return j.Start(ctx, s)
+			}
+			return 0, silent(ctx, w)
+		},
+		Stop: func(ctx context.Context, w msworker.Worker, s msworker.Stop) (time.Duration, error) {
+			if j := find(w.ID); j != nil {
+				return j.Stop(ctx, s)
+			}
+			return 0, silent(ctx, w)
+		},
+		Pace: func(ctx context.Context, w msworker.Worker, p msworker.Pace) (time.Duration, error) {
+			if j := find(w.ID); j != nil {
+				return j.Pace(ctx, p)
+			}
+			return 0, silent(ctx, w)
+		},
+		Hold: func(ctx context.Context, w msworker.Worker, h msworker.Hold) (msworker.Report, error) {
+			if j := find(w.ID); j != nil {
+				return j.Hold(ctx, h)
+			}
+			return msworker.Report{}, silent(ctx, w)
+		},
+	}
+}
+
+func (w *JobWorker) now() time.Time {
+	if w.Clock == nil {
+		w.Clock = msclock.System{}
+	}
+	return w.Clock.Now()
+}
+
+func (w *JobWorker) begin() {
+	if w.begun {
+		return
+	}
+	w.begun, w.born = true, w.now()
+	w.running, w.barred = map[jobRun]*running{}, map[msjob.TaskID]int{}
+	w.changed = make(chan struct{})
+}
+
+// Restart ends the worker's life and begins another under the same id.
+func (w *JobWorker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin()
+	now := w.now()
+	for k := range w.running {
+		w.Journal.end(k, now, "gone")
+	}
+	w.begun, w.token, w.until, w.ended, w.n = false, 0, 0, nil, 0
+	w.begin()
+}
+
+// SetDown makes the worker silent; what it runs goes on.
+func (w *JobWorker) SetDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
+// LoseStarts lets the worker carry out the next n starts without an answer.
+func (w *JobWorker) LoseStarts(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseStarts = n
+}
+
+// clock is the worker's own clock.
+func (w *JobWorker) clock() time.Duration {
+	return w.now().Sub(w.born)
+}
+
+// advance ends what has ended since the last call. The caller holds mu.
+func (w *JobWorker) advance() {
+	now := w.now()
+	if w.until > 0 && w.clock() > w.until {
+		for k := range w.running {
+			w.end(k, msworker.EndLapsed, now)
+		}
+	}
+	var done []jobRun
+	for k, r := range w.running {
+		if r.stopping || !r.lasting && now.Sub(r.begun) >= r.takes {
+			done = append(done, k)
+		}
+	}
+	sort.Slice(done, func(i, k int) bool { return done[i].task.String() < done[k].task.String() })
+	for _, k := range done {
+		r := w.running[k]
+		switch {
+		case r.stopping:
+			w.end(k, msworker.EndStopped, now)
+		case r.fails:
+			w.end(k, msworker.EndFailed, now)
+		default:
+			w.end(k, msworker.EndDone, now)
+		}
+	}
+}
+
+func (w *JobWorker) end(k jobRun, how msworker.How, now time.Time) {
+	delete(w.running, k)
+	w.barred[k.task] = max(w.barred[k.task], k.attempt)
+	w.n++
+	w.ended = append(w.ended, msworker.End{N: w.n, Task: k.task, Attempt: k.attempt, How: how})
+	w.Journal.end(k, now, string(how))
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// enter checks what every order is checked for. The caller holds mu.
+func (w *JobWorker) enter(token int64) *msworker.Error {
+	w.begin()
+	w.advance()
+	if token < w.token {
+		return &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Fenced}
+	}
+	w.token = token
+	return nil
+}
+
+func (w *JobWorker) silent(ctx context.Context) error {
+	w.mu.Lock()
+	down := w.down
+	w.mu.Unlock()
+	if !down {
+		return nil
+	}
+	<-ctx.Done()
+	return &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+}
+
+// Start begins an attempt.
+func (w *JobWorker) Start(ctx context.Context, s msworker.Start) (time.Duration, error) {
+	if err := w.silent(ctx); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	err := w.start(s)
+	clock := w.clock()
+	lose := w.loseStarts > 0
+	if lose {
+		w.loseStarts--
+	}
+	w.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return 0, &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+	}
+	if err != nil {
+		return clock, err
+	}
+	return clock, nil
+}
+
+func (w *JobWorker) start(s msworker.Start) error {
+	if err := w.enter(s.Token); err != nil {
+		return err
+	}
+	if s.Until <= w.clock() {
+		return &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Late}
+	}
+	w.until = max(w.until, s.Until)
+	k := jobRun{task: s.Task, attempt: s.Attempt}
+	if w.running[k] != nil {
+		return nil
+	}
+	if s.Attempt <= w.barred[s.Task] {
+		return &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Stale}
+	}
+	r := &running{begun: w.now(), percent: 100}
+	r.takes, r.fails, r.lasting = parseSpec(s.Spec, s.Attempt)
+	w.running[k] = r
+	w.Journal.start(k, w.Worker.ID, r.begun)
+	return nil
+}
+
+// parseSpec reads what an attempt does.
+func parseSpec(spec string, attempt int) (takes time.Duration, fails, lasting bool) {
+	for _, f := range strings.Fields(spec) {
+		name, value, _ := strings.Cut(f, "=")
+		switch name {
+		case "run":
+			takes, _ = time.ParseDuration(value) // A spec without a time runs for none.
+		case "fail":
+			n, _ := strconv.Atoi(value)
+			fails = attempt <= n
+		case lastingSpec:
+			lasting = true
+		}
+	}
+	return takes, fails, lasting
+}
+
+// Stop ends an attempt or keeps it from beginning.
+func (w *JobWorker) Stop(ctx context.Context, s msworker.Stop) (time.Duration, error) {
+	if err := w.silent(ctx); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(s.Token); err != nil {
+		return w.clock(), err
+	}
+	w.barred[s.Task] = max(w.barred[s.Task], s.Attempt)
+	if r := w.running[jobRun{task: s.Task, attempt: s.Attempt}]; r != nil {
+		r.stopping = true
+	}
+	w.advance()
+	return w.clock(), nil
+}
+
+// Pace sets the share of its speed at which an attempt works.
+func (w *JobWorker) Pace(ctx context.Context, p msworker.Pace) (time.Duration, error) {
+	if err := w.silent(ctx); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(p.Token); err != nil {
+		return w.clock(), err
+	}
+	if r := w.running[jobRun{task: p.Task, attempt: p.Attempt}]; r != nil {
+		r.percent = p.Percent
+	}
+	return w.clock(), nil
+}
+
+// holdLook is the pause between two looks for an end while a hold waits.
+const holdLook = 5 * time.Millisecond
+
+// Hold renews the lease and lists what runs and what has ended.
+func (w *JobWorker) Hold(ctx context.Context, h msworker.Hold) (msworker.Report, error) {
+	if err := w.silent(ctx); err != nil {
+		return msworker.Report{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(h.Token); err != nil {
+		return msworker.Report{}, err
+	}
+	w.until = max(w.until, h.Until)
+	for len(w.ended) > 0 && w.ended[0].N <= h.Acked {
+		w.ended = w.ended[1:]
+	}
+	until := w.now().Add(h.Wait)
+	for len(w.ended) == 0 && w.now().Before(until) && ctx.Err() == nil {
+		w.mu.Unlock()
+		_ = msclock.Sleep(ctx, w.Clock, holdLook)
+		w.mu.Lock()
+		w.advance()
+	}
+	if w.down || ctx.Err() != nil {
+		return msworker.Report{}, &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+	}
+	r := msworker.Report{Born: w.born.UnixMilli(), Clock: w.clock()}
+	for k := range w.running {
+		r.Running = append(r.Running, msworker.Run{Task: k.task, Attempt: k.attempt, Percent: w.running[k].percent})
+	}
+	r.Ended = append(r.Ended, w.ended[:min(len(w.ended), msworker.MaxEnds)]...)
+	return r, nil
+}
+
+// JobJournal is what all workers together have seen. The zero value is empty.
+type JobJournal struct {
+	mu   sync.Mutex
+	runs []JobRunEntry
+}
+
+// JobRunEntry is an attempt that ran at a worker.
+type JobRunEntry struct {
+	Task    msjob.TaskID
+	Attempt int
+	Worker  string
+	Start   time.Time
+	// End is zero while the attempt runs, How says how it ended.
+	End time.Time
+	How string
+}
+
+func (j *JobJournal) start(k jobRun, worker string, now time.Time) {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, JobRunEntry{Task: k.task, Attempt: k.attempt, Worker: worker, Start: now})
+}
+
+func (j *JobJournal) end(k jobRun, now time.Time, how string) {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := len(j.runs) - 1; i >= 0; i-- {
+		r := &j.runs[i]
+		if r.Task == k.task && r.Attempt == k.attempt && r.End.IsZero() {
+			r.End, r.How = now, how
+			return
+		}
+	}
+}
+
+// Runs returns all attempts in the order of their start.
+func (j *JobJournal) Runs() []JobRunEntry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]JobRunEntry(nil), j.runs...)
+}
+
+// Doubled returns the attempts that began while another of the same task ran, or
+// after one of it had ended well.
+func (j *JobJournal) Doubled() []JobRunEntry {
+	var bad []JobRunEntry
+	runs := j.Runs()
+	for i, r := range runs {
+		for k, o := range runs {
+			if i == k || o.Task != r.Task || r.Start.Before(o.Start) || r.Start.Equal(o.Start) && i < k {
+				continue
+			}
+			if o.End.IsZero() || o.End.After(r.Start) || o.How == string(msworker.EndDone) {
+				bad = append(bad, r)
+				break
+			}
+		}
+	}
+	return bad
+}
--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -38,6 +38,11 @@
 	return end
 }
 
+// Until returns the latest end of the lease that was ever sent.
+func (l *Lease) Until() time.Duration {
+	return l.until
+}
+
 // Assume counts a lease of length d, from the worker's clock last seen, that
 // another may have sent.
 func (l *Lease) Assume(d time.Duration) {
