--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -126,16 +126,23 @@
 	t.Parallel()
 	w := newWorld(t, 4)
 	a := w.entry("a")
+	w.submit(&msjob.Job{ID: "00000000000000ff", Spec: "run=1ms", Steps: []msjob.Step{step(1)}})
+	w.await(a, "00000000000000ff", msjob.Completed)
+	b := w.entry("b")
+	w.await(b, "00000000000000ff", msjob.Completed)
+	// From now on the second entry reads only when it has to.
+	b.pause.Store(int64(time.Hour))
+	time.Sleep(1200 * time.Millisecond)
 	for i := range 4 {
-		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=2s", Steps: []msjob.Step{step(3)}})
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=3s", Steps: []msjob.Step{step(3)}})
 	}
 	w.awaitRunning(12)
-	b := w.entry("b")
 	a.stop()
-	for i := range 4 {
-		w.await(b, fmt.Sprintf("%016x", i), msjob.Completed)
-	}
-	require.Len(t, w.journal.Runs(), 12)
+	require.Eventually(t, func() bool { return b.current() != nil }, eventually, 5*time.Millisecond)
+	b.pause.Store(0)
+	require.Eventually(t, func() bool { return w.running() == 0 }, eventually, 5*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	require.Len(t, w.journal.Runs(), 13)
 	w.noneDoubled()
 }
 
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,6 +98,8 @@
 	mu      sync.Mutex
 	engine  *Engine
 	stop    func()
+	// pause is how long the entry pauses between two reads of the journal.
+	pause atomic.Int64
 }
 
 func (w *world) entry(name string) *entry {
@@ -104,6 +107,7 @@
 	log, clock, logger := w.log.Log(), &msclock.Boot{}, zap.NewNop()
 	e.records = &msjournal.Follower{
 		Log: log, Clock: clock, Logger: logger, Stream: "jobs", Reset: e.jobs.Reset,
+		Pause: func() time.Duration { return time.Duration(e.pause.Load()) },
 		Apply: func(r msjournal.Record, _ int64) { _ = e.jobs.Apply(msjob.Record{Key: r.Key, Value: r.Value}) },
 	}
 	e.jobs.OnJob = func(j msjob.Entry) {
