mscapacity: pools over their size drain VMs for those that lack

Change: such pools keep new tasks from the VMs with least to end; peaks halve in 1.5 s; entries that were restarted lately stand for election first.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -93,7 +93,7 @@
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(set.Memory) * heapShare))
 	}
-	n := &node{path: c.Settings, clock: clock, log: logger.With(zap.String("entry", set.Name))}
+	n := &node{path: c.Settings, clock: clock, begun: clock.Now(), log: logger.With(zap.String("entry", set.Name))}
 	n.set.Store(set)
 	n.build()
 	return n.run(ctx)
@@ -133,6 +133,7 @@
 	orders                      msworker.Orders
 	vms                         msworker.VMs
 
+	begun    time.Time
 	draining atomic.Bool
 	mu       sync.Mutex
 	engine   *msscheduler.Engine
@@ -162,6 +163,7 @@
 	n.leader = &msleader.Leader{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, Jitter: rand.Float64, Lead: n.lead,
+		Uptime: func() time.Duration { return n.clock.Now().Sub(n.begun) },
 	}
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -37,8 +37,10 @@
 // VM is a VM that may be moved.
 type VM struct {
 	Name, Pool, DataCentre string
-	// Idle VMs run nothing.
-	Idle bool
+	// Idle VMs run nothing, and Fixed ones can't be moved now.
+	Idle, Fixed bool
+	// Load is what has to end before the VM is idle, in thousandths of a core.
+	Load int64
 }
 
 // Move takes a VM to another pool.
@@ -46,6 +48,13 @@
 	VM, To string
 }
 
+// Orders are what Plan wants done.
+type Orders struct {
+	Moves []Move
+	// Drain has the VMs that get no new tasks, so that they can be moved soon.
+	Drain []string
+}
+
 // Turns remembers when pools have had their turns. The zero value has seen none.
 // Its fields are exported to be stored.
 type Turns struct {
@@ -67,7 +76,7 @@
 	// turnGap is how long the demand stays low before a turn has ended.
 	turnGap = 1500 * time.Millisecond
 	// peakHalf is the time in which a peak that isn't reached again loses half.
-	peakHalf = 3 * time.Second
+	peakHalf = 1500 * time.Millisecond
 	// headroom is what a pool in its turn has over its demand, as demand within a
 	// second varies by about that much.
 	headroom = 1.2
@@ -154,7 +163,7 @@
 
 // Plan returns the moves that bring the pools to their targets. VMs leave a pool
 // for one that lacks some, or for the spare pool.
-func (t *Turns) Plan(pools []Pool, vms []VM) []Move {
+func (t *Turns) Plan(pools []Pool, vms []VM) Orders {
 	over, lack := map[string]int{}, map[string]int{}
 	spare := ""
 	for _, p := range pools {
@@ -169,18 +178,25 @@
 			lack[p.Name] = -d
 		}
 	}
-	idle := append([]VM(nil), vms...)
+	givers := append([]VM(nil), vms...)
 	// Pools that are over their target give before the spare pool, whose VMs cost
-	// nothing as long as they stay.
-	sort.SliceStable(idle, func(i, k int) bool {
-		if si, sk := idle[i].Pool == spare, idle[k].Pool == spare; si != sk {
-			return sk
+	// nothing as long as they stay; idle VMs go before those with little to end.
+	sort.SliceStable(givers, func(i, k int) bool {
+		a, b := &givers[i], &givers[k]
+		if sa, sb := a.Pool == spare, b.Pool == spare; sa != sb {
+			return sb
+		}
+		if a.Idle != b.Idle {
+			return a.Idle
 		}
-		return idle[i].Name < idle[k].Name
+		if a.Load != b.Load {
+			return a.Load < b.Load
+		}
+		return a.Name < b.Name
 	})
-	var moves []Move
-	for _, vm := range idle {
-		if !vm.Idle || over[vm.Pool] <= 0 {
+	var o Orders
+	for _, vm := range givers {
+		if vm.Fixed || over[vm.Pool] <= 0 {
 			continue
 		}
 		to := neediest(lack)
@@ -191,12 +207,16 @@
 			continue
 		}
 		over[vm.Pool]--
+		if !vm.Idle {
+			o.Drain = append(o.Drain, vm.Name)
+			continue
+		}
 		if lack[to] > 0 {
 			lack[to]--
 		}
-		moves = append(moves, Move{VM: vm.Name, To: to})
+		o.Moves = append(o.Moves, Move{VM: vm.Name, To: to})
 	}
-	return moves
+	return o
 }
 
 func neediest(lack map[string]int) string {
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -39,6 +39,9 @@
 	// spread is the most by which candidates differ in when they stand.
 	spread = 120 * time.Millisecond
 
+	// oldProcess is the uptime from which processes count as equally old.
+	oldProcess = 30 * time.Second
+
 	termKey = "term"
 )
 
@@ -85,6 +88,9 @@
 	Holder string
 	// Jitter returns a number from 0 to 1.
 	Jitter func() float64
+	// Uptime, if set, returns how long the process has run. In a rolling restart those
+	// that were restarted lead on, so that the term changes once and not each time.
+	Uptime func() time.Duration
 	// Lead runs for the time of a term and ends soon after ctx is done. Where it
 	// returns first, the term is given up.
 	Lead func(ctx context.Context, t Term) error
@@ -147,7 +153,7 @@
 	for ctx.Err() == nil {
 		if l.released || l.Clock.Now().Sub(l.seen) >= patience {
 			if l.released {
-				_ = msclock.Sleep(ctx, l.Clock, time.Duration(l.Jitter()*float64(spread)/4))
+				_ = msclock.Sleep(ctx, l.Clock, l.delay())
 			}
 			if err := l.stand(ctx); err != nil {
 				return err
@@ -180,6 +186,15 @@
 	return nil
 }
 
+// delay is how long the candidate waits once the term is free.
+func (l *Leader) delay() time.Duration {
+	d := time.Duration(l.Jitter() * float64(spread) / 4)
+	if l.Uptime != nil {
+		d += time.Duration(min(1, l.Uptime().Seconds()/oldProcess.Seconds()) * float64(spread))
+	}
+	return d
+}
+
 // stand appends a record that begins a term, and leads if it is stored.
 func (l *Leader) stand(ctx context.Context) error {
 	off, sent, err := l.append(ctx, record{})
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -156,15 +156,19 @@
 			continue
 		}
 		byName[vm.Name] = vm
-		w := e.workers[vm.Worker]
-		vms = append(vms, mscapacity.VM{
-			Name: vm.Name, Pool: vm.Pool, DataCentre: vm.DataCentre,
-			Idle: spare[vm.Pool] || w != nil && w.reachable && len(w.runs) == 0 && !w.reserved,
-		})
+		vms = append(vms, e.movable(vm, spare[vm.Pool]))
+	}
+	orders := e.pools.turns.Plan(pools, vms)
+	for _, w := range e.workers {
+		w.yielding = false
+	}
+	for _, name := range orders.Drain {
+		if w := e.workers[byName[name].Worker]; w != nil {
+			w.yielding = true
+		}
 	}
-	moves := e.pools.turns.Plan(pools, vms)
 	var workers []string
-	for _, m := range moves {
+	for _, m := range orders.Moves {
 		id := byName[m.VM].Worker
 		workers = append(workers, id)
 		if w := e.workers[id]; w != nil {
@@ -172,7 +176,26 @@
 		}
 		e.pools.leaving[m.VM] = now
 	}
-	return moves, workers
+	return orders.Moves, workers
+}
+
+// movable describes a VM for the plan. VMs whose worker isn't known to run nothing,
+// or that runs lasting tasks, stay.
+func (e *Engine) movable(vm msworker.VM, spare bool) mscapacity.VM {
+	v := mscapacity.VM{Name: vm.Name, Pool: vm.Pool, DataCentre: vm.DataCentre, Idle: spare}
+	if spare {
+		return v
+	}
+	w := e.workers[vm.Worker]
+	if w == nil || !w.reachable || w.reserved || w.Draining || w.hostsLasting() {
+		v.Fixed = true
+		return v
+	}
+	v.Idle = len(w.runs) == 0
+	for _, r := range w.runs {
+		v.Load += r.need.CPU
+	}
+	return v
 }
 
 // leavingTime is how long a VM is left alone after a move was ordered.
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -63,6 +63,8 @@
 	reserved bool
 	// leaving says that the worker's VM was ordered to another pool.
 	leaving bool
+	// yielding keeps new tasks away, as the pool needs fewer VMs.
+	yielding bool
 }
 
 func (w *worker) release() {
@@ -77,7 +79,7 @@
 
 // usable says whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.reported && w.reachable && !w.gone && !w.Draining && !w.reserved && !w.leaving && !now.Before(w.closedUntil)
+	return w.listed && w.reported && w.reachable && !w.gone && !w.Draining && !w.reserved && !w.leaving && !w.yielding && !now.Before(w.closedUntil)
 }
 
 // workerFor returns a worker by id; one that isn't known yet is made.
