msscheduler: maintenance is checked again just before its order

Also: a new leader placed both tasks of a step on the one worker that had reported first (the test failed in 4 of 5 parallel runs until that was traced). Change: a VM's tasks count as away from the order on; the check is repeated; placing waits up to 200 ms for first reports; jobs within a team's weight go first; hopeless jobs are refused at once.

--- a/msintake/admit.go
+++ b/msintake/admit.go
@@ -49,9 +49,28 @@
 	return sum
 }
 
-// admit says whether a job is worth to accept: whether it can still be in time
-// behind the backlog of its pool. It answers a load of turns, in which a queue
-// asks for more than its pool holds for seconds; letting all in makes all late.
-func admit(j *msjob.Job, l msjob.Load, r *Recent, now time.Time) (retryAfter time.Duration, ok bool) {
-	return 0, true
+// lateFactor times the objective is when an answer is of no use any more.
+const lateFactor = 3
+
+// admit says whether a job is worth to accept, and if not when to come back. It
+// answers the load of turns, in which a queue asks for more than its pool holds for
+// seconds: a job that can't even be of late use behind the work ahead is refused at
+// once, and one beyond its team's share already if it can't be in time.
+func admit(j *msjob.Job, l msjob.Load, recent float64) (retryAfter time.Duration, ok bool) {
+	p, known := l.Pools[j.Pool]
+	if !known || p.Cores <= 0 || j.Lasting() || j.Occurrences > 0 {
+		return 0, true
+	}
+	wait := time.Duration((p.Ahead + recent) / (float64(p.Cores) / milliCores) * float64(time.Second))
+	most := lateFactor*j.Objective() - j.Chain()
+	if l.Over[j.Team] {
+		most = j.Objective() - j.Chain()
+	}
+	if wait <= most {
+		return 0, true
+	}
+	return max(time.Second, wait-most), false
 }
+
+// milliCores is the number of CPU units in a core.
+const milliCores = 1000
--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -151,7 +151,7 @@
 	j.Priority, j.Attempts = g.Queue.Priority, g.Queue.Attempts
 	j.Stretch, j.Slack = g.Queue.Stretch, g.Queue.Slack
 	j.Accepted = in.Clock.Now().UTC()
-	if wait, ok := admit(j, in.Jobs.Load(), &in.Recent, in.Clock.Now()); !ok {
+	if wait, ok := admit(j, in.Jobs.Load(), in.Recent.Work(j.Pool, in.Clock.Now())); !ok {
 		// The job may have been accepted before, through another entry.
 		if err := in.Journal.Sync(ctx); err == nil {
 			if _, known := in.Jobs.Job(j.ID); known {
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -30,16 +30,17 @@
 type Load struct {
 	// Pools has the load of each pool by name.
 	Pools map[string]PoolLoad `json:"pools"`
+	// Over has the teams that send more than their share.
+	Over map[string]bool `json:"over,omitempty"`
 }
 
 // PoolLoad is the load of one pool.
 type PoolLoad struct {
 	// Cores is the processor capacity that may be used, in thousandths of a core.
 	Cores int64 `json:"cores"`
-	// Free is what of it no task has, and Backlog the estimated work of accepted
-	// jobs that isn't done, in core-seconds.
-	Free    int64   `json:"free"`
-	Backlog float64 `json:"backlog"`
+	// Ahead is the estimated work, in core-seconds, that a new job waits behind:
+	// what isn't done of the accepted jobs that can still be in time.
+	Ahead float64 `json:"ahead"`
 }
 
 // Table is the fold of the job records. The zero value is empty. It is safe for
--- a/msplace/order.go
+++ b/msplace/order.go
@@ -14,6 +14,8 @@
 	Lasting bool
 	// Priority 0 goes before 1.
 	Priority int
+	// Excess jobs are beyond their team's share.
+	Excess bool
 	// Slack is the time that the job may still wait and be in time.
 	Slack time.Duration
 }
@@ -21,7 +23,8 @@
 // Order sorts jobs into the order in which they get room. It answers the load of a
 // queue that asks for more than its pool holds: by due time alone each job would
 // be just too late once one is, so jobs that can't be in time any more go behind
-// all that can, and of these the one with the least slack goes first.
+// all that can. Of both kinds those within their team's share go first, then the
+// one with the least slack.
 func Order(turns []Turn) {
 	sort.Slice(turns, func(i, k int) bool { return before(&turns[i], &turns[k]) })
 }
@@ -36,6 +39,9 @@
 	if lateA, lateB := a.Slack < 0, b.Slack < 0; lateA != lateB {
 		return lateB
 	}
+	if a.Excess != b.Excess {
+		return b.Excess
+	}
 	if a.Slack != b.Slack {
 		return a.Slack < b.Slack
 	}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
+	"marjoramspan/msplace"
 	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 )
@@ -102,6 +104,8 @@
 	waves   map[int64]*wave
 	fleet   fleet
 	pools   pools
+	// allowance tells which jobs are within their team's share.
+	allowance msplace.Allowance
 }
 
 // job is a job that has not ended, or whose end is not forgotten yet.
@@ -115,6 +119,8 @@
 	broken map[gangKey]bool
 	// retryAt has when a task may be placed again.
 	retryAt map[msjob.TaskID]time.Time
+	// excess jobs are beyond their team's share.
+	excess bool
 	// avoid has the workers on which a task has failed.
 	avoid map[msjob.TaskID]map[string]bool
 }
@@ -172,11 +178,13 @@
 	e.mu.Lock()
 	e.jobs = map[string]*job{}
 	e.mu.Unlock()
-	n := 0
-	e.Jobs.Each(func(entry msjob.Entry) {
+	var entries []msjob.Entry
+	e.Jobs.Each(func(entry msjob.Entry) { entries = append(entries, entry) })
+	sort.Slice(entries, func(i, k int) bool { return entries[i].Job.Accepted.Before(entries[k].Job.Accepted) })
+	for _, entry := range entries {
 		e.AddJob(entry)
-		n++
-	})
+	}
+	n := len(entries)
 	e.Logger.Info("journal taken over", zap.Int64("epoch", e.Term.Epoch), zap.Int("jobs", n), zap.Int64("version", e.Journal.Next()))
 	return nil
 }
@@ -388,6 +396,14 @@
 	e.addJob(entry)
 }
 
+// weight is a team's share, in jobs a second.
+func (e *Engine) weight(team string) float64 {
+	if site := e.Sites.Site(); site != nil {
+		return site.Teams[team].Weight
+	}
+	return 0
+}
+
 func (e *Engine) addJob(entry msjob.Entry) {
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
@@ -397,6 +413,7 @@
 		j.p = entry.Progress.Clone()
 	}
 	e.jobs[j.def.ID] = j
+	j.excess = !e.allowance.Take(j.def.Team, e.weight(j.def.Team), j.def.Accepted)
 	if j.p.State.Final() {
 		return
 	}
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -308,3 +308,30 @@
 	require.Len(t, w.journal.Runs(), 4)
 	w.noneDoubled()
 }
+
+// A VM was chosen for its maintenance, and before the order another task of a step
+// on it goes away: the order must not be sent.
+func TestMaintenanceIsCheckedAgainBeforeTheOrder(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	e := w.entry("a")
+	apart := lasting(2, 1)
+	apart.MaxPerWorker = 1
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{apart}})
+	w.awaitRunning(2)
+	g := e.current()
+	vms, err := w.vms.VMs().List(t.Context())
+	require.NoError(t, err)
+	byWorker := map[string]int{}
+	for i := range vms {
+		byWorker[vms[i].Worker] = i
+	}
+	runs := w.journal.Runs()
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.mayTake(vms[byWorker[runs[0].Worker]], map[stepKey]int{})
+	}, eventually, 5*time.Millisecond)
+	require.True(t, g.takeWorker(vms[byWorker[runs[0].Worker]]))
+	require.False(t, g.takeWorker(vms[byWorker[runs[1].Worker]]), "the other task of the step is being taken")
+}
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -33,33 +33,49 @@
 func (e *Engine) measure(now time.Time) msjob.Load {
 	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}}
 	for _, w := range e.workers {
-		if !w.usable(now) {
-			continue
+		if w.usable(now) {
+			p := l.Pools[w.Pool]
+			p.Cores += w.Capacity.CPU
+			l.Pools[w.Pool] = p
 		}
-		p := l.Pools[w.Pool]
-		p.Cores += w.Capacity.CPU
-		p.Free += max(0, w.free().CPU)
-		l.Pools[w.Pool] = p
 	}
 	site := e.Sites.Site()
+	wall := e.Wall.Now()
 	for _, j := range e.jobs {
 		if j.p.State.Final() {
 			continue
 		}
+		if t, _ := j.turn(wall); t.Slack < 0 {
+			continue
+		}
 		pool := poolOf(j.def, site)
 		p := l.Pools[pool]
-		p.Backlog += e.remaining(j, now)
+		p.Ahead += e.remaining(j)
 		l.Pools[pool] = p
 	}
 	for name, p := range l.Pools {
-		p.Backlog = float64(int64(p.Backlog))
+		p.Ahead = float64(int64(p.Ahead/loadStep)) * loadStep
 		l.Pools[name] = p
 	}
+	if site != nil {
+		for name, t := range site.Teams {
+			if e.allowance.Over(name, t.Weight, wall) {
+				if l.Over == nil {
+					l.Over = map[string]bool{}
+				}
+				l.Over[name] = true
+			}
+		}
+	}
 	return l
 }
 
+// loadStep is the grain of the work ahead, in core-seconds, so that small changes
+// make no record.
+const loadStep = 10
+
 // remaining is the estimated work of a job that isn't done, in core-seconds.
-func (e *Engine) remaining(j *job, now time.Time) float64 {
+func (e *Engine) remaining(j *job) float64 {
 	sum := 0.0
 	for _, r := range j.p.Rounds {
 		for s := range r.Steps {
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -59,7 +59,7 @@
 // place puts waiting tasks on workers and returns the new attempts. Their starts
 // may be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
-	if !e.Term.Valid() {
+	if !e.Term.Valid() || !e.settled(now) {
 		return nil
 	}
 	jobs := e.queue()
@@ -75,6 +75,23 @@
 	return placed
 }
 
+// settleTime is how long a new leader waits for the first reports of workers; what
+// is placed before goes to the few that answered first.
+const settleTime = 200 * time.Millisecond
+
+// settled says whether the listed workers have reported, or had time to.
+func (e *Engine) settled(now time.Time) bool {
+	if now.Sub(e.begun) > settleTime {
+		return true
+	}
+	for _, w := range e.workers {
+		if w.listed && !w.reported {
+			return false
+		}
+	}
+	return len(e.workers) > 0
+}
+
 // queue returns the jobs with tasks that may be placed, in the order in which they
 // get room.
 func (e *Engine) queue() []*job {
@@ -104,7 +121,7 @@
 // turn describes a job for its place in the queue, and says whether any of its
 // tasks waits for room.
 func (j *job) turn(now time.Time) (msplace.Turn, bool) {
-	t := msplace.Turn{ID: j.def.ID, Lasting: j.def.Lasting(), Priority: j.def.Priority}
+	t := msplace.Turn{ID: j.def.ID, Lasting: j.def.Lasting(), Priority: j.def.Priority, Excess: j.excess}
 	waits := false
 	for k, round := range j.p.Rounds {
 		for s := range round.Steps {
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -110,7 +110,11 @@
 	for id, w := range e.workers {
 		vm := of[id]
 		switch {
-		case w.gone || vm != nil && vm.Up:
+		case w.gone:
+		case vm != nil && vm.Up:
+			if w.taken.Before(asked) {
+				w.taken = time.Time{}
+			}
 		case vm == nil && w.vm == "" && w.listed:
 			// It has just joined and isn't in this list yet.
 		case vm == nil || vm.Maintained || vm.Moving:
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -278,18 +278,35 @@
 		r := e.runs[runKey{task: id, attempt: t.Attempt}]
 		switch {
 		case r != nil && r.w == w:
-		case t.Phase != msjob.Assigned || r == nil || r.state != runStarted || r.percent < fullPace || !r.w.reachable || r.w.gone:
+		case t.Phase != msjob.Assigned || r == nil || r.state != runStarted || r.percent < fullPace || !r.w.reachable || r.w.gone || !r.w.taken.IsZero():
 			away++
 		}
 	}
 	return away
 }
 
+// takeWorker counts the tasks on a VM as away, if they may be. Others may have gone
+// away since the VM was chosen.
+func (e *Engine) takeWorker(vm msworker.VM) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.isDrained(vm) || !e.mayTake(vm, map[stepKey]int{}) {
+		return false
+	}
+	if w := e.workers[vm.Worker]; w != nil {
+		w.taken = e.Clock.Now()
+	}
+	return true
+}
+
 // maintain orders the maintenance of a VM and says whether to go on.
 func (e *Engine) maintain(ctx context.Context, wv *wave, vm msworker.VM) bool {
 	if !e.Term.Valid() {
 		return false
 	}
+	if !e.takeWorker(vm) {
+		return true
+	}
 	octx, cancel := context.WithTimeout(ctx, vmTimeout)
 	err := e.VMs.Maintain(octx, msworker.VMOrder{VM: vm.Name, Holder: e.Holder, Token: e.Term.Epoch}, wv.ID)
 	cancel()
@@ -311,7 +328,7 @@
 		wv.ordered[vm.Name] = e.Clock.Now()
 	}
 	if w := e.workers[vm.Worker]; w != nil && reason != msworker.VMUnknown {
-		w.reserved = false
+		w.reserved, w.taken = false, time.Time{}
 	}
 	e.Logger.Info("maintenance ordered", zap.Int64("wave", wv.ID), zap.String("vm", vm.Name), zap.String("worker", vm.Worker), zap.Error(err))
 	return err == nil || !errors.Is(err, context.Canceled) && reason != msworker.VMFenced
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -61,6 +61,9 @@
 	score       score
 	// reserved says that the worker's VM is about to be maintained or moved.
 	reserved bool
+	// taken is when the VM's maintenance was ordered; its tasks count as away from
+	// then on, until the list shows that the VM is still up.
+	taken time.Time
 	// leaving says that the worker's VM was ordered to another pool.
 	leaving bool
 	// yielding keeps new tasks away, as the pool needs fewer VMs.
