msscheduler: stalls, slow workers, copies, advice and pacing

Cause: kinds of trouble and features of the contracts in force that the scheduler did not answer: workers that stand still or turn slow, steps that allow copies, queues with an advisor, tasks that fill beside tasks that serve. Change: attempts that show no progress are stopped; run times are compared with the pool's median; copies where a step allows them; tickets; paces.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -132,6 +132,7 @@
 	metrics                     *msscheduler.Metrics
 	orders                      msworker.Orders
 	vms                         msworker.VMs
+	advise                      msworker.Advisor
 
 	begun    time.Time
 	draining atomic.Bool
@@ -147,6 +148,7 @@
 	n.journal = logClient.Log()
 	n.orders = (&platform.OrderClient{Client: platform.NewClient(workerConnections)}).Orders()
 	n.vms = (&platform.VMClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().VMs }}).VMs()
+	n.advise = (&platform.AdviceClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().Advisor }}).Advise
 	name := msjournal.ProducerName(set.Name, n.clock.Now(), rand.Uint64())
 	n.operators = n.follower(platform.StreamOperators, func(r msjournal.Record) error { return platform.ApplyOperators(&n.sites, r) }, func() {})
 	n.workers = n.follower(platform.StreamWorkers, func(r msjournal.Record) error { return platform.ApplyWorkers(&n.registry, r) }, n.registry.Reset)
@@ -212,7 +214,7 @@
 	b := set.Bounds
 	e := &msscheduler.Engine{
 		Term: t, Holder: set.Name, Log: n.journal, Stream: streamJobs, Jobs: &n.jobs, Journal: n.records,
-		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Sites: &n.sites, Report: n.report,
+		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Report: n.report,
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
 			LongestLease: b.LongestLease, StatusKept: b.StatusKept, Early: b.Early, Notice: b.Notice,
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -74,7 +74,9 @@
 	Registry *msworker.Registry
 	Orders   msworker.Orders
 	VMs      msworker.VMs
-	Sites    *mssite.Holder
+	// Advise answers which workers may run a step, for queues that need it.
+	Advise msworker.Advisor
+	Sites  *mssite.Holder
 	// Report tells operators how a wave stands.
 	Report func(ctx context.Context, wave int64, completed bool) error
 	// Clock counts suspension; Wall is the time of day.
@@ -104,6 +106,10 @@
 	waves   map[int64]*wave
 	fleet   fleet
 	pools   pools
+	// advices is what the advisor has said, advising how many questions are on
+	// their way.
+	advices  map[stepKey]*advice
+	advising int
 	// allowance tells which jobs are within their team's share.
 	allowance msplace.Allowance
 }
@@ -121,6 +127,8 @@
 	retryAt map[msjob.TaskID]time.Time
 	// excess jobs are beyond their team's share.
 	excess bool
+	// copied has the tasks of which a copy was started.
+	copied map[msjob.TaskID]bool
 	// avoid has the workers on which a task has failed.
 	avoid map[msjob.TaskID]map[string]bool
 }
@@ -147,6 +155,7 @@
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
+	e.advices = map[stepKey]*advice{}
 	e.pools.leaving = map[string]time.Time{}
 	if err := e.takeOver(ctx); err != nil {
 		return err
@@ -242,6 +251,7 @@
 	e.expire(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
+	e.watch(now)
 	e.beginRounds()
 	b.starts = e.place(now)
 	e.collect(&b, now)
@@ -272,6 +282,7 @@
 			b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
 		}
 		delete(e.jobs, id)
+		e.forgetAdvice(id)
 	}
 	for _, w := range e.workers {
 		if w.processed > w.acked {
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -125,6 +125,8 @@
 		r.w.closedUntil = now.Add(roomPause)
 	case msworker.Unhealthy:
 		r.w.closedUntil = now.Add(unhealthyPause)
+	case msworker.NoTicket:
+		delete(e.advices, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
 	case msworker.Invalid:
 		if r.job.retryAt == nil {
 			r.job.retryAt = map[msjob.TaskID]time.Time{}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -32,10 +32,11 @@
 		}
 		r.workers = append(r.workers, w)
 	}
+	medians := e.poolRatios()
 	for _, r := range all {
 		sort.Slice(r.workers, func(i, k int) bool { return r.workers[i].ID < r.workers[k].ID })
 		for _, w := range r.workers {
-			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), Doubt: w.score.doubt(now)}
+			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), Doubt: max(w.score.doubt(now), w.slowness(medians[w.Pool]))}
 			for _, run := range w.runs {
 				if s := run.step(); s != nil {
 					v.Serving += count(s.TailTarget > 0)
@@ -129,7 +130,7 @@
 				continue
 			}
 			for i := range round.Steps[s] {
-				if round.Steps[s][i].Phase == msjob.Waiting {
+				if p := round.Steps[s][i].Phase; p == msjob.Waiting || p == msjob.Assigned && j.def.Steps[s].Duplicates {
 					waits = true
 					break
 				}
@@ -143,12 +144,26 @@
 	return t, waits
 }
 
+// queueOf is a job's queue, or nil where it is gone.
+func queueOf(j *msjob.Job, site *mssite.Site) *mssite.Queue {
+	if site == nil {
+		return nil
+	}
+	return site.ByName(j.Queue)
+}
+
+// noteCopy remembers that a copy of a task was started, which happens once.
+func (j *job) noteCopy(id msjob.TaskID) {
+	if j.copied == nil {
+		j.copied = map[msjob.TaskID]bool{}
+	}
+	j.copied[id] = true
+}
+
 // poolOf is the pool that runs a job now: that of its queue, while it exists.
 func poolOf(j *msjob.Job, site *mssite.Site) string {
-	if site != nil {
-		if q := site.ByName(j.Queue); q != nil {
-			return q.Pool
-		}
+	if q := queueOf(j, site); q != nil {
+		return q.Pool
 	}
 	return j.Pool
 }
@@ -178,7 +193,7 @@
 	var waiting []int
 	for i := range tasks {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		if tasks[i].Phase == msjob.Waiting && !now.Before(j.retryAt[id]) {
+		if tasks[i].Phase == msjob.Waiting && !now.Before(j.retryAt[id]) || e.wantsCopy(j, id, &tasks[i], now) {
 			waiting = append(waiting, i)
 		}
 	}
@@ -191,6 +206,15 @@
 		}
 		waiting = waiting[:n]
 	}
+	var tickets map[string]string
+	if q := queueOf(j.def, site); q != nil && q.Advice != nil {
+		a := e.advised(stepKey{j.def.ID, k, s}, q, rm, now)
+		if a == nil {
+			return nil
+		}
+		tickets = a.tickets
+		rm = a.restrict(rm)
+	}
 	want := msplace.Want{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
 	for key, r := range e.runs {
 		if key.task.Job == j.def.ID && key.task.Occurrence == k && key.task.Step == s {
@@ -206,7 +230,12 @@
 		if n < 0 {
 			break
 		}
-		placed = append(placed, e.plan(j, id, attempt(tasks, i, step.Gang), rm, n, want))
+		if tasks[i].Phase == msjob.Assigned {
+			j.noteCopy(id)
+		}
+		r := e.plan(j, id, attempt(tasks, i, step.Gang), rm, n, want)
+		r.ticket = tickets[r.w.ID]
+		placed = append(placed, r)
 	}
 	if step.Gang && len(placed) < len(waiting) {
 		for _, r := range placed {
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -52,6 +52,10 @@
 	// atWork is when a lasting task was last seen at work.
 	atWork time.Time
 	pace   int
+	// pacing says that a pace is on its way.
+	pacing bool
+	// seen is when the newest report that listed the attempt was asked for.
+	seen time.Time
 }
 
 func (r *run) step() *msjob.Step {
@@ -145,6 +149,9 @@
 	key := runKey{task: end.Task, attempt: end.Attempt}
 	r := e.runs[key]
 	if r != nil && r.w == w {
+		if s := r.step(); end.How == msworker.EndDone && s != nil && !r.answered.IsZero() {
+			w.noteRunTime(now.Sub(r.answered), s.Estimate)
+		}
 		e.dropRun(r)
 	}
 	j := e.jobs[end.Task.Job]
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -8,6 +8,7 @@
 
 	"marjoramspan/msclock"
 	"marjoramspan/msjob"
+	"marjoramspan/msplace"
 	"marjoramspan/msworker"
 )
 
@@ -15,6 +16,8 @@
 	// holdWait is how long a worker with work waits for an end before it answers;
 	// its lease is renewed at least that often.
 	holdWait = time.Second
+	// servingWait is the same for a worker with serving and filling tasks.
+	servingWait = 300 * time.Millisecond
 	// idleWait is the same for a worker without work.
 	idleWait = 2 * time.Second
 	// holdSlack is how much longer than its wait a report may take.
@@ -59,6 +62,9 @@
 	closedUntil time.Time
 	cancel      context.CancelFunc
 	score       score
+	// ratio is the mean run time of its attempts, as a multiple of the estimates.
+	ratio float64
+	pacer msplace.Pacer
 	// reserved says that the worker's VM is about to be maintained or moved.
 	reserved bool
 	// taken is when the VM's maintenance was ordered; its tasks count as away from
@@ -70,6 +76,18 @@
 	yielding bool
 }
 
+// servesBesideFill says whether tasks that fill run beside tasks with a target.
+func (w *worker) servesBesideFill() bool {
+	serves, fills := false, false
+	for _, r := range w.runs {
+		if s := r.step(); s != nil {
+			serves = serves || s.TailTarget > 0
+			fills = fills || s.Backfill
+		}
+	}
+	return serves && fills
+}
+
 func (w *worker) release() {
 	close(w.stored)
 	w.stored = make(chan struct{})
@@ -179,6 +197,9 @@
 	}
 	if w.reported && w.reachable {
 		h.Wait = holdWait
+		if w.servesBesideFill() {
+			h.Wait = servingWait
+		}
 		if len(w.runs) == 0 {
 			h.Wait = idleWait
 		}
@@ -245,6 +266,7 @@
 		}
 	}
 	e.compare(w, sent, now, rep)
+	e.paceWorker(w, now)
 }
 
 // compare settles every attempt on w by what a report lists as running.
@@ -259,6 +281,7 @@
 			continue
 		}
 		e.observe(r, row, now)
+		r.seen = now
 	}
 	if len(rep.Ended) >= msworker.MaxEnds {
 		// Ends that are not in this report may follow.
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -52,6 +52,14 @@
 	stopping bool
 }
 
+// progress is how far an attempt is, or the share at which a lasting one works.
+func (r *running) progress(now time.Time) int {
+	if r.lasting || r.takes <= 0 {
+		return r.percent
+	}
+	return int(min(99, 100*now.Sub(r.begun)/r.takes))
+}
+
 // lastingSpec marks tasks that run until they are stopped.
 const lastingSpec = "lasting"
 
@@ -322,7 +330,7 @@
 	}
 	r := msworker.Report{Born: w.born.UnixMilli(), Clock: w.clock()}
 	for k := range w.running {
-		r.Running = append(r.Running, msworker.Run{Task: k.task, Attempt: k.attempt, Percent: w.running[k].percent})
+		r.Running = append(r.Running, msworker.Run{Task: k.task, Attempt: k.attempt, Percent: w.running[k].progress(w.now())})
 	}
 	r.Ended = append(r.Ended, w.ended[:min(len(w.ended), msworker.MaxEnds)]...)
 	return r, nil
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -128,6 +128,17 @@
 	Hold  func(ctx context.Context, w Worker, h Hold) (Report, error)
 }
 
+// Question asks which of some workers may run a step.
+type Question struct {
+	Job              string
+	Occurrence, Step int
+	Workers          []string
+}
+
+// Advisor answers a Question with the tickets of the workers that may run the step,
+// by worker, and how long they are valid.
+type Advisor func(ctx context.Context, q Question) (map[string]string, time.Duration, error)
+
 // Reason says why an order failed.
 type Reason int
 
