--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -127,10 +127,10 @@
 	}
 	age := in.Clock.Now().Sub(in.SiteCurrent())
 	if in.SiteLease > 0 && age > in.SiteLease {
-		return Grant{}, &Error{Kind: NotReady, Reason: "keys were last confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: storeRetry}
+		return g, &Error{Kind: NotReady, Reason: "keys were last confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: storeRetry}
 	}
 	if key == "" || g.Team == "" {
-		return Grant{}, &Error{Kind: BadKey, Reason: "the key is not in version " + strconv.FormatInt(site.Version, 10)}
+		return g, &Error{Kind: BadKey, Reason: "the key is not in version " + strconv.FormatInt(site.Version, 10)}
 	}
 	return g, nil
 }
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -34,8 +34,10 @@
 	callTimeout = 500 * time.Millisecond
 	// readWait is how long a follower's read waits for a record.
 	readWait = 800 * time.Millisecond
-	// retryPause is the pause after a call that failed.
-	retryPause = 80 * time.Millisecond
+	// retryPause is the pause after a call that failed; it doubles up to
+	// maxRetryPause.
+	retryPause    = 80 * time.Millisecond
+	maxRetryPause = 640 * time.Millisecond
 	// spread is the most by which candidates differ in when they stand.
 	spread = 120 * time.Millisecond
 
@@ -50,6 +52,9 @@
 	// Epoch is higher than that of every term before. It is the fencing token of
 	// all that is ordered in the term.
 	Epoch int64
+	// Clean says that the leader before has given up its term, after which it
+	// ordered nothing.
+	Clean bool
 
 	l *Leader
 }
@@ -107,15 +112,23 @@
 
 // Run takes part until ctx is done, then gives up its term.
 func (l *Leader) Run(ctx context.Context) error {
+	lost := false
+	pause := retryPause
 	for ctx.Err() == nil {
 		err := l.load(ctx)
 		if err == nil {
+			if lost {
+				l.Logger.Info("can read again who leads")
+			}
+			lost, pause = false, retryPause
 			err = l.follow(ctx)
 		}
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil && !lost {
 			l.Logger.Warn("can't read who leads", zap.Error(err))
+			lost = true
 		}
-		_ = msclock.Sleep(ctx, l.Clock, retryPause)
+		_ = msclock.Sleep(ctx, l.Clock, pause)
+		pause = min(2*pause, maxRetryPause)
 	}
 	return nil
 }
@@ -197,6 +210,7 @@
 
 // stand appends a record that begins a term, and leads if it is stored.
 func (l *Leader) stand(ctx context.Context) error {
+	clean := l.released
 	off, sent, err := l.append(ctx, record{})
 	if err != nil {
 		l.seen, l.released = l.Clock.Now(), false
@@ -205,7 +219,7 @@
 		}
 		return err
 	}
-	l.lead(ctx, off+1, sent)
+	l.lead(ctx, off+1, sent, clean)
 	return nil
 }
 
@@ -268,14 +282,14 @@
 }
 
 // lead runs Lead and renews the term until another entry has taken over.
-func (l *Leader) lead(ctx context.Context, epoch int64, sent time.Time) {
+func (l *Leader) lead(ctx context.Context, epoch int64, sent time.Time, clean bool) {
 	l.mu.Lock()
 	l.epoch, l.deadline = epoch, sent.Add(ttl-margin)
 	l.mu.Unlock()
 	l.Logger.Info("term begun", zap.Int64("epoch", epoch))
 	lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 1)
-	go func() { ended <- l.Lead(lctx, Term{Epoch: epoch, l: l}) }()
+	go func() { ended <- l.Lead(lctx, Term{Epoch: epoch, Clean: clean, l: l}) }()
 	reason, leading := l.renew(ctx, epoch, ended)
 	cancel()
 	if leading {
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -49,10 +49,11 @@
 const (
 	// maxLease is the longest lease granted. Work on a worker that went silent is
 	// started anew after it, and a change of the leader has to fit in.
-	maxLease = 5 * time.Second
+	maxLease = 4 * time.Second
 	// holdover is how long after the end of a valid term leases are still renewed.
-	// While the whole log is away nobody else can lead, and work should go on.
-	holdover = 12 * time.Second
+	// While the whole log is away nobody else can lead, and work should go on; with
+	// the lease it bridges the nine seconds that the log may be away.
+	holdover = 5 * time.Second
 	// tick is the longest pause between two passes.
 	tick = 200 * time.Millisecond
 	// storeTimeout bounds one try of an append.
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -246,9 +246,28 @@
 	for _, r := range placed {
 		e.assign(r, round)
 	}
+	e.logPlaced(j, k, s, placed, len(waiting), site)
 	return placed
 }
 
+// logPlaced writes one line for what a pass has placed of a step.
+func (e *Engine) logPlaced(j *job, k, s int, placed []*run, waiting int, site *mssite.Site) {
+	if len(placed) == 0 {
+		return
+	}
+	tasks, workers := make([]int, len(placed)), make([]string, len(placed))
+	for i, r := range placed {
+		tasks[i], workers[i] = r.task.Index, r.w.ID
+	}
+	version := int64(0)
+	if site != nil {
+		version = site.Version
+	}
+	e.Logger.Info("tasks assigned", zap.String("job", j.def.ID), zap.Int("occurrence", k), zap.Int("step", s),
+		zap.Ints("tasks", tasks), zap.Int("attempt", placed[0].attempt), zap.Strings("workers", workers),
+		zap.Int("waiting", waiting), zap.Int64("version", version), zap.Bool("excess", j.excess))
+}
+
 // gangRuns says whether an attempt of a gang may still run somewhere.
 func (e *Engine) gangRuns(j *job, k, s int) bool {
 	for key := range e.runs {
@@ -300,8 +319,6 @@
 	t.Phase, t.Attempt, t.Worker = msjob.Assigned, r.attempt, r.w.ID
 	r.job.p.State, r.job.p.Started = msjob.Running, true
 	r.job.dirty = true
-	e.Logger.Info("attempt assigned", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
-		zap.String("worker", r.w.ID), zap.String("pool", r.w.Pool), zap.Int64("free-cpu", r.w.free().CPU))
 }
 
 // teamRoom is how many more tasks a team may have running.
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -385,6 +385,9 @@
 // unknownLease is how long after the begin of a term a worker that was never
 // reached in it may run what earlier leaders gave it.
 func (e *Engine) unknownLease() time.Duration {
-	l := e.lease()
-	return holdover + l + l/20
+	l := e.lease() + e.lease()/20
+	if e.Term.Clean {
+		return l
+	}
+	return holdover + l
 }
