--- a/cmd/marjoramspan/fleet.go
+++ b/cmd/marjoramspan/fleet.go
@@ -237,7 +237,8 @@
 }
 
 type whyCmd struct {
-	VM whyVMCmd `cmd:"" name:"vm" help:"Say why a VM is not maintained now."`
+	VM  whyVMCmd  `cmd:"" name:"vm" help:"Say why a VM is not maintained now."`
+	Job whyJobCmd `cmd:"" help:"Say where each task of a job stands and why."`
 }
 
 type whyVMCmd struct {
--- /dev/null
+++ b/cmd/marjoramspan/jobs.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjob"
+	"marjoramspan/platform"
+)
+
+// platformLogFlags say where the users' platform keeps its log.
+type platformLogFlags struct {
+	Log   string        `required:"" placeholder:"IP:PORT" env:"MARJORAMSPAN_PLATFORM_LOG" help:"Address of the users' platform's log."`
+	Limit time.Duration `name:"timeout" default:"20s" help:"Longest that the command may take."`
+}
+
+// jobTable reads the newest records of all jobs.
+func (f platformLogFlags) jobTable(ctx context.Context) (*msjob.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Limit)
+	defer cancel()
+	l := (&platform.LogClient{Client: platform.NewClient(1), Address: func() string { return f.Log }}).Log()
+	t := &msjob.Table{}
+	after := ""
+	for {
+		p, err := l.Newest(ctx, streamJobs, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range p.Records {
+			// A record that can't be read names no job; the others hold.
+			if err := t.Apply(msjob.Record{Key: r.Key, Value: r.Value}); err != nil {
+				fmt.Println("left aside:", err)
+			}
+		}
+		if p.More == "" {
+			return t, nil
+		}
+		after = p.More
+	}
+}
+
+type jobsCmd struct {
+	platformLogFlags
+	outputFlags
+	Queue string `help:"Only jobs of this queue."`
+	Team  string `help:"Only jobs of this team."`
+	All   bool   `help:"Show jobs that have ended as well."`
+}
+
+// jobRow is a job as the command prints it.
+type jobRow struct {
+	ID       string        `json:"id"`
+	Queue    string        `json:"queue"`
+	Team     string        `json:"team,omitempty"`
+	State    string        `json:"state"`
+	Age      time.Duration `json:"age"`
+	Done     int           `json:"done"`
+	Assigned int           `json:"assigned"`
+	Waiting  int           `json:"waiting"`
+	Reason   string        `json:"reason,omitempty"`
+}
+
+// Run lists jobs.
+func (c *jobsCmd) Run(ctx context.Context) error {
+	t, err := c.jobTable(ctx)
+	if err != nil {
+		return err
+	}
+	now := msclock.System{}.Now()
+	var rows []jobRow
+	t.Each(func(e msjob.Entry) {
+		if c.Queue != "" && e.Job.Queue != c.Queue || c.Team != "" && e.Job.Team != c.Team || !c.All && e.State().Final() {
+			return
+		}
+		rows = append(rows, newJobRow(e, now))
+	})
+	sort.Slice(rows, func(i, k int) bool { return rows[i].Age > rows[k].Age })
+	return c.print(rows, func(w io.Writer) {
+		var lines []string
+		for _, r := range rows {
+			lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d", r.ID, r.Queue, r.Team, r.State, r.Age.Round(time.Millisecond), r.Done, r.Assigned, r.Waiting))
+		}
+		table(w, "JOB\tQUEUE\tTEAM\tSTATE\tAGE\tDONE\tASSIGNED\tWAITING", lines)
+	})
+}
+
+func newJobRow(e msjob.Entry, now time.Time) jobRow {
+	r := jobRow{ID: e.Job.ID, Queue: e.Job.Queue, Team: e.Job.Team, State: e.State().String(), Age: now.Sub(e.Job.Accepted)}
+	if e.Progress == nil {
+		return r
+	}
+	r.Reason = e.Progress.Reason
+	for _, round := range e.Progress.Rounds {
+		for _, tasks := range round.Steps {
+			for i := range tasks {
+				switch tasks[i].Phase {
+				case msjob.Done:
+					r.Done++
+				case msjob.Assigned:
+					r.Assigned++
+				case msjob.Waiting:
+					r.Waiting++
+				}
+			}
+		}
+	}
+	return r
+}
+
+type whyJobCmd struct {
+	platformLogFlags
+	ID string `arg:"" help:"The job's id."`
+}
+
+// Run says where each task of a job stands and why.
+func (c *whyJobCmd) Run(ctx context.Context) error {
+	t, err := c.jobTable(ctx)
+	if err != nil {
+		return err
+	}
+	e, ok := t.Job(c.ID)
+	if !ok {
+		fmt.Printf("job %s is not known: it was never accepted, or its state is no longer kept\n", c.ID)
+		return nil
+	}
+	fmt.Println(whyJob(e, t.Load(), msclock.System{}.Now()))
+	return nil
+}
+
+func whyJob(e msjob.Entry, l msjob.Load, now time.Time) string {
+	var b strings.Builder
+	j := e.Job
+	fmt.Fprintf(&b, "job %s of queue %s is %s; accepted %s ago, objective %s, longest chain %s\n",
+		j.ID, j.Queue, e.State(), now.Sub(j.Accepted).Round(time.Millisecond), j.Objective().Round(time.Millisecond), j.Chain().Round(time.Millisecond))
+	if e.Progress == nil {
+		fmt.Fprintf(&b, "the scheduler has stored nothing of it yet\n")
+		return b.String()
+	}
+	if e.Progress.Reason != "" {
+		fmt.Fprintf(&b, "%s\n", e.Progress.Reason)
+	}
+	if p, ok := l.Pools[j.Pool]; ok && !e.State().Final() {
+		fmt.Fprintf(&b, "pool %s has %d cores for %.0f core-seconds ahead\n", j.Pool, p.Cores/1000, p.Ahead)
+	}
+	for k, round := range e.Progress.Rounds {
+		for s, tasks := range round.Steps {
+			for i, task := range tasks {
+				fmt.Fprintf(&b, "  %s: %s\n", msjob.TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i}, whyTask(j, round, s, task))
+			}
+		}
+	}
+	return b.String()
+}
+
+func whyTask(j *msjob.Job, round *msjob.Round, step int, t msjob.Task) string {
+	tried := fmt.Sprintf("attempt %d, %d failed", t.Attempt, t.Failures)
+	switch {
+	case t.Phase == msjob.Done:
+		return "done, " + tried
+	case t.Phase == msjob.Assigned:
+		return "assigned to " + t.Worker + ", " + tried
+	case !round.Ready(j, step):
+		return fmt.Sprintf("waits for steps %v", j.Steps[step].After)
+	case t.Attempt == 0:
+		return "waits for room"
+	}
+	return "waits for room again, " + tried + ", last on " + t.Worker
+}
--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -46,6 +46,7 @@
 	VM       vmCmd       `cmd:"" name:"vm" help:"Move VMs between pools."`
 	Wave     waveCmd     `cmd:"" help:"Plan, start, pause, resume or show a maintenance wave."`
 	Why      whyCmd      `cmd:"" help:"Say why something is as it is."`
+	Jobs     jobsCmd     `cmd:"" help:"List the jobs on the users' platform."`
 	Status   statusCmd   `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
 	Refusals refusalsCmd `cmd:"" help:"Show what was refused, by minute, team, pool, queue and reason, with gaps marked."`
 	Audit    auditCmd    `cmd:"" help:"Show every change, who asked for it and what became of it."`
--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -56,8 +56,11 @@
 	// entry goes on without knowing that its keys are in force.
 	keyLeaseShare = 0.7
 	// balancerLag is how long the balancer may still send after an entry has said
-	// that it isn't ready: two questions, a second apart, and some for the way.
-	balancerLag = 2800 * time.Millisecond
+	// that it isn't ready: two questions, a second apart, the way, and a VM that is
+	// slow to accept connections.
+	balancerLag = 3800 * time.Millisecond
+	// stopTime is kept free of the grace for requests that are still open.
+	stopTime = 1500 * time.Millisecond
 	// readyAge is how old an entry's view may be for it to be ready.
 	readyAge = 4 * time.Second
 	// settingsPoll is the time between two looks at the settings file.
@@ -342,9 +345,10 @@
 	case <-outer.Done():
 	}
 	n.draining.Store(true)
-	n.log.Info("draining", zap.Duration("lag", balancerLag))
-	_ = msclock.Sleep(inner, n.clock, balancerLag)
-	sctx, cancel := context.WithTimeout(inner, n.set.Load().Bounds.Grace-balancerLag-stopMargin)
+	lag := max(0, min(balancerLag, n.set.Load().Bounds.Grace-stopTime-stopMargin))
+	n.log.Info("draining", zap.Duration("lag", lag))
+	_ = msclock.Sleep(inner, n.clock, lag)
+	sctx, cancel := context.WithTimeout(inner, stopTime)
 	defer cancel()
 	if err := srv.Stop(sctx); err != nil {
 		n.log.Warn("requests were still open", zap.Error(err))
--- a/cmd/marjoramstandin/main.go
+++ b/cmd/marjoramstandin/main.go
@@ -10,6 +10,7 @@
 	Platform platformCommand   `cmd:"" help:"Serve the platform's log and its list of VMs."`
 	Upstream upstreamCommand   `cmd:"" help:"Serve an upstream VM."`
 	Callers  callersCommand    `cmd:"" help:"Make the requests of a plan."`
+	Jobs     jobsCommand       `cmd:"" help:"Run jobs through failures, a drain and a maintenance wave, and judge."`
 	Fleet    fleetJudgeCommand `cmd:"" name:"fleet-judge" help:"Hold the VMs' history against the log."`
 	Judge    judgeCommand      `cmd:"" help:"Hold what callers were told against the upstreams' journals."`
 }
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -370,3 +370,46 @@
 		}
 	}
 }
+
+// Ten tasks of three cores on workers of four: never two on one.
+func TestWorkerNeverOverItsCapacity(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	e := w.entry("a")
+	big := step(10)
+	big.Need.CPU = 3000
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=30ms", Steps: []msjob.Step{big}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	runs := w.journal.Runs()
+	for i, r := range runs {
+		for k, o := range runs {
+			require.False(t, i != k && r.Worker == o.Worker && !o.Start.After(r.Start) && o.End.After(r.Start), "two tasks of three cores on %s", r.Worker)
+		}
+	}
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{lasting(2, 1)}})
+	w.awaitRunning(2)
+	all := w.reg.All()
+	leaves := all["w-1"]
+	leaves.Draining, leaves.Leaves = true, 2*time.Second
+	w.reg.Set(leaves)
+	require.Eventually(t, func() bool {
+		g := e.current()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.workers["w-1"].Draining && len(g.workers["w-1"].runs) == 0
+	}, eventually, 5*time.Millisecond)
+	w.awaitRunning(2)
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=20ms", Steps: []msjob.Step{step(2)}})
+	w.await(e, "0000000000000002", msjob.Completed)
+	for _, r := range w.journal.Runs() {
+		if r.Task.Job == "0000000000000002" {
+			require.Equal(t, "w-2", r.Worker)
+		}
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -190,4 +190,6 @@
 # shellcheck disable=SC2086
 "$bin/marjoramstandin" judge --plan "$work/plan.json" --records "$work/records.jsonl" $journals
 "$bin/marjoramstandin" fleet-judge --plan "$work/plan.json" --platform "$platform" $journals
+say "jobs on workers, through the loss of the leader, a drain and a wave"
+"$bin/marjoramstandin" jobs
 say "ended after $(($(date +%s) - begin)) s"
