msscheduler: a pass looks at jobs that are active; stronger entries lead

Change: maps of active and of changed jobs; entries with more processor time, and of these those restarted last, stand first.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -168,7 +168,7 @@
 	n.leader = &msleader.Leader{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, Jitter: rand.Float64, Lead: n.lead,
-		Uptime: func() time.Duration { return n.clock.Now().Sub(n.begun) },
+		Handicap: n.handicap,
 	}
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
@@ -204,6 +204,25 @@
 	}
 }
 
+const (
+	// oldProcess is the uptime from which processes count as equally old, and
+	// uptimeHandicap what they wait.
+	oldProcess     = 30 * time.Second
+	uptimeHandicap = 100 * time.Millisecond
+	// weakHandicap is what an entry without any processor would wait; one with a
+	// whole core waits a fifth of it.
+	weakHandicap = 250 * time.Millisecond
+)
+
+// handicap lets entries with more processor time stand first, as scheduling takes
+// most of it, and of these the ones that were restarted last: in a rolling restart
+// the term then changes once and not each time.
+func (n *node) handicap() time.Duration {
+	up := min(1, n.clock.Now().Sub(n.begun).Seconds()/oldProcess.Seconds())
+	weak := 1 / (1 + 4*n.set.Load().Cores)
+	return time.Duration(up*float64(uptimeHandicap) + weak*float64(weakHandicap))
+}
+
 // scheduler returns the engine of the current term, or nil.
 func (n *node) scheduler() *msscheduler.Engine {
 	n.mu.Lock()
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -38,11 +38,8 @@
 	// maxRetryPause.
 	retryPause    = 80 * time.Millisecond
 	maxRetryPause = 640 * time.Millisecond
-	// spread is the most by which candidates differ in when they stand.
-	spread = 120 * time.Millisecond
-
-	// oldProcess is the uptime from which processes count as equally old.
-	oldProcess = 30 * time.Second
+	// spread is the most by which candidates differ by chance in when they stand.
+	spread = 40 * time.Millisecond
 
 	termKey = "term"
 )
@@ -93,9 +90,9 @@
 	Holder string
 	// Jitter returns a number from 0 to 1.
 	Jitter func() float64
-	// Uptime, if set, returns how long the process has run. In a rolling restart those
-	// that were restarted lead on, so that the term changes once and not each time.
-	Uptime func() time.Duration
+	// Handicap, if set, returns how much longer than others the entry waits before it
+	// stands.
+	Handicap func() time.Duration
 	// Lead runs for the time of a term and ends soon after ctx is done. Where it
 	// returns first, the term is given up.
 	Lead func(ctx context.Context, t Term) error
@@ -161,7 +158,7 @@
 
 // follow reads renewals and stands for election where they stay away.
 func (l *Leader) follow(ctx context.Context) error {
-	patience := ttl + time.Duration(l.Jitter()*float64(spread))
+	patience := ttl + l.delay()
 	failing := false
 	for ctx.Err() == nil {
 		if l.released || l.Clock.Now().Sub(l.seen) >= patience {
@@ -201,9 +198,9 @@
 
 // delay is how long the candidate waits once the term is free.
 func (l *Leader) delay() time.Duration {
-	d := time.Duration(l.Jitter() * float64(spread) / 4)
-	if l.Uptime != nil {
-		d += time.Duration(min(1, l.Uptime().Seconds()/oldProcess.Seconds()) * float64(spread))
+	d := time.Duration(l.Jitter() * float64(spread))
+	if l.Handicap != nil {
+		d += l.Handicap()
 	}
 	return d
 }
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -89,10 +89,7 @@
 // demand adds what runs and what could start now.
 func (e *Engine) demand(by map[string]*mscapacity.Pool) {
 	site := e.Sites.Site()
-	for _, j := range e.jobs {
-		if j.p.State.Final() {
-			continue
-		}
+	for _, j := range e.active {
 		p := by[poolOf(j.def, site)]
 		if p == nil {
 			continue
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -87,18 +87,23 @@
 	// mu guards all below and everything that jobs, workers and runs hold. No call
 	// of another package that takes a lock of its own is made while it is held,
 	// but for reads of the term and the site.
-	mu      sync.Mutex
-	jobs    map[string]*job
-	workers map[string]*worker
-	runs    map[runKey]*run
-	teams   map[string]msjob.Resources
-	group   sync.WaitGroup
-	ctx     context.Context
-	loadAt  time.Time
-	load    msjob.Load
-	waves   map[int64]*wave
-	fleet   fleet
-	pools   pools
+	mu   sync.Mutex
+	jobs map[string]*job
+	// active has the jobs that haven't ended, dirty those whose progress has changed
+	// since it was last stored.
+	active, dirty map[string]*job
+	workers       map[string]*worker
+	runs          map[runKey]*run
+	teams         map[string]msjob.Resources
+	group         sync.WaitGroup
+	ctx           context.Context
+	loadAt        time.Time
+	// forgotAt is when jobs to forget were last looked for.
+	forgotAt time.Time
+	load     msjob.Load
+	waves    map[int64]*wave
+	fleet    fleet
+	pools    pools
 	// advices is what the advisor has said, advising how many questions are on
 	// their way.
 	advices  map[stepKey]*advice
@@ -112,8 +117,6 @@
 	def      *msjob.Job
 	p        *msjob.Progress
 	canceled bool
-	// dirty says that the progress has changed since it was last stored.
-	dirty bool
 	// broken has, by step and attempt of a gang, that its failure is counted.
 	broken map[gangKey]bool
 	// retryAt has when a task may be placed again.
@@ -178,7 +181,7 @@
 	// Jobs that were added before the journal was read to its end would lack what
 	// earlier leaders have stored of them.
 	e.mu.Lock()
-	e.jobs = map[string]*job{}
+	e.jobs, e.active, e.dirty = map[string]*job{}, map[string]*job{}, map[string]*job{}
 	e.mu.Unlock()
 	var entries []msjob.Entry
 	e.Jobs.Each(func(entry msjob.Entry) { entries = append(entries, entry) })
@@ -254,11 +257,8 @@
 
 // collect adds the records of what has changed. The caller holds mu.
 func (e *Engine) collect(b *batch, now time.Time) {
-	for id, j := range e.jobs {
-		if !j.dirty {
-			continue
-		}
-		j.dirty = false
+	for id, j := range e.dirty {
+		delete(e.dirty, id)
 		r, err := msjob.ProgressRecord(id, j.p)
 		if err != nil {
 			e.Logger.Error("progress not stored", zap.String("job", id), zap.Error(err))
@@ -266,6 +266,26 @@
 		}
 		b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
 	}
+	e.collectForgotten(b, now)
+	for _, w := range e.workers {
+		if w.processed > w.acked {
+			b.acked[w] = w.processed
+		}
+	}
+	e.collectWaves(b)
+	e.collectPools(b)
+	if r, ok := e.loadRecord(now); ok {
+		b.records = append(b.records, r)
+	}
+}
+
+// collectForgotten adds the records that drop jobs whose state need not be kept any
+// longer. The caller holds mu.
+func (e *Engine) collectForgotten(b *batch, now time.Time) {
+	if now.Sub(e.forgotAt) < forgetEvery {
+		return
+	}
+	e.forgotAt = now
 	wall := e.Wall.Now()
 	for id, j := range e.jobs {
 		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusKept+forgetMargin || e.hasRuns(j) {
@@ -277,22 +297,15 @@
 		delete(e.jobs, id)
 		e.forgetAdvice(id)
 	}
-	for _, w := range e.workers {
-		if w.processed > w.acked {
-			b.acked[w] = w.processed
-		}
-	}
-	e.collectWaves(b)
-	e.collectPools(b)
-	if r, ok := e.loadRecord(now); ok {
-		b.records = append(b.records, r)
-	}
 }
 
 // forgetMargin is how much longer than promised an ended job is kept, as entries
 // read the records late and clocks differ.
 const forgetMargin = 20 * time.Second
 
+// forgetEvery is the time between two looks for jobs to forget.
+const forgetEvery = 2 * time.Second
+
 func (e *Engine) hasRuns(j *job) bool {
 	for k := range e.runs {
 		if k.task.Job == j.def.ID {
@@ -392,6 +405,11 @@
 	return e.Term.Lapsed() < holdover
 }
 
+// touch notes that a job's progress has changed.
+func (e *Engine) touch(j *job) {
+	e.dirty[j.def.ID] = j
+}
+
 // AddJob takes in a job that was accepted. Before the journal is taken over it does
 // nothing.
 func (e *Engine) AddJob(entry msjob.Entry) {
@@ -425,6 +443,7 @@
 		e.end(j, msjob.Canceled, "")
 		return
 	}
+	e.active[j.def.ID] = j
 	e.adopt(j)
 	if !j.p.Started {
 		e.pools.arrivals.Add(poolOf(j.def, e.Sites.Site()), j.def.Work(), e.Clock.Now())
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -41,10 +41,7 @@
 	}
 	site := e.Sites.Site()
 	wall := e.Wall.Now()
-	for _, j := range e.jobs {
-		if j.p.State.Final() {
-			continue
-		}
+	for _, j := range e.active {
 		if t, _ := j.turn(wall); t.Slack < 0 {
 			continue
 		}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -99,10 +99,7 @@
 	wall := e.Wall.Now()
 	var jobs []*job
 	var turns []msplace.Turn
-	for _, j := range e.jobs {
-		if j.p.State.Final() || j.canceled {
-			continue
-		}
+	for _, j := range e.active {
 		t, ok := j.turn(wall)
 		if !ok {
 			continue
@@ -318,7 +315,7 @@
 	t := &round.Steps[r.task.Step][r.task.Index]
 	t.Phase, t.Attempt, t.Worker = msjob.Assigned, r.attempt, r.w.ID
 	r.job.p.State, r.job.p.Started = msjob.Running, true
-	r.job.dirty = true
+	e.touch(r.job)
 }
 
 // teamRoom is how many more tasks a team may have running.
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -184,7 +184,7 @@
 		j.avoidWorker(end.Task, w.ID)
 	}
 	if isNew {
-		j.dirty = true
+		e.touch(j)
 	}
 	if t.Phase == msjob.Assigned && t.Attempt == end.Attempt {
 		t.Phase = msjob.Waiting
@@ -214,7 +214,7 @@
 	if t.Phase == msjob.Done {
 		return
 	}
-	j.dirty = true
+	e.touch(j)
 	round := j.p.Rounds[end.Task.Occurrence]
 	if step.Gang {
 		for i := range round.Steps[end.Task.Step] {
@@ -245,7 +245,7 @@
 
 // failed counts a failure and says whether the task may be tried again.
 func (e *Engine) failed(j *job, step *msjob.Step, t *msjob.Task, end msworker.End) bool {
-	j.dirty = true
+	e.touch(j)
 	if step.Gang {
 		k := gangKey{occurrence: end.Task.Occurrence, step: end.Task.Step, attempt: end.Attempt}
 		if j.broken[k] {
@@ -273,7 +273,8 @@
 	j.p.State, j.p.Reason = state, reason
 	j.p.Ended = e.Wall.Now().UnixMilli()
 	j.p.Rounds = nil
-	j.dirty = true
+	e.touch(j)
+	delete(e.active, j.def.ID)
 	for _, r := range e.runs {
 		if r.job == j {
 			e.stop(r)
@@ -307,10 +308,7 @@
 // beginRounds begins the occurrences that are due.
 func (e *Engine) beginRounds() {
 	now := e.Wall.Now()
-	for _, j := range e.jobs {
-		if j.p.State.Final() {
-			continue
-		}
+	for _, j := range e.active {
 		if j.def.Occurrences == 0 {
 			j.p.Round(j.def, 0)
 			continue
