--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -209,17 +209,18 @@
 	// uptimeHandicap what they wait.
 	oldProcess     = 30 * time.Second
 	uptimeHandicap = 60 * time.Millisecond
-	// weakHandicap is what an entry without any processor would wait; one with a
-	// whole core waits a fifth of it.
-	weakHandicap = 120 * time.Millisecond
+	// Scheduling takes a quarter of a core at 350 workers; an entry with less than
+	// leadCores stands later, by up to weakHandicap.
+	leadCores    = 0.4
+	weakHandicap = 600 * time.Millisecond
 )
 
-// handicap lets entries with more processor time stand first, as scheduling takes
-// most of it, and of these the ones that were restarted last: in a rolling restart
-// the term then changes once and not each time.
+// handicap lets entries with enough processor time stand first, and of these the
+// ones that were restarted last: in a rolling restart the term then changes once and
+// not each time.
 func (n *node) handicap() time.Duration {
 	up := min(1, n.clock.Now().Sub(n.begun).Seconds()/oldProcess.Seconds())
-	weak := 1 / (1 + 4*n.set.Load().Cores)
+	weak := max(0, 1-n.set.Load().Cores/leadCores)
 	return time.Duration(up*float64(uptimeHandicap) + weak*float64(weakHandicap))
 }
 
