msscheduler: ends are stored before their worker goes

Change: a VM is moved or maintained only once every listed end is stored. Test: TestEndsAreStoredBeforeTheirWorkerGoes.

--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -193,7 +193,7 @@
 		v.Fixed = true
 		return v
 	}
-	v.Idle = len(w.runs) == 0
+	v.Idle = len(w.runs) == 0 && w.acked == w.processed
 	for _, r := range w.runs {
 		v.Load += r.need.CPU
 	}
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -11,6 +11,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/mssite"
 	"marjoramspan/msstandin"
+	"marjoramspan/msworker"
 )
 
 func TestJobRunsItsStepsInOrder(t *testing.T) {
@@ -413,3 +414,17 @@
 		}
 	}
 }
+
+// A worker whose ends aren't stored yet is neither moved nor maintained: they would be
+// lost with it.
+func TestEndsAreStoredBeforeTheirWorkerGoes(t *testing.T) {
+	t.Parallel()
+	wk := &worker{Worker: msworker.Worker{ID: "w-1"}, reachable: true, processed: 3, acked: 2, runs: map[runKey]*run{}}
+	e := &Engine{workers: map[string]*worker{"w-1": wk}}
+	vm := msworker.VM{Name: "vm-1", Worker: "w-1", Up: true}
+	require.False(t, e.isDrained(vm))
+	require.False(t, e.movable(vm, false).Idle)
+	wk.acked = 3
+	require.True(t, e.isDrained(vm))
+	require.True(t, e.movable(vm, false).Idle)
+}
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -219,12 +219,17 @@
 // lastingCost is what a lasting task weighs, in cores of other work.
 const lastingCost = 20
 
-// isDrained says whether nothing but lasting tasks runs on the VM.
+// isDrained says whether nothing but lasting tasks runs on the VM, and every end that
+// its worker has listed is stored: an end that is not would be lost with the worker,
+// and its task would run again.
 func (e *Engine) isDrained(vm msworker.VM) bool {
 	w := e.workers[vm.Worker]
 	if w == nil {
 		return true
 	}
+	if w.acked != w.processed {
+		return false
+	}
 	for _, r := range w.runs {
 		if s := r.step(); s != nil && !s.Lasting {
 			return false
