msupstream: a withheld request is never written

Cause: where the last look refuses a request, the transport could write its headers before it saw that the context was done: the upstream ran what was called not run. Ruled out: the test itself (the upstream's handler had started). Change: the connection is closed in the same call.

--- a/msupstream/sender.go
+++ b/msupstream/sender.go
@@ -92,8 +92,10 @@
 	body := &guard{r: r.Body, before: before}
 	var connected atomic.Bool
 	ctx, cancel := context.WithCancelCause(r.Context())
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if err := body.open(); err != nil {
+			// The transport may write the headers before it sees that ctx is done.
+			_ = info.Conn.Close()
 			cancel(err)
 			return
 		}
