msscheduler: attempts are indexed by their job

Cause: each step that waits for room looked through every attempt of the fleet to count its own, and each end did too; a pass grew with the square of the fleet. Ruled out: the choice of the worker (3 of 108 hundredths of the profile). Change: a job holds its attempts; steps, gangs, ends and stops look there.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -117,6 +117,8 @@
 	def      *msjob.Job
 	p        *msjob.Progress
 	canceled bool
+	// runs has the job's attempts that may run.
+	runs map[runKey]*run
 	// broken has, by step and attempt of a gang, that its failure is counted.
 	broken map[gangKey]bool
 	// retryAt has when a task may be placed again.
@@ -288,7 +290,7 @@
 	e.forgotAt = now
 	wall := e.Wall.Now()
 	for id, j := range e.jobs {
-		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusKept+forgetMargin || e.hasRuns(j) {
+		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusKept+forgetMargin || len(j.runs) > 0 {
 			continue
 		}
 		for _, r := range msjob.ForgetRecords(id) {
@@ -306,15 +308,6 @@
 // forgetEvery is the time between two looks for jobs to forget.
 const forgetEvery = 2 * time.Second
 
-func (e *Engine) hasRuns(j *job) bool {
-	for k := range e.runs {
-		if k.task.Job == j.def.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // commit stores a batch, then does what rests on it.
 func (e *Engine) commit(ctx context.Context, b batch) error {
 	if len(b.records) > 0 {
--- /dev/null
+++ b/msscheduler/pass_bench_test.go
@@ -0,0 +1,132 @@
+package msscheduler
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjob"
+	"marjoramspan/msleader"
+	"marjoramspan/mssite"
+	"marjoramspan/msstandin"
+	"marjoramspan/msworker"
+)
+
+// fullFleet is an engine at the peak of a turn: every worker is full, and half as
+// many jobs again wait.
+func fullFleet(tb testing.TB, workers, pools, teams int) *Engine {
+	tb.Helper()
+	clock := &msclock.Boot{}
+	site := &mssite.Site{Version: 1, Pools: map[string]mssite.Pool{}, Teams: map[string]mssite.Team{}}
+	for p := range pools {
+		name := "pool-" + strconv.Itoa(p)
+		site.Pools[name] = mssite.Pool{Name: name, Guarded: true}
+		site.Queues = append(site.Queues, mssite.Queue{Name: "queue-" + strconv.Itoa(p), Pool: name, Attempts: 3, Stretch: 1.6, Slack: time.Second})
+	}
+	for i := range teams {
+		name := "team-" + strconv.Itoa(i)
+		site.Teams[name] = mssite.Team{Name: name, Weight: 1000}
+	}
+	e := &Engine{
+		Term: msleader.Term{Epoch: 1}, Sites: &mssite.Holder{}, Registry: &msworker.Registry{}, Jobs: &msjob.Table{},
+		Clock: clock, Wall: msclock.System{}, Logger: zap.NewNop(),
+		begun: clock.Now().Add(-time.Minute), wake: make(chan struct{}, 1), deposed: make(chan error, 1),
+		workers: map[string]*worker{}, runs: map[runKey]*run{}, teams: map[string]msjob.Resources{},
+		jobs: map[string]*job{}, active: map[string]*job{}, dirty: map[string]*job{},
+		waves: map[int64]*wave{}, advices: map[stepKey]*advice{},
+	}
+	e.Sites.Set(site)
+	e.pools.leaving = map[string]time.Time{}
+	for i := range workers {
+		entry := msworker.Worker{
+			ID: fmt.Sprintf("w-%04d", i), Address: strconv.Itoa(i), Pool: "pool-" + strconv.Itoa(i%pools), Rack: "r" + strconv.Itoa(i/20),
+			Capacity: msjob.Resources{CPU: 32_000, Memory: 64_000},
+		}
+		e.Registry.Set(entry)
+		w := e.workerFor(entry.ID)
+		w.Worker, w.listed, w.reported, w.reachable, w.cancel = entry, true, true, true, func() {}
+	}
+	step := msjob.Step{Count: 8, Need: msjob.Resources{CPU: 4000, Memory: 2000}, Estimate: 800 * time.Millisecond}
+	second := step
+	second.After = []int{0}
+	for i := range workers * 3 / 2 {
+		q := i % pools
+		e.addJob(msjob.Entry{Job: &msjob.Job{
+			ID: fmt.Sprintf("%016x", i), Queue: "queue-" + strconv.Itoa(q), Pool: "pool-" + strconv.Itoa(q),
+			Team: "team-" + strconv.Itoa(i%max(teams, 1)), Spec: "run=1s", Steps: []msjob.Step{step, second}, Attempts: 3,
+			Stretch: 1.6, Slack: time.Second, Accepted: time.Now(),
+		}})
+	}
+	return e
+}
+
+// turnOver ends the oldest attempts of a few workers, as their reports would.
+func turnOver(e *Engine, n int, ends map[string]int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	for _, w := range e.workers {
+		if n == 0 {
+			return
+		}
+		for k := range w.runs {
+			ends[w.ID]++
+			e.ended(w, msworker.End{N: ends[w.ID], Task: k.task, Attempt: k.attempt, How: msworker.EndStopped}, now)
+			n--
+			break
+		}
+	}
+}
+
+// BenchmarkPass is one pass of a leader whose fleet is full, with ten ends since the
+// pass before.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct {
+		name                  string
+		workers, pools, teams int
+	}{{"1x", 50, 4, 6}, {"2x", 100, 4, 6}, {"4x", 200, 4, 6}, {"350-workers", 350, 5, 20}, {"860-workers", 860, 135, 51}} {
+		b.Run(size.name, func(b *testing.B) {
+			e := fullFleet(b, size.workers, size.pools, size.teams)
+			e.Term = leading(b)
+			ends := map[string]int64{}
+			now := e.Clock.Now()
+			e.mu.Lock()
+			e.pass(now)
+			e.mu.Unlock()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				turnOver(e, 10, ends)
+				e.mu.Lock()
+				e.pass(e.Clock.Now())
+				e.mu.Unlock()
+			}
+		})
+	}
+}
+
+// leading returns a term that stays valid for as long as the benchmark runs.
+func leading(tb testing.TB) msleader.Term {
+	tb.Helper()
+	log := &msstandin.JobLog{}
+	terms := make(chan msleader.Term, 1)
+	l := &msleader.Leader{
+		Log: log.Log(), Clock: &msclock.Boot{}, Logger: zap.NewNop(), Stream: "leader", Holder: "a",
+		Jitter: func() float64 { return 0 },
+		Lead: func(ctx context.Context, t msleader.Term) error {
+			terms <- t
+			<-ctx.Done()
+			return nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.Run(ctx) }()
+	tb.Cleanup(func() { cancel(); <-done })
+	return <-terms
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -194,7 +194,7 @@
 			waiting = append(waiting, i)
 		}
 	}
-	if len(waiting) == 0 || step.Gang && (len(waiting) < step.Count || e.gangRuns(j, k, s)) {
+	if len(waiting) == 0 || step.Gang && (len(waiting) < step.Count || j.gangRuns(k, s)) {
 		return nil
 	}
 	if n := e.teamRoom(j.def.Team, step.Need, site); n < len(waiting) {
@@ -213,8 +213,8 @@
 		rm = a.restrict(rm)
 	}
 	want := msplace.Want{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
-	for key, r := range e.runs {
-		if key.task.Job == j.def.ID && key.task.Occurrence == k && key.task.Step == s {
+	for key, r := range j.runs {
+		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
 			want.OnRack[r.w.Rack]++
 		}
@@ -266,9 +266,9 @@
 }
 
 // gangRuns says whether an attempt of a gang may still run somewhere.
-func (e *Engine) gangRuns(j *job, k, s int) bool {
-	for key := range e.runs {
-		if key.task.Job == j.def.ID && key.task.Occurrence == k && key.task.Step == s {
+func (j *job) gangRuns(k, s int) bool {
+	for key := range j.runs {
+		if key.task.Occurrence == k && key.task.Step == s {
 			return true
 		}
 	}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -69,6 +69,12 @@
 func (e *Engine) addRun(r *run) {
 	e.runs[r.runKey] = r
 	r.w.runs[r.runKey] = r
+	if r.job != nil {
+		if r.job.runs == nil {
+			r.job.runs = map[runKey]*run{}
+		}
+		r.job.runs[r.runKey] = r
+	}
 	r.w.used = r.w.used.Plus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Plus(r.limit)
@@ -82,6 +88,9 @@
 	}
 	delete(e.runs, r.runKey)
 	delete(r.w.runs, r.runKey)
+	if r.job != nil {
+		delete(r.job.runs, r.runKey)
+	}
 	r.w.used = r.w.used.Minus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Minus(r.limit)
@@ -222,7 +231,7 @@
 		}
 	} else {
 		t.Finish()
-		e.stopOthers(end.Task, end.Attempt)
+		e.stopOthers(j, end.Task, end.Attempt)
 	}
 	if round.Done() {
 		j.p.Finish(end.Task.Occurrence)
@@ -275,10 +284,8 @@
 	j.p.Rounds = nil
 	e.touch(j)
 	delete(e.active, j.def.ID)
-	for _, r := range e.runs {
-		if r.job == j {
-			e.stop(r)
-		}
+	for _, r := range j.runs {
+		e.stop(r)
 	}
 	e.Logger.Info("job ended", zap.String("job", j.def.ID), zap.String("state", state.String()), zap.String("reason", reason),
 		zap.Duration("age", e.Wall.Now().Sub(j.def.Accepted)))
@@ -287,8 +294,8 @@
 }
 
 // stopOthers stops the other attempts of a task.
-func (e *Engine) stopOthers(id msjob.TaskID, attempt int) {
-	for k, r := range e.runs {
+func (e *Engine) stopOthers(j *job, id msjob.TaskID, attempt int) {
+	for k, r := range j.runs {
 		if k.task == id && k.attempt != attempt {
 			e.stop(r)
 		}
@@ -297,8 +304,8 @@
 
 // stopGang stops the members of the attempt that r belonged to.
 func (e *Engine) stopGang(r *run, reason string) {
-	for k, m := range e.runs {
-		if k.task.Job == r.task.Job && k.task.Occurrence == r.task.Occurrence && k.task.Step == r.task.Step && k.attempt == r.attempt {
+	for k, m := range r.job.runs {
+		if k.task.Occurrence == r.task.Occurrence && k.task.Step == r.task.Step && k.attempt == r.attempt {
 			e.stop(m)
 		}
 	}
