msjournal: calls of Sync share their reads

Cause: on the grown site an entry behind a link of 10 Mbit/s was up to 24 s behind the stream of jobs: each caller that asked for a job not yet folded read the same records again, up to 512 kB a time, until no read ended in its time (102 reads failed in two seconds; three times the stream's bytes). Ruled out: the leader's passes (3 ms each) and appends (19 ms). Change: calls of Sync at the same time share one read, and one that was begun before a call doesn't count for it. Put back without the cure TestSyncsShareTheirReads reads 100 times at once.

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -51,6 +51,8 @@
 	failing     bool
 	// loading serves one load at a time.
 	loading sync.Mutex
+	// catching is the read that calls of Sync wait for.
+	catching *catchUp
 }
 
 // Run follows the stream until ctx is done.
@@ -224,24 +226,56 @@
 	return f.next
 }
 
-// Sync returns once all that was appended before the call is folded.
+// Sync returns once all that was appended before the call is folded. Calls at the
+// same time share their reads: on a narrow link each would take from the others,
+// and none would end in time.
 func (f *Follower) Sync(ctx context.Context) error {
 	asked := f.Clock.Now()
 	for {
 		f.mu.Lock()
-		loaded, current := f.loaded, f.current
-		f.mu.Unlock()
-		switch {
-		case loaded && !current.Before(asked):
+		if f.loaded && !f.current.Before(asked) {
+			f.mu.Unlock()
 			return nil
-		case !loaded:
-			if err := f.load(ctx); err != nil {
-				return err
-			}
-		default:
-			if err := f.read(ctx, 0); err != nil {
-				return err
-			}
 		}
+		c := f.catching
+		own := c == nil
+		if own {
+			c = &catchUp{begun: f.Clock.Now(), done: make(chan struct{})}
+			f.catching = c
+		}
+		f.mu.Unlock()
+		if own {
+			// Others wait for it too, so it goes on where this caller leaves.
+			c.err = f.catchUpOnce(context.WithoutCancel(ctx))
+			f.mu.Lock()
+			f.catching = nil
+			f.mu.Unlock()
+			close(c.done)
+		}
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if c.err != nil && !c.begun.Before(asked) {
+			return c.err
+		}
+	}
+}
+
+// catchUp is a read that Sync calls share.
+type catchUp struct {
+	begun time.Time
+	done  chan struct{}
+	err   error
+}
+
+func (f *Follower) catchUpOnce(ctx context.Context) error {
+	f.mu.Lock()
+	loaded := f.loaded
+	f.mu.Unlock()
+	if !loaded {
+		return f.load(ctx)
 	}
+	return f.read(ctx, 0)
 }
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -110,6 +110,49 @@
 	require.Error(t, f.Sync(t.Context()))
 }
 
+// Callers that ask at the same time share one read, so that they don't crowd a
+// narrow link with the same records.
+func TestSyncsShareTheirReads(t *testing.T) {
+	var log msstandin.JobLog
+	plain := log.Log()
+	var mu sync.Mutex
+	reading, most := 0, 0
+	release := make(chan struct{})
+	slow := plain
+	slow.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+		if wait == 0 {
+			mu.Lock()
+			reading++
+			most = max(most, reading)
+			mu.Unlock()
+			<-release
+			defer func() {
+				mu.Lock()
+				defer mu.Unlock()
+				reading--
+			}()
+		}
+		return plain.Read(ctx, stream, from, wait)
+	}
+	v := &view{}
+	f := &msjournal.Follower{Log: slow, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
+	run(t, f.Run)
+	require.Eventually(t, func() bool { return !f.Current().IsZero() }, eventually, time.Millisecond)
+	const callers = 100
+	errs := make(chan error, callers)
+	for range callers {
+		go func() { errs <- f.Sync(t.Context()) }()
+	}
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return reading > 0 }, eventually, time.Millisecond)
+	// Time for the others to read too, if they do.
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for range callers {
+		require.NoError(t, <-errs)
+	}
+	require.Equal(t, 1, most)
+}
+
 func writer(t *testing.T, log *msstandin.JobLog) *msjournal.Writer {
 	w := &msjournal.Writer{Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
 	run(t, w.Run)
