msscheduler: progress has a stream of its own, entries read statuses

Entries with 0.19 of a core behind 10 Mbit/s fell up to 27 s behind: they showed jobs as running that had long ended, and called themselves not ready (234 of 440 machine-seconds in calm times). Change: progress goes onto ms-progress, which only a new leader reads. ms-jobs has jobs, cancels, the load, waves, pools, and a status record when callers would see another state; it is written beside the passes. Jobs are forgotten there first, their progress after, and a next leader takes up what was left between. TestEveryEntryReadsNoProgress fails on the version before.

--- a/cmd/marjoramspan/jobs.go
+++ b/cmd/marjoramspan/jobs.go
@@ -10,6 +10,7 @@
 
 	"marjoramspan/msclock"
 	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
 	"marjoramspan/platform"
 )
 
@@ -19,17 +20,26 @@
 	Limit time.Duration `name:"timeout" default:"20s" help:"Longest that the command may take."`
 }
 
-// jobTable reads the newest records of all jobs.
+// jobTable reads the newest records of all jobs and of their progress.
 func (f platformLogFlags) jobTable(ctx context.Context) (*msjob.Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Limit)
 	defer cancel()
 	l := (&platform.LogClient{Client: platform.NewClient(1), Address: func() string { return f.Log }}).Log()
 	t := &msjob.Table{}
+	for _, stream := range []string{streamJobs, streamProgress} {
+		if err := readNewest(ctx, l, stream, t); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func readNewest(ctx context.Context, l msjournal.Log, stream string, t *msjob.Table) error {
 	after := ""
 	for {
-		p, err := l.Newest(ctx, streamJobs, after)
+		p, err := l.Newest(ctx, stream, after)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		for _, r := range p.Records {
 			// A record that can't be read names no job; the others hold.
@@ -38,7 +48,7 @@
 			}
 		}
 		if p.More == "" {
-			return t, nil
+			return nil
 		}
 		after = p.More
 	}
--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -38,8 +38,9 @@
 
 const (
 	// The streams of the system itself.
-	streamJobs   = "ms-jobs"
-	streamLeader = "ms-leader"
+	streamJobs     = "ms-jobs"
+	streamProgress = "ms-progress"
+	streamLeader   = "ms-leader"
 
 	// metricsPort is the port of the metrics, as the deploy file names it.
 	metricsPort = 7001
@@ -236,7 +237,7 @@
 	set := n.set.Load()
 	b := set.Bounds
 	e := &msscheduler.Engine{
-		Term: t, Holder: set.Name, Log: n.journal, Stream: streamJobs, Jobs: &n.jobs, Journal: n.records,
+		Term: t, Holder: set.Name, Log: n.journal, Stream: streamJobs, ProgressStream: streamProgress, Jobs: &n.jobs, Journal: n.records,
 		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Report: n.report,
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
--- a/cmd/marjoramstandin/jobs.go
+++ b/cmd/marjoramstandin/jobs.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	demoStream = "jobs"
-	demoPool   = "booth"
+	demoStream   = "jobs"
+	demoProgress = "progress"
+	demoPool     = "booth"
 	// demoTimeout bounds the whole run.
 	demoTimeout = 2 * time.Minute
 	// demoLook is the pause between two looks at what has happened.
@@ -155,7 +156,7 @@
 		Log: log, Clock: clock, Logger: logger, Stream: "leader", Holder: name, Jitter: rand.Float64,
 		Lead: func(ctx context.Context, t msleader.Term) error {
 			g := &msscheduler.Engine{
-				Term: t, Holder: name, Log: log, Stream: demoStream, Jobs: &e.jobs, Journal: records,
+				Term: t, Holder: name, Log: log, Stream: demoStream, ProgressStream: demoProgress, Jobs: &e.jobs, Journal: records,
 				Registry: &d.reg, Orders: msstandin.Orders(d.find), VMs: d.fleet.VMs(), Sites: &d.sites,
 				Report: func(context.Context, int64, bool) error { return nil },
 				Clock:  clock, Wall: msclock.System{}, Logger: logger,
--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -24,6 +24,15 @@
 	return s >= Completed
 }
 
+// Status is how callers see a job.
+type Status struct {
+	State State `json:"state,omitempty"`
+	// Ended is when the job reached a final state, in Unix milliseconds.
+	Ended int64 `json:"ended,omitempty"`
+	// Reason says why the job failed.
+	Reason string `json:"reason,omitempty"`
+}
+
 // Phase is where a task stands.
 type Phase int
 
@@ -94,6 +103,15 @@
 	Finished []byte `json:"finished,omitempty"`
 }
 
+// Status is what callers are shown.
+func (p *Progress) Status() Status {
+	s := Status{State: p.State, Ended: p.Ended, Reason: p.Reason}
+	if !s.State.Final() && p.Started {
+		s.State = Running
+	}
+	return s
+}
+
 // Round returns occurrence k, begun if it wasn't.
 func (p *Progress) Round(j *Job, k int) *Round {
 	if r := p.Rounds[k]; r != nil {
@@ -201,8 +219,8 @@
 	return &c
 }
 
-// fits says whether the rounds have the shape of the job's steps.
-func (p *Progress) fits(j *Job) bool {
+// Fits says whether the rounds have the shape of the job's steps.
+func (p *Progress) Fits(j *Job) bool {
 	for k, r := range p.Rounds {
 		if r == nil || k < 0 || k >= j.Rounds() || len(r.Steps) != len(j.Steps) {
 			return false
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -7,8 +7,11 @@
 	"time"
 )
 
-// The records of a job are kept by key: the newest of each key counts.
+// The records of a job are kept by key: the newest of each key counts. Every entry
+// folds jobs, cancels and statuses; only the scheduler needs the progress, which
+// changes with each attempt.
 const (
+	prefixStatus   = "status/"
 	prefixJob      = "job/"
 	prefixProgress = "progress/"
 	prefixCancel   = "cancel/"
@@ -39,10 +42,38 @@
 	return Record{Key: prefixCancel + id, Value: []byte("{}")}
 }
 
-// ForgetRecords drop all records of a job. The job's own goes last, so that no
-// reader sees a job without the progress that it made.
+// StatusRecord is the record of how callers see a job.
+func StatusRecord(id string, s Status) (Record, error) {
+	return encode(prefixStatus+id, id, s)
+}
+
+// ForgetRecords drop all records of a job but its progress. The job's own goes
+// first, so that no reader sees a job without the status that it had.
 func ForgetRecords(id string) []Record {
-	return []Record{{Key: prefixProgress + id}, {Key: prefixCancel + id}, {Key: prefixJob + id}}
+	return []Record{{Key: prefixJob + id}, {Key: prefixCancel + id}, {Key: prefixStatus + id}}
+}
+
+// ForgetProgressRecord drops the progress of a job. It goes after the other records
+// are gone: a job without progress would run again.
+func ForgetProgressRecord(id string) Record {
+	return Record{Key: prefixProgress + id}
+}
+
+// ParseProgress reads a record of progress. The progress is nil where the record
+// drops it.
+func ParseProgress(r Record) (id string, p *Progress, err error) {
+	kind, id := splitKey(r.Key)
+	if kind != prefixProgress {
+		return id, nil, &Error{Job: id, Reason: "no record of progress but of " + kind}
+	}
+	if len(r.Value) == 0 {
+		return id, nil, nil
+	}
+	p = &Progress{}
+	if err := json.Unmarshal(r.Value, p); err != nil {
+		return id, nil, &Error{Job: id, Reason: "its progress can't be read", Err: err}
+	}
+	return id, p, nil
 }
 
 // Wave is how far a wave of maintenance has come.
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -7,7 +7,10 @@
 
 // Entry is a job of a Table. Its parts are replaced, never changed.
 type Entry struct {
-	Job      *Job
+	Job *Job
+	// Status is what the scheduler has published of the job.
+	Status Status
+	// Progress is set where the table folds the records of progress too.
 	Progress *Progress
 	// Canceled says that a caller cancelled the job.
 	Canceled bool
@@ -18,9 +21,11 @@
 	switch {
 	case e.Progress != nil && e.Progress.State.Final():
 		return e.Progress.State
+	case e.Status.State.Final():
+		return e.Status.State
 	case e.Canceled:
 		return Canceled
-	case e.Progress != nil && e.Progress.Started:
+	case e.Status.State == Running, e.Progress != nil && e.Progress.Started:
 		return Running
 	}
 	return Queued
@@ -68,6 +73,8 @@
 		return t.applyJob(id, r.Value)
 	case prefixProgress:
 		return t.applyProgress(id, r.Value)
+	case prefixStatus:
+		return t.applyStatus(id, r.Value)
 	case prefixCancel:
 		t.applyCancel(id, len(r.Value) == 0)
 		return nil
@@ -108,7 +115,7 @@
 	e := t.orphan[id]
 	delete(t.orphan, id)
 	e.Job = j
-	if e.Progress != nil && !e.Progress.fits(j) {
+	if e.Progress != nil && !e.Progress.Fits(j) {
 		e.Progress = nil
 	}
 	t.jobs[id] = &e
@@ -122,12 +129,9 @@
 }
 
 func (t *Table) applyProgress(id string, value []byte) error {
-	if len(value) == 0 {
-		return nil
-	}
-	p := &Progress{}
-	if err := json.Unmarshal(value, p); err != nil {
-		return &Error{Job: id, Reason: "its progress can't be read", Err: err}
+	_, p, err := ParseProgress(Record{Key: prefixProgress + id, Value: value})
+	if err != nil || p == nil {
+		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,13 +143,38 @@
 		t.keepOrphan(id, o)
 		return nil
 	}
-	if !p.fits(e.Job) {
+	if !p.Fits(e.Job) {
 		return &Error{Job: id, Reason: "its progress doesn't fit its steps"}
 	}
 	e.Progress = p
 	return nil
 }
 
+func (t *Table) applyStatus(id string, value []byte) error {
+	s := Status{}
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &s); err != nil {
+			return &Error{Job: id, Reason: "its status can't be read", Err: err}
+		}
+		if s.State < Queued || s.State > Canceled {
+			return &Error{Job: id, Reason: "its status is of no known state"}
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[id]
+	if e == nil {
+		if len(value) > 0 {
+			o := t.orphan[id]
+			o.Status = s
+			t.keepOrphan(id, o)
+		}
+		return nil
+	}
+	e.Status = s
+	return nil
+}
+
 func (t *Table) applyCancel(id string, dropped bool) {
 	if dropped {
 		return
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -9,7 +9,6 @@
 
 	"marjoramspan/mscapacity"
 	"marjoramspan/msjob"
-	"marjoramspan/msjournal"
 	"marjoramspan/msworker"
 )
 
@@ -258,9 +257,5 @@
 	e.pools.dirty = false
 	f := msjob.Fleet{Home: e.pools.home, Ended: e.pools.turns.Ended, In: e.pools.turns.In}
 	r, err := msjob.FleetRecord(&f)
-	if err != nil {
-		e.Logger.Error("sizes of pools not stored", zap.Error(err))
-		return
-	}
-	b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+	b.announce(e.Logger, r, err)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -48,25 +48,21 @@
 	holdover = 5 * time.Second
 	// tick is the longest pause between two passes.
 	tick = 200 * time.Millisecond
-	// storeTimeout bounds one try of an append.
-	storeTimeout = 600 * time.Millisecond
-	// storePause is the pause between two tries.
-	storePause = 40 * time.Millisecond
-	// producer is the name under which a leader appends; its epoch is the term's.
-	producer = "scheduler"
 )
 
 // Engine schedules for one term. Its fields are set before Run.
 type Engine struct {
-	Term     msleader.Term
-	Holder   string
-	Log      msjournal.Log
-	Stream   string
-	Jobs     *msjob.Table
-	Journal  *msjournal.Follower
-	Registry *msworker.Registry
-	Orders   msworker.Orders
-	VMs      msworker.VMs
+	Term   msleader.Term
+	Holder string
+	Log    msjournal.Log
+	// Stream has what every entry reads: jobs, cancels, statuses, the load, and the
+	// waves and pools. ProgressStream has the progress of jobs.
+	Stream, ProgressStream string
+	Jobs                   *msjob.Table
+	Journal                *msjournal.Follower
+	Registry               *msworker.Registry
+	Orders                 msworker.Orders
+	VMs                    msworker.VMs
 	// Advise answers which workers may run a step, for queues that need it.
 	Advise msworker.Advisor
 	Sites  *mssite.Holder
@@ -79,10 +75,12 @@
 	Metrics  *Metrics
 	Settings Settings
 
-	begun    time.Time
-	sequence int64
-	wake     chan struct{}
-	deposed  chan error
+	begun   time.Time
+	wake    chan struct{}
+	deposed chan error
+	// progress and public are the two streams; public is written by publish alone.
+	progress, public appender
+	publishing       chan struct{}
 
 	// mu guards all below and everything that jobs, workers and runs hold. No call
 	// of another package that takes a lock of its own is made while it is held,
@@ -95,9 +93,13 @@
 	workers       map[string]*worker
 	runs          map[runKey]*run
 	teams         map[string]msjob.Resources
-	group         sync.WaitGroup
-	ctx           context.Context
-	loadAt        time.Time
+	// waiting has what publish stores next.
+	waiting announcement
+	// orphaned has the jobs that are forgotten but for their progress.
+	orphaned []string
+	group    sync.WaitGroup
+	ctx      context.Context
+	loadAt   time.Time
 	// forgotAt is when jobs to forget were last looked for.
 	forgotAt time.Time
 	load     msjob.Load
@@ -117,6 +119,8 @@
 	def      *msjob.Job
 	p        *msjob.Progress
 	canceled bool
+	// published is the newest status that was given to publish.
+	published msjob.Status
 	// runs has the job's attempts that may run.
 	runs map[runKey]*run
 	// broken has, by step and attempt of a gang, that its failure is counted.
@@ -150,6 +154,8 @@
 	e.begun = e.Clock.Now()
 	e.wake = make(chan struct{}, 1)
 	e.deposed = make(chan error, 1)
+	e.publishing = make(chan struct{}, 1)
+	e.progress, e.public = appender{stream: e.ProgressStream}, appender{stream: e.Stream}
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
@@ -158,27 +164,31 @@
 	if err := e.takeOver(ctx); err != nil {
 		return err
 	}
-	e.group.Add(1)
-	go func() {
-		defer e.group.Done()
-		e.manageVMs(ctx)
-	}()
+	for _, part := range []func(ctx context.Context){e.manageVMs, e.publish} {
+		e.group.Add(1)
+		go func() {
+			defer e.group.Done()
+			part(ctx)
+		}()
+	}
 	return e.loop(ctx)
 }
 
-// takeOver shuts out earlier leaders from the journal, then reads it to its end.
+// takeOver shuts out earlier leaders from both streams, then reads them to their
+// ends.
 func (e *Engine) takeOver(ctx context.Context) error {
-	if err := e.store(ctx, nil); err != nil {
+	if err := e.store(ctx, &e.progress, nil); err != nil {
 		return err
 	}
-	for {
-		err := e.Journal.Sync(ctx)
-		if err == nil {
-			break
-		}
-		if msclock.Sleep(ctx, e.Clock, storePause) != nil {
-			return ctx.Err()
-		}
+	if err := e.store(ctx, &e.public, nil); err != nil {
+		return err
+	}
+	progress, err := e.readProgress(ctx)
+	if err != nil {
+		return err
+	}
+	if err := e.sync(ctx, e.Journal); err != nil {
+		return err
 	}
 	// Jobs that were added before the journal was read to its end would lack what
 	// earlier leaders have stored of them.
@@ -189,13 +199,51 @@
 	e.Jobs.Each(func(entry msjob.Entry) { entries = append(entries, entry) })
 	sort.Slice(entries, func(i, k int) bool { return entries[i].Job.Accepted.Before(entries[k].Job.Accepted) })
 	for _, entry := range entries {
+		entry.Progress = progress[entry.Job.ID]
+		delete(progress, entry.Job.ID)
 		e.AddJob(entry)
 	}
+	e.mu.Lock()
+	for id := range progress {
+		e.orphaned = append(e.orphaned, id)
+	}
+	e.mu.Unlock()
 	n := len(entries)
 	e.Logger.Info("journal taken over", zap.Int64("epoch", e.Term.Epoch), zap.Int("jobs", n), zap.Int64("version", e.Journal.Next()))
 	return nil
 }
 
+// readProgress returns the progress that earlier leaders have stored, by job.
+func (e *Engine) readProgress(ctx context.Context) (map[string]*msjob.Progress, error) {
+	all := map[string]*msjob.Progress{}
+	f := &msjournal.Follower{
+		Log: e.Log, Clock: e.Clock, Logger: e.Logger, Stream: e.ProgressStream,
+		Reset: func() { clear(all) },
+		Apply: func(r msjournal.Record, offset int64) {
+			id, p, err := msjob.ParseProgress(msjob.Record{Key: r.Key, Value: r.Value})
+			switch {
+			case err != nil:
+				e.Logger.Warn("record left aside", zap.String("stream", e.ProgressStream), zap.Int64("offset", offset), zap.Error(err))
+			case p == nil:
+				delete(all, id)
+			default:
+				all[id] = p
+			}
+		},
+	}
+	return all, e.sync(ctx, f)
+}
+
+// sync reads a stream to its end, and tries until it can or ctx is done.
+func (e *Engine) sync(ctx context.Context, f *msjournal.Follower) error {
+	for f.Sync(ctx) != nil {
+		if err := msclock.Sleep(ctx, e.Clock, storePause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (e *Engine) loop(ctx context.Context) error {
 	for {
 		e.mu.Lock()
@@ -237,7 +285,10 @@
 
 // batch is what one pass has decided.
 type batch struct {
+	// records go onto the stream of progress; public is announced once they are
+	// stored.
 	records []msjournal.Record
+	public  announcement
 	starts  []*run
 	acked   map[*worker]int64
 }
@@ -267,6 +318,11 @@
 			continue
 		}
 		b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+		if status := j.p.Status(); status != j.published {
+			j.published = status
+			r, err = msjob.StatusRecord(id, status)
+			b.announce(e.Logger, r, err)
+		}
 	}
 	e.collectForgotten(b, now)
 	for _, w := range e.workers {
@@ -276,14 +332,17 @@
 	}
 	e.collectWaves(b)
 	e.collectPools(b)
-	if r, ok := e.loadRecord(now); ok {
-		b.records = append(b.records, r)
-	}
+	e.collectLoad(b, now)
 }
 
 // collectForgotten adds the records that drop jobs whose state need not be kept any
 // longer. The caller holds mu.
 func (e *Engine) collectForgotten(b *batch, now time.Time) {
+	for _, id := range e.orphaned {
+		r := msjob.ForgetProgressRecord(id)
+		b.records = append(b.records, msjournal.Record{Key: r.Key})
+	}
+	e.orphaned = nil
 	if now.Sub(e.forgotAt) < forgetEvery {
 		return
 	}
@@ -294,8 +353,9 @@
 			continue
 		}
 		for _, r := range msjob.ForgetRecords(id) {
-			b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+			b.announce(e.Logger, r, nil)
 		}
+		b.public.forgotten = append(b.public.forgotten, id)
 		delete(e.jobs, id)
 		e.forgetAdvice(id)
 	}
@@ -308,85 +368,6 @@
 // forgetEvery is the time between two looks for jobs to forget.
 const forgetEvery = 2 * time.Second
 
-// commit stores a batch, then does what rests on it.
-func (e *Engine) commit(ctx context.Context, b batch) error {
-	if len(b.records) > 0 {
-		if err := e.storeAll(ctx, b.records); err != nil {
-			return err
-		}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for w, n := range b.acked {
-		if n > w.acked {
-			w.acked = n
-			w.release()
-		}
-	}
-	for _, r := range b.starts {
-		e.order(r)
-	}
-	return nil
-}
-
-// maxBatch bounds the records of one append, and maxBatchBytes their size.
-const (
-	maxBatch      = 400
-	maxBatchBytes = 1 << 20
-)
-
-func (e *Engine) storeAll(ctx context.Context, records []msjournal.Record) error {
-	for len(records) > 0 {
-		n, bytes := 0, 0
-		for n < len(records) && n < maxBatch && (n == 0 || bytes+len(records[n].Value) < maxBatchBytes) {
-			bytes += len(records[n].Value) + len(records[n].Key)
-			n++
-		}
-		if err := e.store(ctx, records[:n]); err != nil {
-			return err
-		}
-		records = records[n:]
-	}
-	return nil
-}
-
-// store appends records, and tries until it is known that they are stored or that
-// another leader has shut this one out.
-func (e *Engine) store(ctx context.Context, records []msjournal.Record) error {
-	failing := false
-	for {
-		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := e.Log.Append(sctx, msjournal.Append{
-			Stream: e.Stream, Records: records,
-			Producer: producer, Epoch: e.Term.Epoch, Sequence: e.sequence,
-		})
-		cancel()
-		if err == nil {
-			if len(records) > 0 {
-				e.sequence++
-			}
-			if failing {
-				e.Logger.Info("progress is stored again", zap.Int64("epoch", e.Term.Epoch))
-			}
-			return nil
-		}
-		if kind := msjournal.KindOf(err); kind == msjournal.Fenced || kind == msjournal.Sequence {
-			return err
-		}
-		if !failing {
-			failing = true
-			e.Logger.Warn("progress not stored", zap.Int64("epoch", e.Term.Epoch), zap.Int("records", len(records)), zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case derr := <-e.deposed:
-			return derr
-		case <-e.Clock.After(storePause):
-		}
-	}
-}
-
 // lease is how long a lease is granted for.
 func (e *Engine) lease() time.Duration {
 	return min(maxLease, e.Settings.LongestLease)
@@ -423,11 +404,20 @@
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
 	}
-	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled}
-	if entry.Progress != nil {
+	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, published: entry.Status}
+	switch {
+	case entry.Progress != nil && entry.Progress.Fits(entry.Job):
 		j.p = entry.Progress.Clone()
+	case entry.Progress != nil:
+		e.Logger.Error("progress doesn't fit its job", zap.String("job", entry.Job.ID))
+	case entry.Status.State.Final():
+		// An earlier leader was about to forget the job.
+		j.p.State, j.p.Ended, j.p.Reason = entry.Status.State, entry.Status.Ended, entry.Status.Reason
 	}
 	e.jobs[j.def.ID] = j
+	if j.p.Status() != j.published {
+		e.touch(j)
+	}
 	j.excess = !e.allowance.Take(j.def.Team, e.weight(j.def.Team), j.def.Accepted)
 	if j.p.State.Final() {
 		return
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -227,7 +228,7 @@
 	}
 	// No record has a part of the gang.
 	seen := 0
-	for _, r := range w.log.Records("jobs") {
+	for _, r := range w.log.Records("progress") {
 		if r.Key != "progress/0000000000000002" {
 			continue
 		}
@@ -428,3 +429,50 @@
 	require.True(t, e.isDrained(vm))
 	require.True(t, e.movable(vm, false).Idle)
 }
+
+// Entries on narrow links read what callers may ask for, not each attempt.
+func TestEveryEntryReadsNoProgress(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=5ms", Steps: []msjob.Step{step(4)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	kinds := map[string]int{}
+	for _, r := range w.log.Records("jobs") {
+		kind, _, _ := strings.Cut(r.Key, "/")
+		kinds[kind]++
+	}
+	require.NotContains(t, kinds, "progress")
+	require.LessOrEqual(t, kinds["status"], 2, "more than begun and completed")
+	require.NotEmpty(t, w.log.Records("progress"))
+}
+
+// A leader that dies while it forgets jobs leaves either no job without progress
+// that would run again, or progress without a job, which goes.
+func TestForgettingIsTakenUpByTheNextLeader(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	done := &msjob.Job{ID: "0000000000000001", Spec: "run=5ms", Steps: []msjob.Step{step(1)}}
+	w.submit(done)
+	r, err := msjob.StatusRecord(done.ID, msjob.Status{State: msjob.Completed, Ended: time.Now().UnixMilli()})
+	require.NoError(t, err)
+	w.log.Put("jobs", r.Key, r.Value)
+	r, err = msjob.ProgressRecord("0000000000000002", &msjob.Progress{State: msjob.Completed})
+	require.NoError(t, err)
+	w.log.Put("progress", r.Key, r.Value)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000003", Spec: "run=5ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000003", msjob.Completed)
+	for _, r := range w.journal.Runs() {
+		require.Equal(t, "0000000000000003", r.Task.Job)
+	}
+	require.Eventually(t, func() bool {
+		all := w.log.Records("progress")
+		for i := len(all) - 1; i >= 0; i-- {
+			if all[i].Key == "progress/0000000000000002" {
+				return len(all[i].Value) == 0
+			}
+		}
+		return false
+	}, eventually, 5*time.Millisecond)
+}
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -125,7 +125,7 @@
 		Jitter: func() float64 { return 0.5 },
 		Lead: func(ctx context.Context, t msleader.Term) error {
 			g := &Engine{
-				Term: t, Holder: name, Log: log, Stream: "jobs", Jobs: &e.jobs, Journal: e.records,
+				Term: t, Holder: name, Log: log, Stream: "jobs", ProgressStream: "progress", Jobs: &e.jobs, Journal: e.records,
 				Registry: &w.reg, Orders: msstandin.Orders(w.worker), VMs: w.vms.VMs(), Sites: &w.sites,
 				Report: func(context.Context, int64, bool) error { return nil },
 				Clock:  clock, Wall: msclock.System{}, Logger: logger,
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -5,28 +5,25 @@
 	"time"
 
 	"marjoramspan/msjob"
-	"marjoramspan/msjournal"
 )
 
 // loadEvery is the time between two records of the load.
 const loadEvery = 300 * time.Millisecond
 
-// loadRecord returns the record of the load if it is due and has changed.
-func (e *Engine) loadRecord(now time.Time) (msjournal.Record, bool) {
+// collectLoad adds the record of the load if it is due and has changed. The caller
+// holds mu.
+func (e *Engine) collectLoad(b *batch, now time.Time) {
 	if now.Sub(e.loadAt) < loadEvery {
-		return msjournal.Record{}, false
+		return
 	}
 	e.loadAt = now
 	l := e.measure(now)
 	if reflect.DeepEqual(l, e.load) {
-		return msjournal.Record{}, false
+		return
 	}
 	e.load = l
 	r, err := msjob.LoadRecord(&l)
-	if err != nil {
-		return msjournal.Record{}, false
-	}
-	return msjournal.Record{Key: r.Key, Value: r.Value}, true
+	b.announce(e.Logger, r, err)
 }
 
 // measure is the load of every pool.
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msjob"
-	"marjoramspan/msjournal"
 	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 )
@@ -76,11 +75,7 @@
 		}
 		w.dirty = false
 		r, err := msjob.WaveRecord(&w.p)
-		if err != nil {
-			e.Logger.Error("wave not stored", zap.Int64("wave", w.ID), zap.Error(err))
-			continue
-		}
-		b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
+		b.announce(e.Logger, r, err)
 	}
 }
 
