msscheduler: statuses are stored beside the progress, a term begins with both

Change: statuses are appended beside the progress. A leader that takes over counts a job as ended that either stream shows so, and fences and reads both streams at the same time.

--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -248,14 +248,13 @@
 	}
 }
 
-// collectPools adds the record of the pools' sizes if it has changed. The caller
-// holds mu.
-func (e *Engine) collectPools(b *batch) {
+// announcePools publishes the pools' sizes if they have changed. The caller holds mu.
+func (e *Engine) announcePools() {
 	if !e.pools.dirty {
 		return
 	}
 	e.pools.dirty = false
 	f := msjob.Fleet{Home: e.pools.home, Ended: e.pools.turns.Ended, In: e.pools.turns.In}
 	r, err := msjob.FleetRecord(&f)
-	b.announce(e.Logger, r, err)
+	e.announce(r, err)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"marjoramspan/msclock"
 	"marjoramspan/msjob"
@@ -177,17 +178,21 @@
 // takeOver shuts out earlier leaders from both streams, then reads them to their
 // ends.
 func (e *Engine) takeOver(ctx context.Context) error {
-	if err := e.store(ctx, &e.progress, nil); err != nil {
-		return err
-	}
-	if err := e.store(ctx, &e.public, nil); err != nil {
-		return err
-	}
-	progress, err := e.readProgress(ctx)
-	if err != nil {
+	var progress map[string]*msjob.Progress
+	var both errgroup.Group
+	both.Go(func() (err error) {
+		if err = e.store(ctx, &e.progress, nil); err == nil {
+			progress, err = e.readProgress(ctx)
+		}
 		return err
-	}
-	if err := e.sync(ctx, e.Journal); err != nil {
+	})
+	both.Go(func() error {
+		if err := e.store(ctx, &e.public, nil); err != nil {
+			return err
+		}
+		return e.sync(ctx, e.Journal)
+	})
+	if err := both.Wait(); err != nil {
 		return err
 	}
 	// Jobs that were added before the journal was read to its end would lack what
@@ -285,10 +290,8 @@
 
 // batch is what one pass has decided.
 type batch struct {
-	// records go onto the stream of progress; public is announced once they are
-	// stored.
+	// records go onto the stream of progress.
 	records []msjournal.Record
-	public  announcement
 	starts  []*run
 	acked   map[*worker]int64
 }
@@ -321,7 +324,7 @@
 		if status := j.p.Status(); status != j.published {
 			j.published = status
 			r, err = msjob.StatusRecord(id, status)
-			b.announce(e.Logger, r, err)
+			e.announce(r, err)
 		}
 	}
 	e.collectForgotten(b, now)
@@ -330,9 +333,9 @@
 			b.acked[w] = w.processed
 		}
 	}
-	e.collectWaves(b)
-	e.collectPools(b)
-	e.collectLoad(b, now)
+	e.announceWaves()
+	e.announcePools()
+	e.announceLoad(now)
 }
 
 // collectForgotten adds the records that drop jobs whose state need not be kept any
@@ -353,9 +356,9 @@
 			continue
 		}
 		for _, r := range msjob.ForgetRecords(id) {
-			b.announce(e.Logger, r, nil)
+			e.announce(r, nil)
 		}
-		b.public.forgotten = append(b.public.forgotten, id)
+		e.waiting.forgotten = append(e.waiting.forgotten, id)
 		delete(e.jobs, id)
 		e.forgetAdvice(id)
 	}
@@ -410,11 +413,14 @@
 		j.p = entry.Progress.Clone()
 	case entry.Progress != nil:
 		e.Logger.Error("progress doesn't fit its job", zap.String("job", entry.Job.ID))
-	case entry.Status.State.Final():
-		// An earlier leader was about to forget the job.
-		j.p.State, j.p.Ended, j.p.Reason = entry.Status.State, entry.Status.Ended, entry.Status.Reason
 	}
 	e.jobs[j.def.ID] = j
+	if s := entry.Status; s.State.Final() && !j.p.State.Final() {
+		// The status is stored beside the progress, not after it, and what callers
+		// have been shown stands.
+		j.p.State, j.p.Ended, j.p.Reason, j.p.Rounds = s.State, s.Ended, s.Reason, nil
+		e.touch(j)
+	}
 	if j.p.Status() != j.published {
 		e.touch(j)
 	}
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -447,6 +447,29 @@
 	require.NotEmpty(t, w.log.Records("progress"))
 }
 
+// The status of a job may be stored when its leader dies, and the progress not.
+func TestWhatCallersWereShownStands(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2)
+	j := &msjob.Job{ID: "0000000000000001", Spec: "run=5ms", Steps: []msjob.Step{step(1)}}
+	w.submit(j)
+	p := &msjob.Progress{State: msjob.Running, Started: true}
+	p.Round(j, 0).Steps[0][0] = msjob.Task{Phase: msjob.Assigned, Attempt: 1, Worker: "gone"}
+	r, err := msjob.ProgressRecord(j.ID, p)
+	require.NoError(t, err)
+	w.log.Put("progress", r.Key, r.Value)
+	r, err = msjob.StatusRecord(j.ID, msjob.Status{State: msjob.Completed, Ended: time.Now().UnixMilli()})
+	require.NoError(t, err)
+	w.log.Put("jobs", r.Key, r.Value)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=5ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000002", msjob.Completed)
+	for _, r := range w.journal.Runs() {
+		require.Equal(t, "0000000000000002", r.Task.Job)
+	}
+	w.await(e, "0000000000000001", msjob.Completed)
+}
+
 // A leader that dies while it forgets jobs leaves either no job without progress
 // that would run again, or progress without a job, which goes.
 func TestForgettingIsTakenUpByTheNextLeader(t *testing.T) {
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -10,9 +10,8 @@
 // loadEvery is the time between two records of the load.
 const loadEvery = 300 * time.Millisecond
 
-// collectLoad adds the record of the load if it is due and has changed. The caller
-// holds mu.
-func (e *Engine) collectLoad(b *batch, now time.Time) {
+// announceLoad publishes the load if it is due and has changed. The caller holds mu.
+func (e *Engine) announceLoad(now time.Time) {
 	if now.Sub(e.loadAt) < loadEvery {
 		return
 	}
@@ -23,7 +22,7 @@
 	}
 	e.load = l
 	r, err := msjob.LoadRecord(&l)
-	b.announce(e.Logger, r, err)
+	e.announce(r, err)
 }
 
 // measure is the load of every pool.
--- a/msscheduler/pass_bench_test.go
+++ b/msscheduler/pass_bench_test.go
@@ -35,7 +35,7 @@
 	e := &Engine{
 		Term: msleader.Term{Epoch: 1}, Sites: &mssite.Holder{}, Registry: &msworker.Registry{}, Jobs: &msjob.Table{},
 		Clock: clock, Wall: msclock.System{}, Logger: zap.NewNop(),
-		begun: clock.Now().Add(-time.Minute), wake: make(chan struct{}, 1), deposed: make(chan error, 1),
+		begun: clock.Now().Add(-time.Minute), wake: make(chan struct{}, 1), publishing: make(chan struct{}, 1), deposed: make(chan error, 1),
 		workers: map[string]*worker{}, runs: map[runKey]*run{}, teams: map[string]msjob.Resources{},
 		jobs: map[string]*job{}, active: map[string]*job{}, dirty: map[string]*job{},
 		waves: map[int64]*wave{}, advices: map[stepKey]*advice{},
@@ -104,6 +104,7 @@
 				turnOver(e, 10, ends)
 				e.mu.Lock()
 				e.pass(e.Clock.Now())
+				e.waiting = announcement{}
 				e.mu.Unlock()
 			}
 		})
--- a/msscheduler/store.go
+++ b/msscheduler/store.go
@@ -33,29 +33,23 @@
 	forgotten []string
 }
 
-// announce adds a record for every entry.
-func (b *batch) announce(logger *zap.Logger, r msjob.Record, err error) {
+// announce gives a record to publish, or logs why there is none. The caller holds
+// mu.
+func (e *Engine) announce(r msjob.Record, err error) {
 	if err != nil {
-		logger.Error("record not written", zap.Error(err))
+		e.Logger.Error("record not written", zap.Error(err))
 		return
 	}
-	b.public.records = append(b.public.records, msjournal.Record{Key: r.Key, Value: r.Value})
-}
-
-// announce gives records to publish. The caller holds mu.
-func (e *Engine) announce(a announcement) {
-	if len(a.records) == 0 {
-		return
-	}
-	e.waiting.records = append(e.waiting.records, a.records...)
-	e.waiting.forgotten = append(e.waiting.forgotten, a.forgotten...)
+	e.waiting.records = append(e.waiting.records, msjournal.Record{Key: r.Key, Value: r.Value})
 	select {
 	case e.publishing <- struct{}{}:
 	default:
 	}
 }
 
-// publish stores announcements until ctx is done. Passes don't wait for it.
+// publish stores announcements until ctx is done. It runs beside the appends of
+// progress, so that callers see a job's end one answer of the log earlier. A leader
+// that takes over counts a job as ended that either stream shows so.
 func (e *Engine) publish(ctx context.Context) {
 	for {
 		select {
@@ -86,7 +80,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.announce(b.public)
 	for w, n := range b.acked {
 		if n > w.acked {
 			w.acked = n
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -67,15 +67,15 @@
 	return open
 }
 
-// collectWaves adds the records of waves that have changed. The caller holds mu.
-func (e *Engine) collectWaves(b *batch) {
+// announceWaves publishes the waves that have changed. The caller holds mu.
+func (e *Engine) announceWaves() {
 	for _, w := range e.waves {
 		if !w.dirty {
 			continue
 		}
 		w.dirty = false
 		r, err := msjob.WaveRecord(&w.p)
-		b.announce(e.Logger, r, err)
+		e.announce(r, err)
 	}
 }
 
