--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: demo test build lint format models measure slopes bench tools generate house unit race fuzz
+.PHONY: demo test build lint format models measure slopes bench tools generate house unit race fuzz soak
 
 demo: build
 	sh scripts/demo.sh
@@ -55,6 +55,11 @@
 measure: build
 	bin/marjorammeasure --seed $(SEED)
 
+# soak runs the real programs under faults; it ends non-zero on a breach.
+soak: FOR ?= 60s
+soak:
+	SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) SOAK_LOGS=$(CURDIR)/soak-logs go test -run '^TestSoak$$' -count=1 -timeout 30m -v ./platform
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/marjoramspan/jobs.go
+++ b/cmd/marjoramspan/jobs.go
@@ -101,10 +101,10 @@
 
 func newJobRow(e msjob.Entry, now time.Time) jobRow {
 	r := jobRow{ID: e.Job.ID, Queue: e.Job.Queue, Team: e.Job.Team, State: e.State().String(), Age: now.Sub(e.Job.Accepted)}
+	r.Reason = e.Status.Reason
 	if e.Progress == nil {
 		return r
 	}
-	r.Reason = e.Progress.Reason
 	for _, round := range e.Progress.Rounds {
 		for _, tasks := range round.Steps {
 			for i := range tasks {
@@ -145,15 +145,22 @@
 func whyJob(e msjob.Entry, l msjob.Load, now time.Time) string {
 	var b strings.Builder
 	j := e.Job
-	fmt.Fprintf(&b, "job %s of queue %s is %s; accepted %s ago, objective %s, longest chain %s\n",
-		j.ID, j.Queue, e.State(), now.Sub(j.Accepted).Round(time.Millisecond), j.Objective().Round(time.Millisecond), j.Chain().Round(time.Millisecond))
+	fmt.Fprintf(&b, "job %s of queue %s is %s; accepted %s ago", j.ID, j.Queue, e.State(), now.Sub(j.Accepted).Round(time.Millisecond))
+	if e.State().Final() {
+		// Its steps are no longer kept.
+		fmt.Fprintf(&b, ", ended after %s\n", time.UnixMilli(e.Status.Ended).Sub(j.Accepted).Round(time.Millisecond))
+	} else {
+		fmt.Fprintf(&b, ", objective %s, longest chain %s\n", j.Objective().Round(time.Millisecond), j.Chain().Round(time.Millisecond))
+	}
+	if e.Status.Reason != "" {
+		fmt.Fprintf(&b, "%s\n", e.Status.Reason)
+	}
 	if e.Progress == nil {
-		fmt.Fprintf(&b, "the scheduler has stored nothing of it yet\n")
+		if !e.State().Final() {
+			fmt.Fprintf(&b, "the scheduler has stored nothing of it yet\n")
+		}
 		return b.String()
 	}
-	if e.Progress.Reason != "" {
-		fmt.Fprintf(&b, "%s\n", e.Progress.Reason)
-	}
 	if p, ok := l.Pools[j.Pool]; ok && !e.State().Final() {
 		fmt.Fprintf(&b, "pool %s has %d cores for %.0f core-seconds ahead\n", j.Pool, p.Cores/1000, p.Ahead)
 	}
--- a/msjob/job_test.go
+++ b/msjob/job_test.go
@@ -121,6 +121,40 @@
 	require.Equal(t, 1, table.Pending("plan"))
 }
 
+// Of a job that has ended its status is kept, in any order and though the job comes
+// once more through an entry that is behind.
+func TestEndedJobsKeepTheirStatus(t *testing.T) {
+	j := job("a", Step{Count: 1})
+	j.Queue, j.Team, j.Accepted = "q", "team", time.UnixMilli(5000).UTC()
+	ends, err := StatusRecords(j, Status{State: Failed, Ended: 9000, Reason: "why"})
+	require.NoError(t, err)
+	begins, err := StatusRecords(j, Status{State: Running})
+	require.NoError(t, err)
+	for _, order := range [][]Record{
+		append(records(t, j, nil, false), ends...),
+		append(append(records(t, j, nil, true), begins...), ends...),
+		append(append(records(t, j, nil, false), ends...), records(t, j, nil, false)...),
+		append([]Record{ends[0]}, records(t, j, nil, false)...),
+		ends,
+	} {
+		var table Table
+		for _, r := range order {
+			require.NoError(t, table.Apply(r))
+		}
+		e, ok := table.Job("a")
+		require.True(t, ok)
+		require.Equal(t, Failed, e.State())
+		require.Equal(t, []any{"q", "team", j.Accepted}, []any{e.Job.Queue, e.Job.Team, e.Job.Accepted})
+		for _, r := range ForgetRecords("a") {
+			require.NoError(t, table.Apply(r))
+		}
+		_, ok = table.Job("a")
+		require.False(t, ok)
+	}
+	require.Error(t, new(Table).Apply(Record{Key: "status/a", Value: []byte(`{"state":9}`)}))
+	require.Error(t, new(Table).Apply(Record{Key: "status/a", Value: []byte("x")}))
+}
+
 func TestForgottenJobsAreGone(t *testing.T) {
 	var table Table
 	for _, r := range append(records(t, job("a", Step{Count: 1}), &Progress{State: Completed}, false), ForgetRecords("a")...) {
--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -31,6 +31,16 @@
 	Ended int64 `json:"ended,omitempty"`
 	// Reason says why the job failed.
 	Reason string `json:"reason,omitempty"`
+	// Queue, Team and Accepted are those of a job that has ended, whose own record is
+	// dropped. Accepted is in Unix milliseconds.
+	Queue    string `json:"queue,omitempty"`
+	Team     string `json:"team,omitempty"`
+	Accepted int64  `json:"accepted,omitempty"`
+}
+
+// job is what is left of a job that has ended.
+func (s Status) job(id string) *Job {
+	return &Job{ID: id, Queue: s.Queue, Team: s.Team, Accepted: time.UnixMilli(s.Accepted).UTC()}
 }
 
 // Phase is where a task stands.
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -42,13 +42,21 @@
 	return Record{Key: prefixCancel + id, Value: []byte("{}")}
 }
 
-// StatusRecord is the record of how callers see a job.
-func StatusRecord(id string, s Status) (Record, error) {
-	return encode(prefixStatus+id, id, s)
+// StatusRecords are the records of how callers see a job. They drop what is no longer
+// needed of a job that has ended: an entry that starts reads all that is kept, on
+// links of a megabyte a second.
+func StatusRecords(j *Job, s Status) ([]Record, error) {
+	if s.State.Final() {
+		s.Queue, s.Team, s.Accepted = j.Queue, j.Team, j.Accepted.UnixMilli()
+	}
+	r, err := encode(prefixStatus+j.ID, j.ID, s)
+	if err != nil || !s.State.Final() {
+		return []Record{r}, err
+	}
+	return []Record{r, {Key: prefixJob + j.ID}, {Key: prefixCancel + j.ID}}, nil
 }
 
-// ForgetRecords drop all records of a job but its progress. The job's own goes
-// first, so that no reader sees a job without the status that it had.
+// ForgetRecords drop all records of a job but its progress.
 func ForgetRecords(id string) []Record {
 	return []Record{{Key: prefixJob + id}, {Key: prefixCancel + id}, {Key: prefixStatus + id}}
 }
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -90,10 +90,7 @@
 
 func (t *Table) applyJob(id string, value []byte) error {
 	if len(value) == 0 {
-		t.mu.Lock()
-		delete(t.jobs, id)
-		delete(t.orphan, id)
-		t.mu.Unlock()
+		t.dropJob(id)
 		return nil
 	}
 	j := &Job{}
@@ -128,6 +125,19 @@
 	return nil
 }
 
+// dropJob keeps what callers may still ask for of a job that has ended.
+func (t *Table) dropJob(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[id]
+	if e != nil && e.Status.State.Final() {
+		e.Job = e.Status.job(id)
+		return
+	}
+	delete(t.jobs, id)
+	delete(t.orphan, id)
+}
+
 func (t *Table) applyProgress(id string, value []byte) error {
 	_, p, err := ParseProgress(Record{Key: prefixProgress + id, Value: value})
 	if err != nil || p == nil {
@@ -163,15 +173,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[id]
-	if e == nil {
-		if len(value) > 0 {
-			o := t.orphan[id]
-			o.Status = s
-			t.keepOrphan(id, o)
+	switch {
+	case len(value) == 0:
+		delete(t.jobs, id)
+		delete(t.orphan, id)
+	case e != nil:
+		e.Status = s
+	case s.State.Final():
+		o := t.orphan[id]
+		delete(t.orphan, id)
+		o.Job, o.Status = s.job(id), s
+		if t.jobs == nil {
+			t.jobs = map[string]*Entry{}
 		}
-		return nil
+		t.jobs[id] = &o
+	default:
+		o := t.orphan[id]
+		o.Status = s
+		t.keepOrphan(id, o)
 	}
-	e.Status = s
 	return nil
 }
 
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -287,5 +287,5 @@
 	e.pools.dirty = false
 	f := msjob.Fleet{Home: e.pools.home, Ended: e.pools.turns.Ended, In: e.pools.turns.In}
 	r, err := msjob.FleetRecord(&f)
-	e.announce(r, err)
+	e.announce(err, r)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -120,8 +120,8 @@
 	def      *msjob.Job
 	p        *msjob.Progress
 	canceled bool
-	// published is the newest status that was given to publish.
-	published msjob.Status
+	// published is the newest state that was given to publish.
+	published msjob.State
 	// runs has the job's attempts that may run.
 	runs map[runKey]*run
 	// broken has, by step and attempt of a gang, that its failure is counted.
@@ -321,10 +321,10 @@
 			continue
 		}
 		b.records = append(b.records, msjournal.Record{Key: r.Key, Value: r.Value})
-		if status := j.p.Status(); status != j.published {
-			j.published = status
-			r, err = msjob.StatusRecord(id, status)
-			e.announce(r, err)
+		if status := j.p.Status(); status.State != j.published {
+			j.published = status.State
+			all, err := msjob.StatusRecords(j.def, status)
+			e.announce(err, all...)
 		}
 	}
 	e.collectForgotten(b, now)
@@ -355,9 +355,7 @@
 		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusKept+forgetMargin || len(j.runs) > 0 {
 			continue
 		}
-		for _, r := range msjob.ForgetRecords(id) {
-			e.announce(r, nil)
-		}
+		e.announce(nil, msjob.ForgetRecords(id)...)
 		e.waiting.forgotten = append(e.waiting.forgotten, id)
 		delete(e.jobs, id)
 		e.forgetAdvice(id)
@@ -407,21 +405,22 @@
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
 	}
-	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, published: entry.Status}
-	switch {
+	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, published: entry.Status.State}
+	e.jobs[j.def.ID] = j
+	switch s := entry.Status; {
+	case s.State.Final():
+		// The status is stored beside the progress, not after it, and what callers
+		// have been shown stands.
+		j.p.State, j.p.Ended, j.p.Reason = s.State, s.Ended, s.Reason
+		if entry.Progress != nil && !entry.Progress.State.Final() {
+			e.touch(j)
+		}
 	case entry.Progress != nil && entry.Progress.Fits(entry.Job):
 		j.p = entry.Progress.Clone()
 	case entry.Progress != nil:
 		e.Logger.Error("progress doesn't fit its job", zap.String("job", entry.Job.ID))
 	}
-	e.jobs[j.def.ID] = j
-	if s := entry.Status; s.State.Final() && !j.p.State.Final() {
-		// The status is stored beside the progress, not after it, and what callers
-		// have been shown stands.
-		j.p.State, j.p.Ended, j.p.Reason, j.p.Rounds = s.State, s.Ended, s.Reason, nil
-		e.touch(j)
-	}
-	if j.p.Status() != j.published {
+	if j.p.Status().State != j.published {
 		e.touch(j)
 	}
 	j.excess = !e.allowance.Take(j.def.Team, e.weight(j.def.Team), j.def.Accepted)
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -458,9 +458,7 @@
 	r, err := msjob.ProgressRecord(j.ID, p)
 	require.NoError(t, err)
 	w.log.Put("progress", r.Key, r.Value)
-	r, err = msjob.StatusRecord(j.ID, msjob.Status{State: msjob.Completed, Ended: time.Now().UnixMilli()})
-	require.NoError(t, err)
-	w.log.Put("jobs", r.Key, r.Value)
+	w.putStatus(j, msjob.Completed)
 	e := w.entry("a")
 	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=5ms", Steps: []msjob.Step{step(1)}})
 	w.await(e, "0000000000000002", msjob.Completed)
@@ -470,6 +468,14 @@
 	w.await(e, "0000000000000001", msjob.Completed)
 }
 
+func (w *world) putStatus(j *msjob.Job, state msjob.State) {
+	all, err := msjob.StatusRecords(j, msjob.Status{State: state, Ended: time.Now().UnixMilli()})
+	require.NoError(w.t, err)
+	for _, r := range all {
+		w.log.Put("jobs", r.Key, r.Value)
+	}
+}
+
 // A leader that dies while it forgets jobs leaves either no job without progress
 // that would run again, or progress without a job, which goes.
 func TestForgettingIsTakenUpByTheNextLeader(t *testing.T) {
@@ -477,10 +483,8 @@
 	w := newWorld(t, 2)
 	done := &msjob.Job{ID: "0000000000000001", Spec: "run=5ms", Steps: []msjob.Step{step(1)}}
 	w.submit(done)
-	r, err := msjob.StatusRecord(done.ID, msjob.Status{State: msjob.Completed, Ended: time.Now().UnixMilli()})
-	require.NoError(t, err)
-	w.log.Put("jobs", r.Key, r.Value)
-	r, err = msjob.ProgressRecord("0000000000000002", &msjob.Progress{State: msjob.Completed})
+	w.putStatus(done, msjob.Completed)
+	r, err := msjob.ProgressRecord("0000000000000002", &msjob.Progress{State: msjob.Completed})
 	require.NoError(t, err)
 	w.log.Put("progress", r.Key, r.Value)
 	e := w.entry("a")
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -22,7 +22,7 @@
 	}
 	e.load = l
 	r, err := msjob.LoadRecord(&l)
-	e.announce(r, err)
+	e.announce(err, r)
 }
 
 // measure is the load of every pool.
--- a/msscheduler/store.go
+++ b/msscheduler/store.go
@@ -33,14 +33,16 @@
 	forgotten []string
 }
 
-// announce gives a record to publish, or logs why there is none. The caller holds
+// announce gives records to publish, or logs why there are none. The caller holds
 // mu.
-func (e *Engine) announce(r msjob.Record, err error) {
+func (e *Engine) announce(err error, records ...msjob.Record) {
 	if err != nil {
 		e.Logger.Error("record not written", zap.Error(err))
 		return
 	}
-	e.waiting.records = append(e.waiting.records, msjournal.Record{Key: r.Key, Value: r.Value})
+	for _, r := range records {
+		e.waiting.records = append(e.waiting.records, msjournal.Record{Key: r.Key, Value: r.Value})
+	}
 	select {
 	case e.publishing <- struct{}{}:
 	default:
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -75,7 +75,7 @@
 		}
 		w.dirty = false
 		r, err := msjob.WaveRecord(&w.p)
-		e.announce(r, err)
+		e.announce(err, r)
 	}
 }
 
--- a/msstandin/jobfleet.go
+++ b/msstandin/jobfleet.go
@@ -25,7 +25,7 @@
 	mu    sync.Mutex
 	vms   []*fleetVM
 	lives int
-	// most is the highest number of VMs that were maintained at a time.
+	// most is the highest number of VMs that were maintained at a time for one wave.
 	most int
 }
 
@@ -33,6 +33,8 @@
 	msworker.VM
 	token int64
 	waves map[int64]bool
+	// wave is the one that it is maintained for.
+	wave int64
 }
 
 // Add puts a VM into the list and lets it join.
@@ -58,7 +60,8 @@
 	return msworker.VMs{List: f.list, Move: f.move, Maintain: f.maintain}
 }
 
-// MostMaintained returns the highest number of VMs that were maintained at a time.
+// MostMaintained returns the highest number of VMs that were maintained at a time for
+// one wave.
 func (f *JobFleet) MostMaintained() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -104,10 +107,10 @@
 		if v.waves[wave] {
 			return false
 		}
-		v.waves[wave], v.Maintained = true, true
+		v.waves[wave], v.Maintained, v.wave = true, true, wave
 		n := 0
 		for _, other := range f.vms {
-			if other.Maintained {
+			if other.Maintained && other.wave == wave {
 				n++
 			}
 		}
