cmd/marjoramspan: a stopping entry answers what is open

Ruled out: the balancer's lag (clients of the soak keep their connections). Change: 300 ms before its time to stop is over an entry gives up what still waits, and answers; it lives on for 100 ms after its listener has closed.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -62,6 +62,12 @@
 	balancerLag = 3800 * time.Millisecond
 	// stopTime is kept free of the grace for requests that are still open.
 	stopTime = 1500 * time.Millisecond
+	// answerTime is kept free of stopTime for answers to requests whose work is given
+	// up.
+	answerTime = 300 * time.Millisecond
+	// stopLinger is how long the process lives on after its listener has closed, as a
+	// connection may have been accepted just before.
+	stopLinger = 100 * time.Millisecond
 	// readyAge is how old an entry's view may be for it to be ready.
 	readyAge = 4 * time.Second
 	// settingsPoll is the time between two looks at the settings file.
@@ -348,11 +354,16 @@
 		// platform's VMs don't answer.
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
 	h := &platform.Callers{Intake: n.intake}
+	serving, giveUp := context.WithCancel(context.WithoutCancel(inner))
+	defer giveUp()
 	srv.HandlePrefix("/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		h.ServeHTTP(w, r)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(serving, cancel)()
+		h.ServeHTTP(w, r.WithContext(ctx))
 	}))
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	failed := make(chan error, 1)
@@ -370,9 +381,11 @@
 	_ = msclock.Sleep(inner, n.clock, lag)
 	sctx, cancel := context.WithTimeout(inner, stopTime)
 	defer cancel()
+	defer time.AfterFunc(stopTime-answerTime, giveUp).Stop()
 	if err := srv.Stop(sctx); err != nil {
 		n.log.Warn("requests were still open", zap.Error(err))
 	}
+	_ = msclock.Sleep(inner, n.clock, stopLinger)
 	return nil
 }
 
--- /dev/null
+++ b/cmd/marjoramspan/platform_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msintake"
+	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
+	"marjoramspan/mssite"
+	"marjoramspan/msstandin"
+	"marjoramspan/platform"
+)
+
+// exitListener ends its connections as the end of the process does.
+type exitListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *exitListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, err
+}
+
+func (l *exitListener) exit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// A request that waits for the log when the process stops gets its answer, and not
+// the end of its connection.
+func TestStoppingAnswersWhatIsOpen(t *testing.T) {
+	var log msstandin.JobLog
+	log.SetFault(msstandin.LogFault{Silent: true})
+	clock := &msclock.Boot{}
+	n := &node{clock: clock, log: zap.NewNop()}
+	n.set.Store(&platform.Settings{Bounds: platform.Bounds{Grace: stopTime + stopMargin + 100*time.Millisecond}})
+	n.sites.Set(&mssite.Site{Version: 1, Queues: []mssite.Queue{{Name: "q", Host: "h.example", Prefix: "/q/", Pool: "p", Open: true}}})
+	n.records = &msjournal.Follower{Log: log.Log(), Clock: clock, Logger: n.log, Stream: "jobs", Reset: n.jobs.Reset, Apply: func(msjournal.Record, int64) {}}
+	n.writer = &msjournal.Writer{Log: log.Log(), Clock: clock, Logger: n.log, Stream: "jobs", Producer: "p"}
+	n.intake = &msintake.Intake{Clock: clock, Logger: n.log, Sites: &n.sites, Jobs: &msjob.Table{}, Journal: n.records, Writer: n.writer, SiteCurrent: clock.Now}
+	base, end := context.WithCancel(context.Background())
+	outer, stop := context.WithCancel(base)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &exitListener{Listener: tcp}
+	served, written := make(chan error, 1), make(chan error, 1)
+	go func() {
+		err := n.serveCallers(outer, base, l)
+		l.exit()
+		served <- err
+	}()
+	go func() { written <- n.writer.Run(base) }()
+	t.Cleanup(func() { end(); <-written })
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/q/5c0e7a21d94b36f8", strings.NewReader(`{"spec":"s","steps":[{"count":1,"cpu":500}]}`))
+	require.NoError(t, err)
+	r.Host = "h.example"
+	r.Header.Set("Deadline-Ms", "20000")
+	time.AfterFunc(200*time.Millisecond, stop)
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(t, err, "the connection ended without an answer")
+	require.NoError(t, w.Body.Close())
+	require.Equal(t, http.StatusGatewayTimeout, w.StatusCode, "its record may be stored")
+	require.NoError(t, <-served)
+}
