--- /dev/null
+++ b/models/jobs.broken-ack-first.pml
@@ -0,0 +1,2 @@
+#define BROKEN_ACK_FIRST
+#include "jobs.pml"
--- /dev/null
+++ b/models/jobs.broken-no-fence.pml
@@ -0,0 +1,2 @@
+#define BROKEN_NO_FENCE
+#include "jobs.pml"
--- /dev/null
+++ b/models/jobs.broken-no-hold.pml
@@ -0,0 +1,2 @@
+#define BROKEN_NO_HOLD
+#include "jobs.pml"
--- /dev/null
+++ b/models/jobs.broken-start-first.pml
@@ -0,0 +1,2 @@
+#define BROKEN_START_FIRST
+#include "jobs.pml"
