msoutput: one write is whole lines of 4 kB at most

Ruled out: the rate and the buffer (no count of dropped lines). Change: what waits goes out in writes of whole lines, 4 kB at most.

--- a/msoutput/writer.go
+++ b/msoutput/writer.go
@@ -4,6 +4,7 @@
 package msoutput
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,9 @@
 	// of a busy scheduler's decisions fits in.
 	rate  = 96 << 10
 	burst = 512 << 10
+	// maxWrite bounds one write, in bytes: what a pipe takes in one piece. Collectors
+	// cut longer ones.
+	maxWrite = 4 << 10
 	// flushEvery is the longest that a line waits.
 	flushEvery = 250 * time.Millisecond
 )
@@ -80,9 +84,26 @@
 	if n > 0 {
 		b = fmt.Appendf(b, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
 	}
-	if len(b) == 0 {
-		return nil
+	for len(b) > 0 {
+		c := chunk(b)
+		if _, err := w.Out.Write(c); err != nil {
+			return err
+		}
+		b = b[len(c):]
 	}
-	_, err := w.Out.Write(b)
-	return err
+	return nil
+}
+
+// chunk returns the first whole lines of b that fit into maxWrite, or one longer line.
+func chunk(b []byte) []byte {
+	if len(b) <= maxWrite {
+		return b
+	}
+	if i := bytes.LastIndexByte(b[:maxWrite], '\n'); i >= 0 {
+		return b[:i+1]
+	}
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return b[:i+1]
+	}
+	return b
 }
