--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -40,6 +40,7 @@
 	// The streams of the system itself.
 	streamJobs     = "ms-jobs"
 	streamProgress = "ms-progress"
+	streamVMOrders = "ms-vm-orders"
 	streamLeader   = "ms-leader"
 
 	// metricsPort is the port of the metrics, as the deploy file names it.
@@ -174,7 +175,7 @@
 	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
-		Holder: name, Jitter: rand.Float64, Lead: n.lead,
+		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
 		CandidacyDelay: n.handicap,
 	}
 	n.intake = &msintake.Intake{
@@ -243,7 +244,7 @@
 	set := n.set.Load()
 	b := set.Bounds
 	e := &msscheduler.Engine{
-		Term: t, Holder: set.Name, Log: n.journal, PublicStream: streamJobs, ProgressStream: streamProgress, Jobs: &n.jobs, Journal: n.records,
+		Term: t, Holder: set.Name, Log: n.journal, PublicStream: streamJobs, ProgressStream: streamProgress, VMOrderStream: streamVMOrders, Jobs: &n.jobs, Journal: n.records,
 		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Report: n.report,
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
--- a/cmd/marjoramstandin/jobs.go
+++ b/cmd/marjoramstandin/jobs.go
@@ -25,6 +25,7 @@
 const (
 	demoStream   = "jobs"
 	demoProgress = "progress"
+	demoVMOrders = "vm-orders"
 	demoPool     = "booth"
 	// demoTimeout bounds the whole run.
 	demoTimeout = 2 * time.Minute
@@ -156,7 +157,7 @@
 		Log: log, Clock: clock, Logger: logger, Stream: "leader", Holder: name, Jitter: rand.Float64,
 		Lead: func(ctx context.Context, t msleader.Term) error {
 			g := &msscheduler.Engine{
-				Term: t, Holder: name, Log: log, PublicStream: demoStream, ProgressStream: demoProgress, Jobs: &e.jobs, Journal: records,
+				Term: t, Holder: name, Log: log, PublicStream: demoStream, ProgressStream: demoProgress, VMOrderStream: demoVMOrders, Jobs: &e.jobs, Journal: records,
 				Registry: &d.reg, Orders: msstandin.Orders(d.find), VMs: d.fleet.VMs(), Sites: &d.sites,
 				Report: func(context.Context, int64, bool) error { return nil },
 				Clock:  clock, Wall: msclock.System{}, Logger: logger,
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -51,9 +51,12 @@
 	// Epoch is higher than that of every earlier term. It is the fencing token of all
 	// orders issued in the term.
 	Epoch int64
-	// Released means that the previous leader released its term and has issued no orders
-	// since.
+	// Released means that the previous leader released its term, or that its process has
+	// ended, so that it has issued no orders since.
 	Released bool
+	// VMOrdersStored means that the previous leader stored its VM orders on the log before
+	// it sent them, or that there was no previous leader.
+	VMOrdersStored bool
 
 	l *Elector
 }
@@ -82,6 +85,11 @@
 	// Serial distinguishes the records of a holder.
 	Serial   int64 `json:"serial"`
 	Released bool  `json:"released,omitempty"`
+	// VM identifies the VM on which the holder runs. It is empty in the records of earlier
+	// versions.
+	VM string `json:"vm,omitempty"`
+	// VMOrdersStored is absent in the records of versions that don't store their VM orders.
+	VMOrdersStored bool `json:"vm-orders-stored,omitempty"`
 }
 
 // Elector takes part in the election on behalf of an entry and runs Lead while the entry
@@ -94,6 +102,10 @@
 	// Holder identifies the entry in the stream. It must be unique to this run of the
 	// process.
 	Holder string
+	// VM, if set, identifies the VM of the entry, such that at most one process runs
+	// with it at a time. The entry then knows that an earlier process of its VM has ended,
+	// and takes over that process's term at once.
+	VM string
 	// Jitter returns a number from 0 to 1.
 	Jitter func() float64
 	// CandidacyDelay, if set, returns an additional delay before the entry campaigns, which
@@ -114,7 +126,9 @@
 	lastRecordAt time.Time
 	// released means that no entry holds a term.
 	released bool
-	serial   int64
+	// vmOrdersStored is that of the newest record.
+	vmOrdersStored bool
+	serial         int64
 }
 
 // Run takes part in the election until ctx is done, then releases a term that it holds.
@@ -151,21 +165,26 @@
 	l.nextOffset = p.End
 	l.lastRecordAt = l.Clock.Now()
 	// A stream without records has had no leader.
-	l.released = len(p.Records) == 0
+	l.released, l.vmOrdersStored = len(p.Records) == 0, len(p.Records) == 0
 	for _, r := range p.Records {
 		l.applyRecord(r)
 	}
 	return nil
 }
 
-// applyRecord takes over from a record whether the term was released.
+// applyRecord takes over what a record says of the term: whether it was released or its
+// holder has ended, and whether the holder stored its VM orders.
 func (l *Elector) applyRecord(r msjournal.Record) {
 	var rec record
 	if err := json.Unmarshal(r.Value, &rec); err != nil {
 		l.Logger.Warn("can't read a leader's record", zap.Error(err))
 		return
 	}
-	l.released = rec.Released
+	predecessor := l.VM != "" && rec.VM == l.VM && rec.Holder != l.Holder
+	if predecessor && !rec.Released {
+		l.Logger.Info("the earlier process of this VM held the term", zap.String("holder", rec.Holder))
+	}
+	l.released, l.vmOrdersStored = rec.Released || predecessor, rec.VMOrdersStored
 }
 
 // follow reads renewals, and campaigns when none arrives for the election timeout.
@@ -220,7 +239,7 @@
 
 // campaign appends a record that begins a term, and leads if the record is stored.
 func (l *Elector) campaign(ctx context.Context) error {
-	clean := l.released
+	t := Term{Released: l.released, VMOrdersStored: l.vmOrdersStored, l: l}
 	off, sent, err := l.append(ctx, record{})
 	if err != nil {
 		l.lastRecordAt, l.released = l.Clock.Now(), false
@@ -229,7 +248,8 @@
 		}
 		return err
 	}
-	l.lead(ctx, off+1, sent, clean)
+	t.Epoch = off + 1
+	l.lead(ctx, t, sent)
 	return nil
 }
 
@@ -238,7 +258,7 @@
 // it reads the stream to determine whether rec was stored.
 func (l *Elector) append(ctx context.Context, rec record) (int64, time.Time, error) {
 	l.serial++
-	rec.Holder, rec.Serial = l.Holder, l.serial
+	rec.Holder, rec.Serial, rec.VM, rec.VMOrdersStored = l.Holder, l.serial, l.VM, true
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return 0, time.Time{}, err
@@ -295,14 +315,15 @@
 
 // lead runs Lead and renews the term until Lead returns, ctx is done or another entry
 // has taken over. Unless the term was taken over, lead releases it.
-func (l *Elector) lead(ctx context.Context, epoch int64, sent time.Time, clean bool) {
+func (l *Elector) lead(ctx context.Context, t Term, sent time.Time) {
+	epoch := t.Epoch
 	l.mu.Lock()
 	l.epoch, l.deadline = epoch, sent.Add(termTTL-expiryMargin)
 	l.mu.Unlock()
-	l.Logger.Info("term begun", zap.Int64("epoch", epoch))
+	l.Logger.Info("term begun", zap.Int64("epoch", epoch), zap.Bool("released", t.Released), zap.Bool("vm-orders-stored", t.VMOrdersStored))
 	lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 1)
-	go func() { ended <- l.Lead(lctx, Term{Epoch: epoch, Released: clean, l: l}) }()
+	go func() { ended <- l.Lead(lctx, t) }()
 	reason, leadRunning := l.renew(ctx, epoch, ended)
 	cancel()
 	if leadRunning {
@@ -321,7 +342,7 @@
 			l.Logger.Info("term not released", zap.Error(err))
 		}
 	}
-	l.lastRecordAt, l.released = l.Clock.Now(), false
+	l.lastRecordAt, l.released, l.vmOrdersStored = l.Clock.Now(), false, true
 }
 
 // The reasons for the end of a term, as logged.
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -144,3 +144,58 @@
 	defer s.mu.Unlock()
 	require.Len(t, s.epochs, 1)
 }
+
+// The VM of the leader restarts: its new process knows that the earlier one has ended and
+// leads at once, while the others still wait for the term to expire. A process of another
+// VM does not.
+func TestRestartedVMTakesOverItsOwnTerm(t *testing.T) {
+	t.Parallel()
+	var log msstandin.JobLog
+	begin := func(holder, vm string) *termRecorder {
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		l := &msleader.Elector{
+			Log: log.Log(), Clock: &msclock.Boot{}, Logger: zap.NewNop(), Stream: "leader", Holder: holder, VM: vm,
+			Jitter: func() float64 { return 0 }, Lead: s.lead(holder),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = l.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+		return s
+	}
+	// The record of a process that was killed.
+	log.Put("leader", "term", []byte(`{"holder":"a-1","serial":1,"vm":"a","vm-orders-stored":true}`))
+	killed := time.Now()
+	other := begin("b-1", "b")
+	again := begin("a-2", "a")
+	again.awaitLeader(t, "")
+	require.Empty(t, other.validLeaders())
+	again.mu.Lock()
+	defer again.mu.Unlock()
+	term := again.current["a-2"]
+	require.True(t, term.Released)
+	require.True(t, term.VMOrdersStored)
+	t.Logf("led again after %s", time.Since(killed))
+}
+
+// A term that a record of another VM, of an earlier version or without a VM names isn't
+// taken over before it has expired.
+func TestOthersWaitForTheTermToExpire(t *testing.T) {
+	t.Parallel()
+	for _, record := range []string{
+		`{"holder":"a-1","serial":1,"vm":"a"}`,
+		`{"holder":"a-1","serial":1}`,
+	} {
+		var log msstandin.JobLog
+		log.Put("leader", "term", []byte(record))
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		started := time.Now()
+		startCandidate(t, &log, s, "b")
+		s.awaitLeader(t, "")
+		require.GreaterOrEqual(t, time.Since(started), 1600*time.Millisecond)
+		s.mu.Lock()
+		require.False(t, s.current["b"].Released)
+		require.False(t, s.current["b"].VMOrdersStored)
+		s.mu.Unlock()
+	}
+}
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -151,6 +151,14 @@
 // whether any was ordered.
 func (e *Engine) resizePools(ctx context.Context) bool {
 	moves, names := e.chooseMoves()
+	vms := make([]string, len(moves))
+	for i, m := range moves {
+		vms[i] = m.VM
+	}
+	if !e.storeVMOrders(ctx, vms) {
+		e.undoMoves(moves, names)
+		return false
+	}
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentMoves)
 	var stopped atomic.Bool
@@ -186,7 +194,7 @@
 		spare[p.Name] = p.Spare
 	}
 	for _, vm := range e.fleet.vms {
-		if !vm.Up || now.Sub(e.pools.movedAt[vm.Name]) < moveCooldown {
+		if !vm.Up || now.Sub(e.pools.movedAt[vm.Name]) < moveCooldown || !e.vmOrders.mayOrder(vm.Name, now) {
 			continue
 		}
 		byName[vm.Name] = vm
@@ -213,6 +221,18 @@
 	return orders.Moves, workers
 }
 
+// undoMoves takes back moves that were chosen and not ordered.
+func (e *Engine) undoMoves(moves []mscapacity.Move, workers []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, m := range moves {
+		delete(e.pools.movedAt, m.VM)
+		if w := e.workers[workers[i]]; w != nil {
+			w.moving = false
+		}
+	}
+}
+
 // vmToPlan describes a VM for the plan. A VM is pinned if the state of its worker is
 // unknown, or the worker is reserved, draining, or has long-running tasks.
 func (e *Engine) vmToPlan(vm msworker.VM, spare bool) mscapacity.VM {
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -56,13 +56,14 @@
 	Holder string
 	Log    msjournal.Log
 	// PublicStream has what every entry reads: jobs, cancels, statuses, the load, and the
-	// waves and pools. ProgressStream has the progress of jobs.
-	PublicStream, ProgressStream string
-	Jobs                         *msjob.Table
-	Journal                      *msjournal.Follower
-	Registry                     *msworker.Registry
-	Orders                       msworker.Orders
-	VMs                          msworker.VMs
+	// waves and pools. ProgressStream has the progress of jobs, VMOrderStream the VMs that
+	// were ordered recently.
+	PublicStream, ProgressStream, VMOrderStream string
+	Jobs                                        *msjob.Table
+	Journal                                     *msjournal.Follower
+	Registry                                    *msworker.Registry
+	Orders                                      msworker.Orders
+	VMs                                         msworker.VMs
 	// Advise returns the workers that may run a step, for queues that need it.
 	Advise msworker.Advisor
 	Sites  *mssite.Store
@@ -78,9 +79,13 @@
 	startedAt time.Time
 	wake      chan struct{}
 	termEnded chan error
-	// progress and public are the two streams; only publish writes to public.
-	progress, public appender
-	publishWake      chan struct{}
+	// progress, public and vmOrderLog are the streams. After takeOver only publish writes
+	// to public, and only manageVMs to vmOrderLog.
+	progress, public, vmOrderLog appender
+	// unsettledVMOrders has the records of an append to vmOrderLog whose outcome is
+	// unknown.
+	unsettledVMOrders []msjournal.Record
+	publishWake       chan struct{}
 
 	// mu guards all fields below and all state of jobs, workers and runs. While it is
 	// held, no call is made to a package that takes a lock of its own, except to read
@@ -106,6 +111,7 @@
 	waves      map[int64]*wave
 	fleet      fleet
 	pools      pools
+	vmOrders   vmOrders
 	// adviceByStep has the advisor's answers, adviceInFlight the number of pending
 	// requests.
 	adviceByStep   map[stepKey]*advice
@@ -155,7 +161,7 @@
 	e.wake = make(chan struct{}, 1)
 	e.termEnded = make(chan error, 1)
 	e.publishWake = make(chan struct{}, 1)
-	e.progress, e.public = appender{stream: e.ProgressStream}, appender{stream: e.PublicStream}
+	e.progress, e.public, e.vmOrderLog = appender{stream: e.ProgressStream}, appender{stream: e.PublicStream}, appender{stream: e.VMOrderStream}
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
@@ -174,24 +180,24 @@
 	return e.loop(ctx)
 }
 
-// takeOver fences earlier leaders off both streams, then reads the streams to their
-// ends.
+// takeOver fences earlier leaders off the streams, then reads the streams to their ends.
 func (e *Engine) takeOver(ctx context.Context) error {
 	var progress map[string]*msjob.Progress
-	var both errgroup.Group
-	both.Go(func() (err error) {
+	var streams errgroup.Group
+	streams.Go(func() (err error) {
 		if err = e.store(ctx, &e.progress, nil); err == nil {
 			progress, err = e.readProgress(ctx)
 		}
 		return err
 	})
-	both.Go(func() error {
+	streams.Go(func() error {
 		if err := e.store(ctx, &e.public, nil); err != nil {
 			return err
 		}
 		return e.sync(ctx, e.Journal)
 	})
-	if err := both.Wait(); err != nil {
+	streams.Go(func() error { return e.takeOverVMOrders(ctx) })
+	if err := streams.Wait(); err != nil {
 		return err
 	}
 	// Jobs that were added before the journal was read to its end would lack the
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -35,10 +35,22 @@
 	reg     msworker.Registry
 	vms     msstandin.JobFleet
 	sites   mssite.Store
+	// minHolderInterval is that of all entries.
+	minHolderInterval time.Duration
+	// vmOrders has the orders to VMs as they arrived.
+	vmOrders []arrivedVMOrder
+}
+
+// arrivedVMOrder is an order to a VM, with the record of VM orders that the log had when
+// it arrived.
+type arrivedVMOrder struct {
+	msworker.VMOrder
+	at     time.Time
+	record vmOrderRecord
 }
 
 func newTestCluster(t *testing.T, workers int) *testCluster {
-	w := &testCluster{t: t, workers: map[string]*msstandin.JobWorker{}}
+	w := &testCluster{t: t, workers: map[string]*msstandin.JobWorker{}, minHolderInterval: 100 * time.Millisecond}
 	w.vms.OnLeave = func(id string) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -73,6 +85,54 @@
 	w.reg.Set(entry)
 }
 
+// vmCalls returns the calls to the VM service; orders are written down as they arrive.
+func (w *testCluster) vmCalls() msworker.VMs {
+	vms := w.vms.VMs()
+	move, maintain := vms.Move, vms.Maintain
+	vms.Move = func(ctx context.Context, o msworker.VMOrder, pool string) error {
+		w.noteVMOrder(o)
+		return move(ctx, o, pool)
+	}
+	vms.Maintain = func(ctx context.Context, o msworker.VMOrder, wave int64) error {
+		w.noteVMOrder(o)
+		return maintain(ctx, o, wave)
+	}
+	return vms
+}
+
+func (w *testCluster) noteVMOrder(o msworker.VMOrder) {
+	a := arrivedVMOrder{VMOrder: o, at: time.Now()}
+	if all := w.log.Records("vm-orders"); len(all) > 0 {
+		a.record, _ = parseVMOrders(all[len(all)-1].Value)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.vmOrders = append(w.vmOrders, a)
+}
+
+// vmOrdersOf returns the orders that a holder has sent.
+func (w *testCluster) vmOrdersOf(holder string) []arrivedVMOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []arrivedVMOrder
+	for _, o := range w.vmOrders {
+		if o.Holder == holder {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// addSpareVMs adds idle VMs to the spare pool.
+func (w *testCluster) addSpareVMs(n int) {
+	for i := range n {
+		w.vms.Add(msworker.VM{
+			Name: "spare-" + strconv.Itoa(i), Pool: "spare", Rack: "s" + strconv.Itoa(i/2), Up: true,
+			Capacity: msjob.Resources{CPU: 4000, Memory: 8000},
+		})
+	}
+}
+
 func (w *testCluster) worker(id string) *msstandin.JobWorker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -125,13 +185,13 @@
 		Jitter: func() float64 { return 0.5 },
 		Lead: func(ctx context.Context, t msleader.Term) error {
 			g := &Engine{
-				Term: t, Holder: name, Log: log, PublicStream: "jobs", ProgressStream: "progress", Jobs: &e.jobs, Journal: e.records,
-				Registry: &w.reg, Orders: msstandin.Orders(w.worker), VMs: w.vms.VMs(), Sites: &w.sites,
+				Term: t, Holder: name, Log: log, PublicStream: "jobs", ProgressStream: "progress", VMOrderStream: "vm-orders", Jobs: &e.jobs, Journal: e.records,
+				Registry: &w.reg, Orders: msstandin.Orders(w.worker), VMs: w.vmCalls(), Sites: &w.sites,
 				Report: func(context.Context, int64, bool) error { return nil },
 				Clock:  clock, Wall: msclock.System{}, Logger: logger,
 				Settings: Settings{
 					MaxLease: 6 * time.Second, StatusRetention: time.Minute,
-					MinHolderInterval: 100 * time.Millisecond, MaintenanceDuration: 300 * time.Millisecond,
+					MinHolderInterval: w.minHolderInterval, MaintenanceDuration: 300 * time.Millisecond,
 				},
 			}
 			e.set(g)
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -32,11 +32,10 @@
 // done.
 func (e *Engine) manageVMs(ctx context.Context) {
 	for ctx.Err() == nil {
-		// Another holder may have ordered just before this term began.
-		mayOrder := e.Term.Valid() && e.Clock.Now().Sub(e.startedAt) > e.Settings.MinHolderInterval
-		if vms, ok := e.currentVMs(ctx); ok && mayOrder {
+		if vms, ok := e.currentVMs(ctx); ok && e.Term.Valid() {
 			e.runWaves(ctx, e.openWaves(), vms)
 			e.resizePools(ctx)
+			e.pruneVMOrders(ctx)
 		}
 		_ = msclock.Sleep(ctx, e.Clock, vmPollInterval)
 	}
--- /dev/null
+++ b/msscheduler/vmorders.go
@@ -0,0 +1,224 @@
+package msscheduler
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/msjournal"
+)
+
+// vmOrders knows which VMs may have been ordered so recently that two holders would order
+// them within the minimum interval. It answers the load of a burst during a change of
+// leader: only these VMs have to wait, and all others can move at once.
+//
+// A leader stores the VMs that it is about to order before it sends the orders. Its
+// successor therefore finds every VM that may have an order on the log. The zero value
+// knows of no orders.
+type vmOrders struct {
+	// heldUntil has the VMs that earlier leaders may have ordered, and until when this one
+	// must not. Until allHeldUntil that applies to every VM.
+	heldUntil    map[string]time.Time
+	allHeldUntil time.Time
+	// openUntil has the VMs that this leader may have ordered, and until when a successor
+	// has to know of them.
+	openUntil map[string]time.Time
+	// stored is the record on the log.
+	stored vmOrderRecord
+}
+
+// vmOrderRecord has the VMs that may have been ordered recently, by the leader that
+// stores it or by an earlier one.
+type vmOrderRecord struct {
+	VMs []string `json:"vms,omitempty"`
+	// All means every VM: an earlier leader did not store its orders.
+	All bool `json:"all,omitempty"`
+}
+
+// vmOrdersKey is the only key of the stream of VM orders.
+const vmOrdersKey = "vm-orders"
+
+// parseVMOrders decodes the value of a record. An empty value has no orders.
+func parseVMOrders(value []byte) (vmOrderRecord, error) {
+	var r vmOrderRecord
+	if len(value) == 0 {
+		return r, nil
+	}
+	err := json.Unmarshal(value, &r)
+	return r, err
+}
+
+// inherit holds the VMs of the record that earlier leaders have left until the given time.
+func (o *vmOrders) inherit(r vmOrderRecord, until time.Time) {
+	o.stored = r
+	if r.All {
+		o.allHeldUntil = until
+	}
+	o.heldUntil = make(map[string]time.Time, len(r.VMs))
+	for _, vm := range r.VMs {
+		o.heldUntil[vm] = until
+	}
+}
+
+// mayOrder reports whether no earlier leader can have ordered the VM within the minimum
+// interval.
+func (o *vmOrders) mayOrder(vm string, now time.Time) bool {
+	return !now.Before(o.allHeldUntil) && !now.Before(o.heldUntil[vm])
+}
+
+// open counts the VMs as ordered until the given time.
+func (o *vmOrders) open(vms []string, until time.Time) {
+	if o.openUntil == nil {
+		o.openUntil = map[string]time.Time{}
+	}
+	for _, vm := range vms {
+		o.openUntil[vm] = until
+	}
+}
+
+// record returns what a successor has to know now, and forgets the orders that it need
+// not know any more.
+func (o *vmOrders) record(now time.Time) vmOrderRecord {
+	r := vmOrderRecord{All: now.Before(o.allHeldUntil)}
+	for vm, until := range o.heldUntil {
+		if !now.Before(until) {
+			delete(o.heldUntil, vm)
+		} else if _, ok := o.openUntil[vm]; !ok {
+			r.VMs = append(r.VMs, vm)
+		}
+	}
+	for vm, until := range o.openUntil {
+		if !now.Before(until) {
+			delete(o.openUntil, vm)
+		} else {
+			r.VMs = append(r.VMs, vm)
+		}
+	}
+	sort.Strings(r.VMs)
+	return r
+}
+
+// covers reports whether a record names every VM of other.
+func (r vmOrderRecord) covers(other vmOrderRecord) bool {
+	if r.All {
+		return true
+	}
+	if other.All {
+		return false
+	}
+	has := make(map[string]bool, len(r.VMs))
+	for _, vm := range r.VMs {
+		has[vm] = true
+	}
+	for _, vm := range other.VMs {
+		if !has[vm] {
+			return false
+		}
+	}
+	return true
+}
+
+// takeOverVMOrders fences earlier leaders off the stream of VM orders, and holds the VMs
+// that they may have ordered recently.
+func (e *Engine) takeOverVMOrders(ctx context.Context) error {
+	if err := e.store(ctx, &e.vmOrderLog, nil); err != nil {
+		return err
+	}
+	var rec vmOrderRecord
+	f := &msjournal.Follower{
+		Log: e.Log, Clock: e.Clock, Logger: e.Logger, Stream: e.VMOrderStream,
+		Reset: func() { rec = vmOrderRecord{} },
+		Apply: func(r msjournal.Record, offset int64) {
+			var err error
+			if rec, err = parseVMOrders(r.Value); err != nil {
+				// The record may have named any VM.
+				rec = vmOrderRecord{All: true}
+				e.Logger.Warn("record left aside", zap.String("stream", e.VMOrderStream), zap.Int64("offset", offset), zap.Error(err))
+			}
+		},
+	}
+	if err := e.sync(ctx, f); err != nil {
+		return err
+	}
+	unrecorded := !e.Term.VMOrdersStored && !rec.All
+	rec.All = rec.All || unrecorded
+	until := e.startedAt.Add(e.Settings.MinHolderInterval)
+	e.mu.Lock()
+	e.vmOrders.inherit(rec, until)
+	e.mu.Unlock()
+	if unrecorded {
+		// The next term may begin before the interval is over, and its record of the term
+		// before will say that VM orders are stored.
+		if err := e.appendVMOrders(ctx, rec); err != nil {
+			return err
+		}
+	}
+	e.Logger.Info("VM orders taken over", zap.Int64("epoch", e.Term.Epoch), zap.Int("held-vms", len(rec.VMs)), zap.Bool("all-held", rec.All))
+	return nil
+}
+
+// vmOrderStoreTimeout bounds the wait until VM orders are stored. Orders that can't be
+// stored in this time are decided anew.
+const vmOrderStoreTimeout = time.Second
+
+// storeVMOrders stores that VMs are about to be ordered, and reports whether it is stored.
+func (e *Engine) storeVMOrders(ctx context.Context, vms []string) bool {
+	if len(vms) == 0 {
+		return true
+	}
+	e.mu.Lock()
+	now := e.Clock.Now()
+	e.vmOrders.open(vms, now.Add(vmOrderStoreTimeout+vmTimeout+e.Settings.MinHolderInterval))
+	rec, stored := e.vmOrders.record(now), e.vmOrders.stored
+	e.mu.Unlock()
+	if stored.covers(rec) {
+		return true
+	}
+	sctx, cancel := context.WithTimeout(ctx, vmOrderStoreTimeout)
+	defer cancel()
+	return e.appendVMOrders(sctx, rec) == nil
+}
+
+// pruneVMOrders stores that no VM is ordered any more, once that is so.
+func (e *Engine) pruneVMOrders(ctx context.Context) {
+	e.mu.Lock()
+	rec, stored := e.vmOrders.record(e.Clock.Now()), e.vmOrders.stored
+	e.mu.Unlock()
+	if rec.covers(stored) || len(rec.VMs) > 0 || rec.All {
+		return
+	}
+	sctx, cancel := context.WithTimeout(ctx, vmOrderStoreTimeout)
+	defer cancel()
+	_ = e.appendVMOrders(sctx, rec) // The next poll tries again.
+}
+
+// appendVMOrders appends rec. An earlier append whose outcome is unknown is repeated first,
+// as a different one would have its sequence number.
+func (e *Engine) appendVMOrders(ctx context.Context, rec vmOrderRecord) error {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		e.Logger.Error("failed to encode record", zap.Error(err))
+		return err
+	}
+	batches := [][]msjournal.Record{{{Key: vmOrdersKey, Value: value}}}
+	if e.unsettledVMOrders != nil {
+		batches = append([][]msjournal.Record{e.unsettledVMOrders}, batches...)
+	}
+	for _, b := range batches {
+		e.unsettledVMOrders = b
+		if err := e.store(ctx, &e.vmOrderLog, b); err != nil {
+			if ctx.Err() == nil {
+				e.endTerm(err)
+			}
+			return err
+		}
+		e.unsettledVMOrders = nil
+	}
+	e.mu.Lock()
+	e.vmOrders.stored = rec
+	e.mu.Unlock()
+	return nil
+}
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -98,6 +98,13 @@
 		e.completeWave(ctx, w)
 		return
 	}
+	names := make([]string, len(chosen))
+	for i, vm := range chosen {
+		names[i] = vm.Name
+	}
+	if !e.storeVMOrders(ctx, names) {
+		return
+	}
 	for _, vm := range chosen {
 		if !e.orderMaintenance(ctx, w, vm) {
 			return
@@ -154,7 +161,7 @@
 		if wk != nil {
 			wk.reserved = false
 		}
-		if reserved > concurrency || !vm.Up {
+		if reserved > concurrency || !vm.Up || !e.vmOrders.mayOrder(vm.Name, now) {
 			continue
 		}
 		reserved++
