--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -46,8 +46,8 @@
 	// metricsPort is the port of the metrics, as the deploy file names it.
 	metricsPort = 7001
 	// logConnections and workerConnections bound the connections to one address. A
-	// read that waits keeps one busy.
-	logConnections    = 12
+	// read that waits keeps one busy, and so does a call whose answer is lost.
+	logConnections    = 24
 	workerConnections = 6
 	// readerPause is the pause between two reads of an entry that doesn't schedule;
 	// it bounds how late callers see a job's state.
@@ -156,7 +156,8 @@
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
 	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().LogAddr }}
-	n.journal = logClient.Log()
+	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
+	n.journal = repeater.Repeated()
 	n.orders = (&platform.OrderClient{Client: platform.NewClient(workerConnections)}).Orders()
 	n.vms = (&platform.VMClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().VMServiceAddr }}).VMs()
 	n.advise = (&platform.AdviceClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().AdvisorAddr }}).Advise
--- /dev/null
+++ b/msjournal/repeat.go
@@ -0,0 +1,261 @@
+package msjournal
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"marjoramspan/msclock"
+)
+
+const (
+	// maxCopies bounds the copies of one call that are sent.
+	maxCopies = 6
+	// lossyReadWait bounds the wait of a read while answers are missing: until a read is
+	// repeated, the records of a lost answer aren't seen.
+	lossyReadWait = 150 * time.Millisecond
+)
+
+// Repeater repeats calls of a Log whose answers are missing, each on another connection,
+// so that a lost answer costs about as long as answers usually take instead of a timeout.
+// Appends are repeated only if they are conditional or have a producer: the log carries
+// out one copy of these at most. Its exported fields must be set before use.
+type Repeater struct {
+	Log     Log
+	Clock   msclock.Clock
+	Metrics *RepeatMetrics
+
+	mu             sync.Mutex
+	appends, reads answerTimes
+}
+
+// RepeatMetrics has the Prometheus metrics of a Repeater.
+type RepeatMetrics struct {
+	repeats, missed *prometheus.CounterVec
+}
+
+// NewRepeatMetrics creates the metrics and registers them with reg.
+func NewRepeatMetrics(reg prometheus.Registerer) *RepeatMetrics {
+	m := &RepeatMetrics{
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramspan_log_repeats_total", Help: "Calls of the log that were sent again because their answer was late, by call.",
+		}, []string{"call"}),
+		missed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramspan_log_missed_answers_total", Help: "Calls of the log whose answer never came although that to a repeat did, by call.",
+		}, []string{"call"}),
+	}
+	reg.MustRegister(m.repeats, m.missed)
+	return m
+}
+
+// Repeated returns the calls that are repeated. Newest is called once, since its answer is
+// long and a repeat would delay it on a narrow link.
+func (r *Repeater) Repeated() Log {
+	return Log{Append: r.append, Read: r.read, Newest: r.Log.Newest}
+}
+
+// answer is the result of one copy of a call.
+type answer struct {
+	copy   int
+	offset int64
+	batch  Batch
+	err    error
+}
+
+func (r *Repeater) append(ctx context.Context, a AppendRequest) (int64, error) {
+	if a.Producer == "" && a.ExpectedEnd == nil {
+		return r.Log.Append(ctx, a)
+	}
+	bytes := 0
+	for _, rec := range a.Records {
+		bytes += len(rec.Key) + len(rec.Value)
+	}
+	c := repeatedCall{r: r, name: "append", times: &r.appends, bytes: bytes, send: func(ctx context.Context, _ int) answer {
+		off, err := r.Log.Append(ctx, a)
+		return answer{offset: off, err: err}
+	}}
+	got := c.run(ctx)
+	return got.offset, got.err
+}
+
+func (r *Repeater) read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
+	r.mu.Lock()
+	if r.reads.missing(r.Clock.Now()) || r.appends.missing(r.Clock.Now()) {
+		wait = min(wait, lossyReadWait)
+	}
+	r.mu.Unlock()
+	c := repeatedCall{r: r, name: "read", times: &r.reads, wait: wait, send: func(ctx context.Context, n int) answer {
+		if n > 0 {
+			// The first copy has waited for a record already.
+			b, err := r.Log.Read(ctx, stream, from, 0)
+			return answer{batch: b, err: err}
+		}
+		b, err := r.Log.Read(ctx, stream, from, wait)
+		return answer{batch: b, err: err}
+	}}
+	got := c.run(ctx)
+	return got.batch, got.err
+}
+
+// repeatedCall is a call that is repeated until a copy of it is answered.
+type repeatedCall struct {
+	r     *Repeater
+	name  string
+	times *answerTimes
+	// bytes is the size of the call. wait is how long the log may wait before it answers
+	// the first copy.
+	bytes int
+	wait  time.Duration
+	// send sends a copy, numbered from 0, and returns its answer.
+	send func(ctx context.Context, n int) answer
+}
+
+// run sends copies of the call until one is answered, or ctx is done. An error other than
+// Unknown says what became of all copies.
+func (c *repeatedCall) run(ctx context.Context) answer {
+	clock := c.r.Clock
+	// Copies outlive the call for a moment, to learn whether their answers were late or
+	// lost. They have its deadline, so that one that reaches it is known for timed out.
+	copyCtx, cancel := withDeadlineOf(ctx)
+	answers := make(chan answer, maxCopies)
+	sent := 0
+	sendCopy := func() {
+		n := sent
+		sent++
+		go func() {
+			begun := clock.Now()
+			a := c.send(copyCtx, n)
+			a.copy = n
+			c.observe(n, clock.Now().Sub(begun), a)
+			answers <- a
+		}()
+	}
+	c.r.mu.Lock()
+	delay := c.times.repeatDelay(c.bytes)
+	c.r.mu.Unlock()
+	sendCopy()
+	timer := clock.After(c.wait + delay)
+	var failed []answer
+	for {
+		select {
+		case <-ctx.Done():
+			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				cancel()
+			}
+			return answer{err: &Error{Kind: Unknown, Op: c.name, Err: ctx.Err()}}
+		case a := <-answers:
+			if !conclusive(a.err) {
+				failed = append(failed, a)
+				if len(failed) == sent {
+					cancel()
+					return answer{err: combinedError(failed)}
+				}
+				continue
+			}
+			if a.err != nil && sent > 1 && KindOf(a.err) == Conflict {
+				// Another copy may have been carried out and moved the end of the stream.
+				a.err = &Error{Kind: Unknown, Op: c.name, Err: a.err}
+			}
+			go c.awaitLateAnswers(cancel, answers, sent-len(failed)-1, delay, a.copy)
+			return a
+		case <-timer:
+			if sent == maxCopies || len(failed) > 0 {
+				timer = nil
+				continue
+			}
+			c.r.Metrics.repeated(c.name)
+			timer = clock.After(delay * time.Duration(sent))
+			sendCopy()
+		}
+	}
+}
+
+// withDeadlineOf returns a context with the deadline and the values of ctx that isn't
+// canceled with it.
+func withDeadlineOf(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	}
+	return context.WithCancel(context.WithoutCancel(ctx))
+}
+
+// conclusive reports whether a copy was answered with what became of the call.
+func conclusive(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch KindOf(err) {
+	case Conflict, Fenced, OutOfSequence, Expired:
+		return true
+	case Unknown, Rejected:
+	}
+	return false
+}
+
+// combinedError returns what is known after all copies have failed: the call had no
+// effect only if no copy had.
+func combinedError(failed []answer) error {
+	for _, a := range failed {
+		if KindOf(a.err) != Rejected {
+			return a.err
+		}
+	}
+	return failed[0].err
+}
+
+// observe records how long a copy took if it was answered.
+func (c *repeatedCall) observe(n int, took time.Duration, a answer) {
+	if a.err != nil {
+		return
+	}
+	if n == 0 && c.wait > 0 {
+		if len(a.batch.Records) > 0 {
+			// The read may have waited for any part of its wait.
+			return
+		}
+		took -= c.wait
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.times.observe(took)
+}
+
+// awaitLateAnswers gives the copies that are still open until delay has passed, then
+// cancels them. If the answered copy is a repeat and the first one remains open, its
+// answer was lost.
+func (c *repeatedCall) awaitLateAnswers(cancel func(), answers <-chan answer, open int, delay time.Duration, answered int) {
+	defer cancel()
+	timer := c.r.Clock.After(delay)
+	firstOpen := answered > 0
+	for ; open > 0; open-- {
+		select {
+		case a := <-answers:
+			firstOpen = firstOpen && a.copy != 0
+			continue
+		case <-timer:
+		}
+		break
+	}
+	if !firstOpen || open == 0 {
+		return
+	}
+	c.r.mu.Lock()
+	c.times.miss(c.r.Clock.Now())
+	c.r.mu.Unlock()
+	c.r.Metrics.missedAnswer(c.name)
+}
+
+func (m *RepeatMetrics) repeated(call string) {
+	if m != nil {
+		m.repeats.WithLabelValues(call).Inc()
+	}
+}
+
+func (m *RepeatMetrics) missedAnswer(call string) {
+	if m != nil {
+		m.missed.WithLabelValues(call).Inc()
+	}
+}
--- /dev/null
+++ b/msjournal/repeat_test.go
@@ -0,0 +1,270 @@
+package msjournal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjournal"
+	"marjoramspan/msstandin"
+)
+
+// logAnswerTime is how long the log takes to answer in these tests.
+const logAnswerTime = 4 * time.Millisecond
+
+// settle lets the copies of calls end before the bubble does.
+func settle(t *testing.T) {
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+}
+
+func repeated(log msjournal.Log) msjournal.Log {
+	return (&msjournal.Repeater{Log: log, Clock: msclock.System{}}).Repeated()
+}
+
+// The log loses every third answer. A lost answer costs tens of milliseconds, not the
+// timeout of a call.
+func TestLostAnswerCostsTensOfMilliseconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		w := &msjournal.Writer{Log: repeated(log.Log()), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
+		runInBackground(t, w.Run)
+		put := func(i int) time.Duration {
+			begun := time.Now()
+			require.NoError(t, w.Append(t.Context(), []msjournal.Record{{Key: fmt.Sprint("k", i), Value: []byte("v")}}))
+			return time.Since(begun)
+		}
+		for i := range 20 {
+			put(i)
+		}
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime, LoseEvery: 3})
+		for i := 20; i < 80; i++ {
+			require.Less(t, put(i), 100*time.Millisecond)
+		}
+		require.Len(t, log.Records("s"), 80)
+	})
+}
+
+// A leader whose renewals lose their answers, and a reader whose reads do: records appear
+// within tens of milliseconds after the first loss.
+func TestLostReadsCostTensOfMilliseconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		v := &view{}
+		f := &msjournal.Follower{Log: repeated(log.Log()), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
+		runInBackground(t, f.Run)
+		time.Sleep(20 * time.Second)
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime, LoseReadsEvery: 2})
+		time.Sleep(4 * time.Second)
+		for i := range 40 {
+			want := fmt.Sprint(i)
+			log.Put("s", "k", []byte(want))
+			time.Sleep(300 * time.Millisecond)
+			require.Equal(t, want, v.get("k"))
+		}
+	})
+}
+
+// A log that is slow answers every call, so calls are repeated only until its pace is
+// known; one that rejects calls gets no repeats at all.
+func TestSlowOrRejectingLogGetsNoRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		w := &msjournal.Writer{Log: repeated(log.Log()), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
+		runInBackground(t, w.Run)
+		put := func(i int) error {
+			return w.Append(t.Context(), []msjournal.Record{{Key: fmt.Sprint("k", i), Value: []byte("v")}})
+		}
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		for i := range 64 {
+			require.NoError(t, put(i))
+		}
+		log.SetFault(msstandin.LogFault{Delay: 240 * time.Millisecond})
+		for i := range 8 {
+			require.NoError(t, put(i))
+		}
+		time.Sleep(time.Second)
+		before := log.Calls()
+		for i := range 50 {
+			require.NoError(t, put(i))
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 50, log.Calls()-before)
+		log.SetFault(msstandin.LogFault{Down: true})
+		r := &countingLog{log: log.Log()}
+		down := repeated(r.calls())
+		_, err := down.Append(t.Context(), msjournal.AppendRequest{Stream: "s", Producer: "p", Epoch: 9})
+		require.Equal(t, msjournal.Rejected, msjournal.KindOf(err))
+		require.Equal(t, 1, r.n)
+	})
+}
+
+// countingLog counts appends.
+type countingLog struct {
+	log msjournal.Log
+	mu  sync.Mutex
+	n   int
+}
+
+func (c *countingLog) calls() msjournal.Log {
+	l := c.log
+	l.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+		c.mu.Lock()
+		c.n++
+		c.mu.Unlock()
+		return c.log.Append(ctx, a)
+	}
+	return l
+}
+
+// The faults of an append against scriptedLog.
+const (
+	answered = iota
+	lostAfter
+	lostBefore
+	carriedOutLate
+	answeredLate
+	rejected
+	faultKinds
+)
+
+var errScripted = errors.New("scripted fault")
+
+// scriptedLog applies a fault to each append, in the order of their arrival.
+type scriptedLog struct {
+	log    msjournal.Log
+	faults []int
+	delays []time.Duration
+
+	mu sync.Mutex
+	n  int
+}
+
+func (s *scriptedLog) next() (int, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.n
+	s.n++
+	if i >= len(s.faults) {
+		return answered, 0
+	}
+	return s.faults[i], s.delays[i]
+}
+
+func (s *scriptedLog) append(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+	fault, d := s.next()
+	lost := func() (int64, error) {
+		<-ctx.Done()
+		return 0, &msjournal.Error{Kind: msjournal.Unknown, Op: "append", Err: ctx.Err()}
+	}
+	time.Sleep(logAnswerTime)
+	switch fault {
+	case rejected:
+		return 0, &msjournal.Error{Kind: msjournal.Rejected, Op: "append", Err: errScripted}
+	case lostBefore:
+		return lost()
+	case carriedOutLate:
+		go func() {
+			time.Sleep(d)
+			_, _ = s.log.Append(context.WithoutCancel(ctx), a)
+		}()
+		return lost()
+	}
+	off, err := s.log.Append(ctx, a)
+	switch fault {
+	case lostAfter:
+		return lost()
+	case answeredLate:
+		if msclock.Sleep(ctx, msclock.System{}, d) != nil {
+			return lost()
+		}
+	}
+	return off, err
+}
+
+// Against a log that loses, delays and reorders calls, and carries some out seconds late,
+// every record that is reported as stored is there once, and none that is reported as
+// rejected is there at all.
+func TestRepeatsStoreNothingTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(rt, "faults")
+		var faults []int
+		var delays []time.Duration
+		for range n {
+			faults = append(faults, rapid.IntRange(0, faultKinds-1).Draw(rt, "fault"))
+			delays = append(delays, time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms"))*time.Millisecond)
+		}
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 400), 25, 25).Draw(rt, "gaps")
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			settle(t)
+			var log msstandin.JobLog
+			l := log.Log()
+			s := &scriptedLog{log: l, faults: faults, delays: delays}
+			l.Append = s.append
+			w := &msjournal.Writer{Log: repeated(l), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
+			runInBackground(t, w.Run)
+			results := make([]error, len(gaps))
+			var wg sync.WaitGroup
+			for i, gap := range gaps {
+				time.Sleep(time.Duration(gap) * time.Millisecond)
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+					defer cancel()
+					results[i] = w.Append(ctx, []msjournal.Record{{Key: fmt.Sprint("k", i), Value: []byte("v")}})
+				}()
+			}
+			wg.Wait()
+			time.Sleep(10 * time.Second)
+			counts := map[string]int{}
+			for _, r := range log.Records("s") {
+				counts[r.Key]++
+			}
+			for i, err := range results {
+				got := counts[fmt.Sprint("k", i)]
+				switch {
+				case err == nil && got != 1, err != nil && got > 1, err != nil && msjournal.KindOf(err) == msjournal.Rejected && got != 0:
+					failures = append(failures, fmt.Sprintf("record %d is stored %d times, reported as %v", i, got, err))
+				}
+			}
+		})
+		if len(failures) > 0 {
+			rt.Fatalf("%v", failures)
+		}
+	})
+}
+
+// Conditional appends have no producer. A repeat that finds the end moved can't tell
+// whether the first copy moved it, so the outcome is unknown, not a conflict.
+func TestRepeatedConditionalAppendIsNoConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{LoseEvery: 1, Delay: logAnswerTime})
+		at := int64(0)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := repeated(log.Log()).Append(ctx, msjournal.AppendRequest{Stream: "s", ExpectedEnd: &at, Records: []msjournal.Record{{Key: "k", Value: []byte("v")}}})
+		require.Equal(t, msjournal.Unknown, msjournal.KindOf(err))
+		require.Len(t, log.Records("s"), 1)
+		at = 0
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		_, err = repeated(log.Log()).Append(ctx, msjournal.AppendRequest{Stream: "s", ExpectedEnd: &at, Records: []msjournal.Record{{Key: "k", Value: []byte("v")}}})
+		require.Equal(t, msjournal.Conflict, msjournal.KindOf(err))
+	})
+}
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"marjoramspan/msclock"
+	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
 	"marjoramspan/msstandin"
 )
@@ -199,3 +201,34 @@
 		s.mu.Unlock()
 	}
 }
+
+// The log loses every second answer. The renewals are repeated in time, so the term goes
+// on and no other entry takes over.
+func TestTermOutlivesLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: 4 * time.Millisecond})
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		for i := range 3 {
+			l := &msleader.Elector{
+				Log:   (&msjournal.Repeater{Log: log.Log(), Clock: msclock.System{}}).Repeated(),
+				Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "leader", Holder: fmt.Sprint("e", i),
+				Jitter: func() float64 { return float64(i) / 3 }, Lead: s.lead(fmt.Sprint("e", i)),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = l.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-done; time.Sleep(time.Minute) })
+		}
+		time.Sleep(10 * time.Second)
+		log.SetFault(msstandin.LogFault{Delay: 4 * time.Millisecond, LoseEvery: 2, LoseReadsEvery: 2})
+		for range 20000 {
+			time.Sleep(time.Millisecond)
+			require.Len(t, s.validLeaders(), 1)
+		}
+		s.mu.Lock()
+		require.Len(t, s.epochs, 1)
+		s.mu.Unlock()
+		log.SetFault(msstandin.LogFault{})
+	})
+}
--- a/msstandin/joblog.go
+++ b/msstandin/joblog.go
@@ -24,6 +24,7 @@
 	changed chan struct{}
 	fault   LogFault
 	calls   int
+	reads   int
 }
 
 // LogFault is what is wrong with a log.
@@ -32,6 +33,8 @@
 	Down, Silent bool
 	// LoseEvery loses the answer to each n-th append that it carries out.
 	LoseEvery int
+	// LoseReadsEvery loses the answer to each n-th read.
+	LoseReadsEvery int
 	// Delay is added to every answer.
 	Delay time.Duration
 }
@@ -78,6 +81,13 @@
 	return l.calls
 }
 
+// Reads returns how many reads were asked for.
+func (l *JobLog) Reads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
 // Put appends a record without faults, as operators and workers do.
 func (l *JobLog) Put(stream, key string, value []byte) {
 	l.mu.Lock()
@@ -231,6 +241,14 @@
 	if err := l.enter(ctx, "read"); err != nil {
 		return msjournal.Batch{}, err
 	}
+	l.mu.Lock()
+	l.reads++
+	lose := l.fault.LoseReadsEvery > 0 && l.reads%l.fault.LoseReadsEvery == 0
+	l.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Unknown, Op: "read", Err: ctx.Err()}
+	}
 	timeout := l.clock().After(wait)
 	for {
 		l.mu.Lock()
