--- a/msplace/place.go
+++ b/msplace/place.go
@@ -40,8 +40,12 @@
 	scoreUnreliable   = -8.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
-	// scoreFreeCapacity applies to an idle worker; others get a proportional part.
+	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
+	// spreads tasks that run for long. Other tasks get scoreUsedCapacity, which packs them
+	// on few workers: in a queue with little load, the VMs of the other workers are idle
+	// then and can move to the pool of a queue in a burst at once.
 	scoreFreeCapacity = 1.0
+	scoreUsedCapacity = 1.0
 	// scoreTasksOnWorker spreads the tasks of a lasting step over workers, so that a
 	// failure or the maintenance of one worker affects a single task.
 	// scoreTasksOnRack spreads them over racks.
@@ -91,7 +95,12 @@
 
 func scoreOf(want Requirements, w *Worker) float64 {
 	s := want.Step
-	score := scoreFreeCapacity*freeShare(w) + scoreUnreliable*w.FailureRisk
+	score := scoreUnreliable * w.FailureRisk
+	if s.LongRunning || s.Backfill {
+		score += scoreFreeCapacity * freeShare(w)
+	} else {
+		score += scoreUsedCapacity * (1 - freeShare(w))
+	}
 	if s.DataRack != "" && s.DataRack == w.Rack {
 		score += scoreDataRack
 	}
