--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -23,13 +23,17 @@
 )
 
 const (
-	// termTTL is how long a term is valid after its latest renewal, and how long a dead
-	// leader stays without a successor. It has room for three renewals, since the log
-	// may take 300 ms to respond and responses may be lost.
-	termTTL = 1600 * time.Millisecond
-	// renewInterval is the time between renewals.
-	renewInterval = 500 * time.Millisecond
-	// expiryMargin is how much earlier than termTTL a leader regards its own term as
+	// minTermTTL and maxTermTTL bound how long a term is valid after its latest renewal,
+	// and so how long a dead leader stays without a successor.
+	minTermTTL = 800 * time.Millisecond
+	maxTermTTL = 1600 * time.Millisecond
+	// ttlAnswers is for how many answers of the log a TTL has room beyond minTermTTL.
+	ttlAnswers = 4
+	// answerMemory is how long a slow answer of the log lengthens the TTL.
+	answerMemory = 5 * time.Second
+	// renewalsPerTTL is how many renewals are sent within a TTL.
+	renewalsPerTTL = 3
+	// expiryMargin is how much earlier than its TTL a leader regards its own term as
 	// expired.
 	expiryMargin = 100 * time.Millisecond
 	// callTimeout bounds a single call to the log.
@@ -90,6 +94,18 @@
 	VM string `json:"vm,omitempty"`
 	// VMOrdersStored is absent in the records of versions that don't store their VM orders.
 	VMOrdersStored bool `json:"vm-orders-stored,omitempty"`
+	// TTLMS is how long the term is valid after the record, in milliseconds. It is absent
+	// in the records of versions whose TTL is maxTermTTL.
+	TTLMS int64 `json:"ttl-ms,omitempty"`
+}
+
+// ttl returns how long the term is valid after the record.
+func (r *record) ttl() time.Duration {
+	d := time.Duration(r.TTLMS) * time.Millisecond
+	if d <= 0 || d > maxTermTTL {
+		return maxTermTTL
+	}
+	return max(d, minTermTTL)
 }
 
 // Elector takes part in the election on behalf of an entry and runs Lead while the entry
@@ -126,8 +142,10 @@
 	lastRecordAt time.Time
 	// released means that no entry holds a term.
 	released bool
-	// vmOrdersStored is that of the newest record.
+	// vmOrdersStored and ttl are those of the newest record.
 	vmOrdersStored bool
+	ttl            time.Duration
+	answers        answers
 	serial         int64
 }
 
@@ -165,7 +183,7 @@
 	l.nextOffset = p.End
 	l.lastRecordAt = l.Clock.Now()
 	// A stream without records has had no leader.
-	l.released, l.vmOrdersStored = len(p.Records) == 0, len(p.Records) == 0
+	l.released, l.vmOrdersStored, l.ttl = len(p.Records) == 0, len(p.Records) == 0, maxTermTTL
 	for _, r := range p.Records {
 		l.applyRecord(r)
 	}
@@ -184,14 +202,15 @@
 	if predecessor && !rec.Released {
 		l.Logger.Info("the earlier process of this VM held the term", zap.String("holder", rec.Holder))
 	}
-	l.released, l.vmOrdersStored = rec.Released || predecessor, rec.VMOrdersStored
+	l.released, l.vmOrdersStored, l.ttl = rec.Released || predecessor, rec.VMOrdersStored, rec.ttl()
 }
 
 // follow reads renewals, and campaigns when none arrives for the election timeout.
 func (l *Elector) follow(ctx context.Context) error {
-	electionTimeout := termTTL + l.candidacyDelay()
+	delay := l.candidacyDelay()
 	failing := false
 	for ctx.Err() == nil {
+		electionTimeout := l.ttl + delay
 		if l.released || l.Clock.Now().Sub(l.lastRecordAt) >= electionTimeout {
 			if l.released {
 				_ = msclock.Sleep(ctx, l.Clock, l.candidacyDelay())
@@ -254,16 +273,19 @@
 }
 
 // append appends rec if nobody else has appended since nextOffset, and returns its
-// offset and when it was sent. If the outcome is unknown because the response was lost,
+// offset and when it was sent. The term is valid for l.ttl from then on. If the outcome is unknown because the response was lost,
 // it reads the stream to determine whether rec was stored.
 func (l *Elector) append(ctx context.Context, rec record) (int64, time.Time, error) {
 	l.serial++
 	rec.Holder, rec.Serial, rec.VM, rec.VMOrdersStored = l.Holder, l.serial, l.VM, true
+	at, sent := l.nextOffset, l.Clock.Now()
+	l.ttl = l.answers.ttl(sent)
+	rec.TTLMS = l.ttl.Milliseconds()
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return 0, time.Time{}, err
 	}
-	at, sent := l.nextOffset, l.Clock.Now()
+	defer func() { l.answers.observe(l.Clock.Now().Sub(sent), l.Clock.Now()) }()
 	actx, cancel := context.WithTimeout(ctx, callTimeout)
 	off, err := l.Log.Append(actx, msjournal.AppendRequest{
 		Stream: l.Stream, ExpectedEnd: &at,
@@ -318,7 +340,7 @@
 func (l *Elector) lead(ctx context.Context, t Term, sent time.Time) {
 	epoch := t.Epoch
 	l.mu.Lock()
-	l.epoch, l.deadline = epoch, sent.Add(termTTL-expiryMargin)
+	l.epoch, l.deadline = epoch, sent.Add(l.ttl-expiryMargin)
 	l.mu.Unlock()
 	l.Logger.Info("term begun", zap.Int64("epoch", epoch), zap.Bool("released", t.Released), zap.Bool("vm-orders-stored", t.VMOrdersStored))
 	lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -342,7 +364,7 @@
 			l.Logger.Info("term not released", zap.Error(err))
 		}
 	}
-	l.lastRecordAt, l.released, l.vmOrdersStored = l.Clock.Now(), false, true
+	l.lastRecordAt, l.released, l.vmOrdersStored, l.ttl = l.Clock.Now(), false, true, maxTermTTL
 }
 
 // The reasons for the end of a term, as logged.
@@ -355,7 +377,7 @@
 // renew renews the term until it ends. It returns the reason, and whether Lead still runs
 // and has to be waited for.
 func (l *Elector) renew(ctx context.Context, epoch int64, ended <-chan error) (reason string, leadRunning bool) {
-	interval := renewInterval
+	interval := l.ttl / renewalsPerTTL
 	for {
 		select {
 		case <-ctx.Done():
@@ -371,9 +393,9 @@
 		switch {
 		case err == nil:
 			l.mu.Lock()
-			l.deadline = sent.Add(termTTL - expiryMargin)
+			l.deadline = sent.Add(l.ttl - expiryMargin)
 			l.mu.Unlock()
-			interval = renewInterval
+			interval = max(0, l.ttl/renewalsPerTTL-l.Clock.Now().Sub(sent))
 		case msjournal.KindOf(err) == msjournal.Conflict:
 			return reasonReplaced, true
 		default:
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -184,9 +184,13 @@
 // taken over before it has expired.
 func TestOthersWaitForTheTermToExpire(t *testing.T) {
 	t.Parallel()
-	for _, record := range []string{
-		`{"holder":"a-1","serial":1,"vm":"a"}`,
-		`{"holder":"a-1","serial":1}`,
+	const oldTTL = 1600 * time.Millisecond
+	for record, ttl := range map[string]time.Duration{
+		`{"holder":"a-1","serial":1,"vm":"a"}`:                        oldTTL,
+		`{"holder":"a-1","serial":1}`:                                 oldTTL,
+		`{"holder":"a-1","serial":1,"vm":"a","ttl-ms":1200}`:          1200 * time.Millisecond,
+		`{"holder":"a-1","serial":1,"vm":"a","ttl-ms":-5}`:            oldTTL,
+		`{"holder":"a-1","serial":1,"vm":"a","ttl-ms":9000000000000}`: oldTTL,
 	} {
 		var log msstandin.JobLog
 		log.Put("leader", "term", []byte(record))
@@ -194,7 +198,7 @@
 		started := time.Now()
 		startCandidate(t, &log, s, "b")
 		s.awaitLeader(t, "")
-		require.GreaterOrEqual(t, time.Since(started), 1600*time.Millisecond)
+		require.GreaterOrEqual(t, time.Since(started), ttl, record)
 		s.mu.Lock()
 		require.False(t, s.current["b"].Released)
 		require.False(t, s.current["b"].VMOrdersStored)
@@ -232,3 +236,69 @@
 		log.SetFault(msstandin.LogFault{})
 	})
 }
+
+// The leader loses the log, which serves the others. Another entry leads within a second,
+// and no two terms are valid at a time.
+func TestLostLeaderIsReplacedWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: 4 * time.Millisecond})
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		var refused sync.Map
+		for i := range 3 {
+			name := fmt.Sprint("e", i)
+			l := log.Log()
+			plain := l.Append
+			l.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+				if _, ok := refused.Load(name); ok {
+					return 0, &msjournal.Error{Kind: msjournal.Rejected, Op: "append"}
+				}
+				return plain(ctx, a)
+			}
+			e := &msleader.Elector{
+				Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "leader", Holder: name,
+				Jitter: func() float64 { return float64(i) / 3 }, Lead: s.lead(name),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = e.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-done })
+		}
+		time.Sleep(10 * time.Second)
+		before := s.validLeaders()
+		require.Len(t, before, 1)
+		refused.Store(before[0], true)
+		time.Sleep(time.Second)
+		after := s.validLeaders()
+		require.Len(t, after, 1)
+		require.NotEqual(t, before, after)
+	})
+}
+
+// The log takes 300 ms to answer: the term goes on.
+func TestTermOutlivesASlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: 4 * time.Millisecond})
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		for i := range 3 {
+			name := fmt.Sprint("e", i)
+			e := &msleader.Elector{
+				Log:   (&msjournal.Repeater{Log: log.Log(), Clock: msclock.System{}}).Repeated(),
+				Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "leader", Holder: name,
+				Jitter: func() float64 { return float64(i) / 3 }, Lead: s.lead(name),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = e.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-done; time.Sleep(time.Minute) })
+		}
+		time.Sleep(10 * time.Second)
+		log.SetFault(msstandin.LogFault{Delay: 300 * time.Millisecond})
+		time.Sleep(30 * time.Second)
+		s.mu.Lock()
+		require.Len(t, s.epochs, 1)
+		s.mu.Unlock()
+		log.SetFault(msstandin.LogFault{})
+	})
+}
