--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -76,7 +76,8 @@
 			if e.pools.bursts.BurstEnded == nil {
 				e.pools.bursts.BurstEnded = map[string]time.Time{}
 			}
-		} else {
+		}
+		if e.pools.baseSizes == nil {
 			e.pools.baseSizes = map[string]int{}
 		}
 	}
@@ -265,6 +266,9 @@
 	cancel()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err == nil || msworker.VMReasonOf(err) != msworker.VMUnknown {
+		e.vmOrders.settle(m.VM, e.Clock.Now().Add(e.Settings.MinHolderInterval))
+	}
 	e.Logger.Info("move ordered", zap.String("vm", m.VM), zap.String("worker", worker), zap.String("to", m.To), zap.Error(err))
 	if err == nil {
 		// The next plan counts the VM in its new pool.
--- a/msscheduler/vmorders.go
+++ b/msscheduler/vmorders.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// settle counts an order that was answered until the given time.
+func (o *vmOrders) settle(vm string, until time.Time) {
+	if _, ok := o.openUntil[vm]; ok {
+		o.openUntil[vm] = until
+	}
+}
+
 // record returns what a successor has to know now, and forgets the orders that it need
 // not know any more.
 func (o *vmOrders) record(now time.Time) vmOrderRecord {
--- a/msscheduler/vmorders_test.go
+++ b/msscheduler/vmorders_test.go
@@ -188,3 +188,23 @@
 		}
 	})
 }
+
+// A record of the pools that lacks their sizes, or is null, must not end the process.
+func TestPoolsRecordWithoutSizes(t *testing.T) {
+	t.Parallel()
+	for _, record := range []string{`{}`, `null`, `{"home":null,"in":null}`} {
+		w := newTestCluster(t, 2)
+		w.addSpareVMs(2)
+		w.log.Put("jobs", "fleet", []byte(record))
+		e := w.entry("a")
+		w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=300ms", Steps: []msjob.Step{step(2)}})
+		w.await(e, "0000000000000001", msjob.Completed)
+		require.Eventually(t, func() bool {
+			g := e.current()
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.pools.baseSizes["booth"] == 2
+		}, eventually, 5*time.Millisecond)
+		e.stop()
+	}
+}
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -324,6 +324,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	reason := msworker.VMReasonOf(err)
+	if err == nil || reason != msworker.VMUnknown {
+		e.vmOrders.settle(vm.Name, e.Clock.Now().Add(e.Settings.MinHolderInterval))
+	}
 	switch {
 	case err == nil || reason == msworker.VMNotInWave:
 		// The answer is the same if an earlier leader's order was carried out, so the
