--- a/msentry/harness_test.go
+++ b/msentry/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -54,9 +53,8 @@
 }
 
 func freeAddress(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := msstandin.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(release)
+	return address
 }
--- a/msfailure/site_test.go
+++ b/msfailure/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -155,10 +154,10 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := msstandin.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(release)
+	return address
 }
 
 func (s *site) newEntry(name string) *entry {
--- a/mslog/client_test.go
+++ b/mslog/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,12 +171,12 @@
 // responding.
 func TestTimeoutDropsUnresponsiveConnection(t *testing.T) {
 	p := &msstandin.Platform{}
-	unresponsive := true
+	var unresponsive atomic.Bool
+	unresponsive.Store(true)
 	entered := make(chan string, 2)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		entered <- r.RemoteAddr
-		if unresponsive {
-			unresponsive = false
+		if unresponsive.Swap(false) {
 			// The server detects a closed connection only after it has read
 			// the request body.
 			_, _ = io.Copy(io.Discard, r.Body)
