--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -389,7 +389,9 @@
 			return reasonGivenUp, false
 		case <-l.Clock.After(interval):
 		}
-		_, sent, err := l.append(ctx, record{Epoch: epoch})
+		// A renewal that is cut short may still be stored, and the release that follows
+		// would then find the end of the stream moved.
+		_, sent, err := l.append(context.WithoutCancel(ctx), record{Epoch: epoch})
 		switch {
 		case err == nil:
 			l.mu.Lock()
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -302,3 +302,47 @@
 		log.SetFault(msstandin.LogFault{})
 	})
 }
+
+// The leader is stopped while a renewal is under way. It must release its term all the
+// same, or its successor waits for the TTL and treats its workers as uncertain.
+func TestStoppingDuringARenewalReleasesTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answerTime = 200 * time.Millisecond
+		var log msstandin.JobLog
+		s := &termRecorder{current: map[string]msleader.Term{}}
+		l := log.Log()
+		plain, read := l.Append, l.Read
+		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			if ctx.Err() != nil {
+				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Unknown, Op: "read", Err: ctx.Err()}
+			}
+			return read(ctx, stream, from, wait)
+		}
+		inFlight := make(chan struct{}, 100)
+		l.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+			inFlight <- struct{}{}
+			off, err := plain(ctx, a)
+			if msclock.Sleep(ctx, msclock.System{}, answerTime) != nil {
+				return 0, &msjournal.Error{Kind: msjournal.Unknown, Op: "append", Err: ctx.Err()}
+			}
+			return off, err
+		}
+		e := &msleader.Elector{
+			Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "leader", Holder: "a",
+			Jitter: func() float64 { return 0 }, Lead: s.lead("a"),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = e.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		for len(inFlight) > 0 {
+			<-inFlight
+		}
+		<-inFlight
+		time.Sleep(answerTime / 2)
+		cancel()
+		<-done
+		all := log.Records("leader")
+		require.Contains(t, string(all[len(all)-1].Value), `"released":true`)
+	})
+}
