--- a/mslog/client_test.go
+++ b/mslog/client_test.go
@@ -175,8 +175,10 @@
 	unresponsive.Store(true)
 	entered := make(chan string, 2)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Decided before the test is told, as it may send the next request at once.
+		first := unresponsive.Swap(false)
 		entered <- r.RemoteAddr
-		if unresponsive.Swap(false) {
+		if first {
 			// The server detects a closed connection only after it has read
 			// the request body.
 			_, _ = io.Copy(io.Discard, r.Body)
