--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -204,6 +205,69 @@
 	require.Len(t, withKey(log.Records("s"), "b"), 1)
 }
 
+// The log answers nothing for some seconds, as in an outage. Requests that come in behind
+// a batch without an outcome can't be stored in time, and are rejected at once and not
+// when their callers give up. They must not be stored later.
+func TestWriterRejectsAtOnceBehindAStuckBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		w := &msjournal.Writer{Log: repeated(log.Log()), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
+		runInBackground(t, w.Run)
+		put := func(key string) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+			defer cancel()
+			begun := time.Now()
+			err := w.Append(ctx, []msjournal.Record{{Key: key, Value: []byte("v")}})
+			return time.Since(begun), err
+		}
+		for i := range 20 {
+			_, err := put(fmt.Sprint("before", i))
+			require.NoError(t, err)
+		}
+		log.SetFault(msstandin.LogFault{Silent: true})
+		go func() { _, _ = put("first") }()
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 20 {
+			took, err := put(fmt.Sprint("behind", i))
+			require.Equal(t, msjournal.Rejected, msjournal.KindOf(err))
+			require.Zero(t, took)
+			time.Sleep(100 * time.Millisecond)
+		}
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		time.Sleep(5 * time.Second)
+		_, err := put("after")
+		require.NoError(t, err)
+		for i := range 20 {
+			require.Empty(t, withKey(log.Records("s"), fmt.Sprint("behind", i)))
+		}
+		require.LessOrEqual(t, len(withKey(log.Records("s"), "first")), 1)
+	})
+}
+
+// The log turns the entry away. The first batch is retried for a moment; later ones are
+// rejected with the log's answer, so that callers can go to another entry at once.
+func TestWriterRejectsAtOnceWhileTheLogRejects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime, Down: true})
+		w := &msjournal.Writer{Log: repeated(log.Log()), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Producer: "p"}
+		runInBackground(t, w.Run)
+		for i := range 10 {
+			begun := time.Now()
+			err := w.Append(t.Context(), []msjournal.Record{{Key: "k", Value: []byte("v")}})
+			require.Equal(t, msjournal.Rejected, msjournal.KindOf(err))
+			if i > 0 {
+				require.Equal(t, logAnswerTime, time.Since(begun))
+			}
+		}
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime})
+		require.NoError(t, w.Append(t.Context(), []msjournal.Record{{Key: "k", Value: []byte("v")}}))
+	})
+}
+
 func withKey(records []msjournal.Record, key string) []msjournal.Record {
 	var out []msjournal.Record
 	for _, r := range records {
--- a/msjournal/writer.go
+++ b/msjournal/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	waiting []*pendingAppend
 	wake    chan struct{}
 	failing bool
+	// stuck is set while the batch under way has no known outcome and its retries fail.
+	stuck bool
 }
 
 // pendingAppend is a call of Append that waits for its result.
@@ -69,6 +72,10 @@
 		p.bytes += len(r.Key) + len(r.Value)
 	}
 	w.mu.Lock()
+	if w.stuck {
+		w.mu.Unlock()
+		return errStuck()
+	}
 	w.waiting = append(w.waiting, p)
 	wake := w.wakeChannel()
 	w.mu.Unlock()
@@ -157,12 +164,39 @@
 	return batch, records
 }
 
+// stuckAttempts is how many attempts of a batch fail without an outcome until calls that
+// would wait behind it are rejected at once.
+const stuckAttempts = 2
+
+func errStuck() error {
+	return &Error{Kind: Rejected, Op: "append", Err: errors.New("earlier records have no outcome")}
+}
+
+// setStuck stores whether the batch under way is stuck. If it is, the calls that wait
+// behind it are rejected: they were not sent.
+func (w *Writer) setStuck(stuck bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stuck = stuck
+	if !stuck {
+		return
+	}
+	for _, p := range w.waiting {
+		if !p.canceled {
+			p.err = errStuck()
+			close(p.done)
+		}
+	}
+	w.waiting = nil
+}
+
 // unknownRetryLimit bounds the retries of a batch that may have been stored. Callers
 // have given up by then.
 const unknownRetryLimit = 4 * time.Second
 
 // rejectedRetryLimit bounds the retries of a batch that the log has rejected on every
-// attempt.
+// attempt. If it rejected the batch before as well, there is one attempt only: callers
+// had better try another entry at once.
 const rejectedRetryLimit = 350 * time.Millisecond
 
 // appendBatch retries a batch until its outcome is known or the retry limit is
@@ -170,8 +204,13 @@
 // the batch.
 func (w *Writer) appendBatch(ctx context.Context, batch []*pendingAppend, records []Record, epoch, seq int64) error {
 	started := w.Clock.Now()
+	rejectedLimit := rejectedRetryLimit
+	if w.Failing() {
+		rejectedLimit = 0
+	}
 	outcomeUnknown := false
-	for {
+	defer w.setStuck(false)
+	for attempt := 1; ; attempt++ {
 		attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := w.Log.Append(attemptCtx, AppendRequest{
 			Stream: w.Stream, Records: records,
@@ -190,11 +229,14 @@
 			if elapsed > unknownRetryLimit {
 				return err
 			}
-		case !outcomeUnknown && elapsed > rejectedRetryLimit:
+		case !outcomeUnknown && elapsed >= rejectedLimit:
 			return err
 		case outcomeUnknown && elapsed > unknownRetryLimit:
 			return &Error{Kind: Unknown, Op: "append", Err: err}
 		}
+		if outcomeUnknown && attempt >= stuckAttempts {
+			w.setStuck(true)
+		}
 		if msclock.Sleep(ctx, w.Clock, retryDelay) != nil {
 			return &Error{Kind: Unknown, Op: "append", Err: ctx.Err()}
 		}
