--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -145,8 +145,9 @@
 	// vmOrdersStored and ttl are those of the newest record.
 	vmOrdersStored bool
 	ttl            time.Duration
-	answers        answers
-	serial         int64
+	// answers has the answer times of the log, from which the entry's own TTL follows.
+	answers answers
+	serial  int64
 }
 
 // Run takes part in the election until ctx is done, then releases a term that it holds.
