--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -15,6 +15,8 @@
 	orders *prometheus.HistogramVec
 	ends   *prometheus.CounterVec
 	jobs   *prometheus.CounterVec
+	// losses counts attempts without a listed end, workers the workers that have ended.
+	losses, workers *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -35,7 +37,13 @@
 			Name: "marjoramspan_jobs_ended_total", Help: "Jobs that have ended, by state.",
 		}, []string{"state"}),
 	}
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs)
+	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_attempts_lost_total", Help: "Attempts that ended without a listed end, by what ended their worker.",
+	}, []string{"worker_end"})
+	m.workers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_workers_ended_total", Help: "Workers that ended with attempts on them, by what ended them.",
+	}, []string{"worker_end"})
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers)
 	return m
 }
 
@@ -67,3 +75,15 @@
 		m.jobs.WithLabelValues(s.String()).Inc()
 	}
 }
+
+func (m *Metrics) lost(end workerEnd) {
+	if m != nil {
+		m.losses.WithLabelValues(end.String()).Inc()
+	}
+}
+
+func (m *Metrics) workerEnded(end workerEnd) {
+	if m != nil {
+		m.workers.WithLabelValues(end.String()).Inc()
+	}
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -86,6 +86,7 @@
 			s.Until = r.w.lease.Grant(e.Clock.Now(), e.leaseDuration())
 		}
 	}
+	r.sent = r.sent || s.Until != 0
 	return s, r.w.Worker, true
 }
 
@@ -102,7 +103,7 @@
 		return true
 	}
 	if err == nil {
-		r.state, r.answeredAt, r.progressedAt = runStarted, now, now
+		r.state, r.answeredAt, r.progressedAt, r.confirmedAt = runStarted, now, now, now
 		return true
 	}
 	reason := msworker.ReasonOf(err)
@@ -142,7 +143,7 @@
 		e.stop(r)
 		return true
 	}
-	e.markLost(r, reason.String())
+	e.markLost(r, notEnded, reason.String())
 	return true
 }
 
@@ -153,7 +154,7 @@
 		return
 	}
 	if r.state == runPlanned {
-		e.markLost(r, "no longer wanted")
+		e.markLost(r, notEnded, "no longer wanted")
 		return
 	}
 	r.state, r.answeredAt = runStopping, time.Time{}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -40,6 +40,11 @@
 	// answeredAt is when a start or a stop was answered; only a report requested after
 	// it shows whether the worker has the attempt.
 	answeredAt time.Time
+	// sent says that a start may have been sent to the worker.
+	sent bool
+	// confirmedAt is when the worker first confirmed that it runs the attempt, by its
+	// answer to the start or in a report.
+	confirmedAt time.Time
 	// uncertain says that a start was sent without an answer and may be carried out
 	// late.
 	uncertain bool
@@ -122,7 +127,7 @@
 				id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 				n := e.newRun(j, id, t.Attempt, e.workerFor(t.Worker))
 				// The earlier leader may have sent the start without an answer.
-				n.state, n.uncertain = runAdopted, true
+				n.state, n.uncertain, n.sent = runAdopted, true, true
 				e.addRun(n)
 			}
 		}
@@ -130,8 +135,8 @@
 }
 
 // markLost drops an attempt that doesn't run any more and whose end will never be
-// reported. Its task waits again.
-func (e *Engine) markLost(r *run, reason string) {
+// reported. end is what ended its worker, if that is why. Its task waits again.
+func (e *Engine) markLost(r *run, end workerEnd, reason string) {
 	if e.runs[r.runKey] != r {
 		return
 	}
@@ -144,7 +149,9 @@
 		return
 	}
 	e.Logger.Info("attempt lost", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
-		zap.String("worker", r.w.ID), zap.String("reason", reason))
+		zap.String("worker", r.w.ID), zap.String("reason", reason), zap.String("worker-end", end.String()),
+		zap.Bool("confirmed", !r.confirmedAt.IsZero()), zap.Duration("ran", r.confirmedRuntime()))
+	e.Metrics.lost(end)
 	t.Phase = msjob.Waiting
 	if r.checkpoint != "" {
 		t.Checkpoint = r.checkpoint
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -98,6 +98,7 @@
 // there, and gives up the attempts on unreachable workers whose VM is down. asked is
 // when the list was requested.
 func (e *Engine) applyVMs(vms []msworker.VM, asked time.Time) {
+	now := e.Clock.Now()
 	e.fleet = fleet{vms: vms, readAt: asked}
 	e.releaseUnmoved(asked)
 	of := make(map[string]*msworker.VM, len(vms))
@@ -121,9 +122,11 @@
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
 			// A VM that is down may come back with the same worker.
+			end := e.endOf(w, now)
+			e.noteEnd(w, end, "VM down")
 			for _, r := range w.runs {
 				if r.orderedAt.Before(asked) {
-					e.markLost(r, "its VM is down")
+					e.markLost(r, end, "its VM is down")
 				}
 			}
 		}
@@ -138,12 +141,14 @@
 
 // terminateWorker marks a worker as terminated and gives up its attempts.
 func (e *Engine) terminateWorker(w *worker, reason string) {
+	end := e.endOf(w, e.Clock.Now())
+	e.noteEnd(w, end, reason)
 	w.terminated, w.reachable = true, false
 	if w.cancel != nil {
 		w.cancel()
 	}
 	for _, r := range w.runs {
-		e.markLost(r, reason)
+		e.markLost(r, end, reason)
 	}
 	e.wakeLoop()
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -306,10 +306,10 @@
 			if r.uncertain {
 				e.stop(r)
 			} else {
-				e.markLost(r, "not running on its worker")
+				e.markLost(r, notEnded, "not running on its worker")
 			}
 		case r.state == runStopping && !r.answeredAt.IsZero() && r.answeredAt.Before(sent):
-			e.markLost(r, "stopped")
+			e.markLost(r, notEnded, "stopped")
 		}
 	}
 }
@@ -322,6 +322,9 @@
 			r.answeredAt = now
 		}
 	}
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
+	}
 	if row.Percent > r.percent || r.progressedAt.IsZero() {
 		r.progressedAt = now
 	}
@@ -354,13 +357,14 @@
 // no longer run, and the sequence numbers of its ends start again.
 func (e *Engine) handleRestart(w *worker, processStart int64) {
 	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", processStart), zap.Int("runs", len(w.runs)))
+	e.noteEnd(w, endedByCrash, "restarted")
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
 	w.score = failureScore{}
 	for _, r := range w.runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
-			e.markLost(r, "its worker restarted")
+			e.markLost(r, endedByCrash, "its worker restarted")
 		case r.state == runStopping:
 		case r.state == runStarted:
 			e.stop(r)
@@ -381,8 +385,10 @@
 		if !w.lease.Known() && now.Sub(e.startedAt) < e.maxUnknownLease() {
 			continue
 		}
+		end := e.endOf(w, now)
+		e.noteEnd(w, end, "lease expired")
 		for _, r := range w.runs {
-			e.markLost(r, "lease expired while the worker was unreachable")
+			e.markLost(r, end, "lease expired while the worker was unreachable")
 		}
 	}
 }
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -32,6 +32,9 @@
 	// ProcessStart is when the worker's process started, in Unix milliseconds on the worker's
 	// clock. It distinguishes restarts that keep the ID.
 	ProcessStart int64
+	// VM is the name of the VM that the worker is an incarnation of, or empty if its entry
+	// does not name it.
+	VM string
 }
 
 // Start is the order to start an attempt of a task.
