--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -37,6 +37,10 @@
 	sites   mssite.Store
 	// minHolderInterval is that of all entries.
 	minHolderInterval time.Duration
+	// keepIDs lets workers that crash come back under their ID at once.
+	keepIDs bool
+	// crashes counts the workers that tasks have crashed.
+	crashes atomic.Int64
 	// vmOrders has the orders to VMs as they arrived.
 	vmOrders []arrivedVMOrder
 }
@@ -80,11 +84,21 @@
 func (w *testCluster) join(vm msworker.VM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, Rack: vm.Rack, Capacity: vm.Capacity}
-	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal}
+	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, Rack: vm.Rack, Capacity: vm.Capacity, VM: vm.Name}
+	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal, OnCrash: w.crash}
 	w.reg.Set(entry)
 }
 
+// crash ends a worker and counts that.
+func (w *testCluster) crash(worker string) {
+	w.crashes.Add(1)
+	if w.keepIDs {
+		w.worker(worker).Restart()
+		return
+	}
+	w.vms.Crash(worker)
+}
+
 // vmCalls returns the calls to the VM service; orders are written down as they arrive.
 func (w *testCluster) vmCalls() msworker.VMs {
 	vms := w.vms.VMs()
--- a/msstandin/jobfleet.go
+++ b/msstandin/jobfleet.go
@@ -144,6 +144,25 @@
 	return nil
 }
 
+// Crash takes down the VM that runs a worker. It comes back as another worker.
+func (f *JobFleet) Crash(worker string) {
+	f.mu.Lock()
+	var v *fleetVM
+	for _, o := range f.vms {
+		if o.Worker == worker && o.Up {
+			v = o
+		}
+	}
+	if v == nil {
+		f.mu.Unlock()
+		return
+	}
+	v.Up, v.Worker = false, ""
+	f.mu.Unlock()
+	f.OnLeave(worker)
+	go f.back(v)
+}
+
 // defaultAway is how long a VM is away unless the fleet says.
 const defaultAway = 100 * time.Millisecond
 
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -15,13 +15,17 @@
 
 // JobWorker runs attempts of tasks in memory. What an attempt does stands in its
 // job's spec: "run=300ms" is how long it takes, "fail=2" lets the first two attempts
-// of every task fail. The fields are set before use.
+// of every task fail, and "crash=1" lets the task with index 1 of every step crash its
+// worker. With "unanswered", the start that crashes the worker gets no answer. The fields
+// are set before use.
 type JobWorker struct {
 	Worker msworker.Worker
 	// Clock is the system's by default.
 	Clock msclock.Clock
 	// Journal, if set, hears of every start and end.
 	Journal *JobJournal
+	// OnCrash is called, without locks held, when a task has crashed the worker.
+	OnCrash func(worker string)
 
 	mu      sync.Mutex
 	born    time.Time
@@ -217,6 +221,11 @@
 	if lose {
 		w.loseStarts--
 	}
+	crashes, unanswered := crashSpec(s)
+	if err == nil && crashes && w.OnCrash != nil {
+		lose = lose || unanswered
+		go w.crash()
+	}
 	w.mu.Unlock()
 	if lose {
 		<-ctx.Done()
@@ -250,6 +259,24 @@
 	return nil
 }
 
+// crashDelay is how long after its start a task crashes its worker.
+const crashDelay = 10 * time.Millisecond
+
+func (w *JobWorker) crash() {
+	_ = msclock.Sleep(context.Background(), w.Clock, crashDelay)
+	w.OnCrash(w.Worker.ID)
+}
+
+// crashSpec reads whether a task crashes its worker, and whether its start is answered.
+func crashSpec(s msworker.Start) (crashes, unanswered bool) {
+	for _, f := range strings.Fields(s.Spec) {
+		name, value, _ := strings.Cut(f, "=")
+		crashes = crashes || name == "crash" && value == strconv.Itoa(s.Task.Index)
+		unanswered = unanswered || name == "unanswered"
+	}
+	return crashes, unanswered
+}
+
 // parseSpec reads what an attempt does.
 func parseSpec(spec string, attempt int) (takes time.Duration, fails, lasting bool) {
 	for _, f := range strings.Fields(spec) {
