--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -66,6 +66,10 @@
 	EndedAttempts uint64 `json:"e,omitempty"`
 	// Failures counts the failed attempts.
 	Failures int `json:"f,omitempty"`
+	// Crashes counts the workers that crashed while they ran the task, UnconfirmedCrashes
+	// those that ended for an unknown reason or before they had confirmed the start.
+	Crashes            int `json:"x,omitempty"`
+	UnconfirmedCrashes int `json:"u,omitempty"`
 	// Worker is the worker that the newest attempt was assigned to. Tasks that are
 	// done or waiting keep it.
 	Worker string `json:"w,omitempty"`
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -19,6 +19,11 @@
 	// FailureRisk rates, from 0 to 1, how likely tasks on the worker are to fail or to be
 	// slow.
 	FailureRisk float64
+	// Recent counts the attempts that started on the worker shortly before, Suspects those
+	// of tasks under which a worker has crashed.
+	Recent, Suspects int
+	// Isolated keeps other tasks away, for a task that runs or shall run there alone.
+	Isolated bool
 }
 
 // Requirements describes what a task requires of its worker, and where related tasks run.
@@ -28,8 +33,14 @@
 	Avoid map[string]bool
 	// OnWorker counts the step's tasks in this occurrence by worker, OnRack by rack.
 	OnWorker, OnRack map[string]int
+	// Crashes is how many workers may have crashed because of the task.
+	Crashes int
 }
 
+// IsolatedCrashes is from how many crashes on a task starts alone on a worker, so that
+// another crash proves that it is the cause.
+const IsolatedCrashes = 2
+
 const (
 	// The terms of a worker's score; the highest sum wins. A task that runs away from
 	// its data or on a second rack takes 1.5 times as long. For tasks that are neither
@@ -54,6 +65,12 @@
 	// scoreLastingWorker packs lasting tasks of different steps on the same workers,
 	// which leaves other workers idle so that they can move to another pool.
 	scoreLastingWorker = 2.0
+	// scoreSuspect keeps suspect tasks and tasks that start at about the same time on
+	// different workers, so that a crash shows which of them is the cause.
+	// scoreSuspectFreeCapacity prefers idle workers for suspect tasks: the others have more
+	// to lose.
+	scoreSuspect             = -6.0
+	scoreSuspectFreeCapacity = 4.0
 )
 
 // Choose returns the index of the worker with the highest score, or -1 if none can run
@@ -78,6 +95,13 @@
 	if !s.Reserved().Fits(w.Free) {
 		return false
 	}
+	if want.Crashes >= IsolatedCrashes {
+		if w.Recent > 0 || w.Suspects > 0 {
+			return false
+		}
+	} else if w.Isolated {
+		return false
+	}
 	if s.MaxPerWorker > 0 && want.OnWorker[w.ID] >= s.MaxPerWorker {
 		return false
 	}
@@ -101,6 +125,12 @@
 	} else {
 		score += scoreUsedCapacity * (1 - freeShare(w))
 	}
+	if w.Suspects > 0 || want.Crashes > 0 && w.Recent > 0 {
+		score += scoreSuspect
+	}
+	if want.Crashes > 0 {
+		score += scoreSuspectFreeCapacity * freeShare(w)
+	}
 	if s.DataRack != "" && s.DataRack == w.Rack {
 		score += scoreDataRack
 	}
@@ -122,6 +152,32 @@
 	return score
 }
 
+// ChooseIsolated returns the index of the worker that is the soonest to be free of recent
+// attempts and could run the task, or -1 if there is none or a third of the workers, but at
+// least one, are isolated already.
+func ChooseIsolated(want Requirements, workers []Worker) int {
+	best, isolated := -1, 0
+	for i := range workers {
+		w := &workers[i]
+		if w.Isolated {
+			isolated++
+			continue
+		}
+		idle := *w
+		idle.Free, idle.Recent, idle.Suspects = w.Capacity, 0, 0
+		if !CanRun(want, &idle) {
+			continue
+		}
+		if best < 0 || w.Recent < workers[best].Recent || w.Recent == workers[best].Recent && freeShare(w) > freeShare(&workers[best]) {
+			best = i
+		}
+	}
+	if isolated >= max(1, len(workers)/3) {
+		return -1
+	}
+	return best
+}
+
 // freeShare returns the free fraction of the worker's CPU or memory, whichever is
 // lower.
 func freeShare(w *Worker) float64 {
--- a/msplace/place_test.go
+++ b/msplace/place_test.go
@@ -279,3 +279,52 @@
 	}
 	require.Equal(t, 100, percent)
 }
+
+// Bystanders of a crash must not start beside each other or beside the cause again, or
+// another crash would not show which of them is the cause.
+func TestSuspectTasksStartApart(t *testing.T) {
+	t.Parallel()
+	need := msjob.Resources{CPU: 1000, Memory: 100}
+	room := msjob.Resources{CPU: 4000, Memory: 4000}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: need}}
+	busy, idle := room.Minus(need), room
+	for name, c := range map[string]struct {
+		crashes int
+		workers []Worker
+		want    int
+	}{
+		"packed without a crash":          {0, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 0},
+		"apart after a crash":             {1, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 1},
+		"beside others if it must":        {1, []Worker{{Free: busy, Recent: 1}}, 0},
+		"others away from a suspect":      {0, []Worker{{Free: busy, Suspects: 1}, {Free: idle}}, 1},
+		"alone after two":                 {2, []Worker{{Free: busy, Recent: 1}, {Free: idle, Suspects: 1}}, -1},
+		"alone on the worker kept for it": {2, []Worker{{Free: busy, Recent: 1}, {Free: idle, Isolated: true}}, 1},
+		"nobody else there":               {1, []Worker{{Free: idle, Isolated: true}}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			want := want
+			want.Crashes = c.crashes
+			for i := range c.workers {
+				c.workers[i].Capacity = room
+			}
+			require.Equal(t, c.want, Choose(want, c.workers))
+		})
+	}
+}
+
+func TestWorkersAreKeptFreeForSuspectTasks(t *testing.T) {
+	t.Parallel()
+	room := msjob.Resources{CPU: 4000, Memory: 4000}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Crashes: IsolatedCrashes}
+	workers := []Worker{
+		{Capacity: room, Free: room, Recent: 3},
+		{Capacity: room, Recent: 1},
+		{Capacity: room, Free: room, Recent: 1},
+	}
+	require.Equal(t, 2, ChooseIsolated(want, workers))
+	workers[2].Isolated = true
+	require.Equal(t, -1, ChooseIsolated(want, workers), "a third of the workers")
+	require.Equal(t, 0, ChooseIsolated(want, workers[:1]), "the only worker")
+	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Crashes: 2}, workers[:1]))
+}
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/msworker"
 )
 
 // maxCrashes is how many workers a task may crash: three, and with two starts after that.
@@ -43,3 +45,116 @@
 		})
 	}
 }
+
+// A new leader must go on counting where the one before stopped.
+func TestCrashesAreCountedOverChangesOfTheLeader(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 6)
+	w.vms.Away = 400 * time.Millisecond
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "00000000000000ff", Spec: "run=50ms crash=0", Steps: []msjob.Step{step(2)}})
+	for i := range 8 {
+		crashes := w.crashes.Load()
+		require.Eventually(t, func() bool {
+			j, ok := e.jobs.Job("00000000000000ff")
+			return w.crashes.Load() > crashes || ok && j.State().Final()
+		}, eventually, time.Millisecond)
+		next := w.entry(fmt.Sprintf("b%d", i))
+		e.stop()
+		e = next
+	}
+	w.await(e, "00000000000000ff", msjob.Failed)
+	require.LessOrEqual(t, w.crashes.Load(), int64(maxCrashes))
+}
+
+// Tasks that lose their workers to another task are started again until they are done.
+func TestTasksBesideACrashAreNotGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 6)
+	e := w.entry("a")
+	const bystanders, culprits = 24, 6
+	for i := range bystanders {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=400ms", Steps: []msjob.Step{step(2)}})
+		if i%4 == 0 {
+			w.submit(&msjob.Job{ID: fmt.Sprintf("ff%014x", i/4), Spec: "run=50ms crash=1", Steps: []msjob.Step{step(2)}})
+		}
+	}
+	for i := range culprits {
+		w.await(e, fmt.Sprintf("ff%014x", i), msjob.Failed)
+	}
+	for i := range bystanders {
+		w.await(e, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+	require.LessOrEqual(t, w.crashes.Load(), int64(culprits*maxCrashes))
+	w.requireNoDuplicates()
+}
+
+// A worker that is unreachable until its lease ends has not crashed.
+func TestCutOffWorkersAreNotCountedAsCrashes(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 8)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{longRunning(1, 1)}})
+	for range maxCrashes + 1 {
+		w.awaitRunning(1)
+		var on string
+		for _, r := range w.journal.Runs() {
+			if r.End.IsZero() {
+				on = r.Worker
+			}
+		}
+		w.worker(on).SetDown(true)
+		require.Eventually(t, func() bool {
+			runs := w.journal.Runs()
+			return runs[len(runs)-1].Worker != on
+		}, eventually, 5*time.Millisecond)
+		w.worker(on).SetDown(false)
+	}
+	w.awaitRunning(1)
+	j, ok := e.jobs.Job("0000000000000001")
+	require.True(t, ok)
+	require.Equal(t, msjob.Running, j.State())
+}
+
+// A draining worker that leaves, and a VM that is ordered away, have not crashed.
+func TestEndOfAWorker(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	vm := msworker.VM{Name: "vm", Pool: "booth", Worker: "w-1", Up: true}
+	other, down, moving, maintained, moved := vm, vm, vm, vm, vm
+	other.Worker = "w-2"
+	down.Worker, down.Up = "", false
+	moving.Worker, moving.Up, moving.Moving = "", false, true
+	maintained.Worker, maintained.Up, maintained.Maintained = "", false, true
+	moved.Worker, moved.Pool = "w-2", "kiln"
+	for name, c := range map[string]struct {
+		vm     msworker.VM
+		change func(e *Engine, w *worker)
+		want   workerEnd
+	}{
+		"same worker":         {vm, nil, cutOff},
+		"another worker":      {other, nil, endedByCrash},
+		"VM down":             {down, nil, endedByCrash},
+		"VM moves":            {moving, nil, endedAsPlanned},
+		"VM is maintained":    {maintained, nil, endedAsPlanned},
+		"VM has moved":        {moved, nil, endedAsPlanned},
+		"worker drains":       {down, func(_ *Engine, w *worker) { w.Draining = true }, endedAsPlanned},
+		"maintenance ordered": {other, func(_ *Engine, w *worker) { w.maintenanceSince = now }, endedAsPlanned},
+		"order, VM down":      {down, func(_ *Engine, w *worker) { w.moving = true }, endedByCrash},
+		"list too old":        {down, func(_ *Engine, w *worker) { w.unreachableSince = now }, endedUnknown},
+		"VM not listed":       {down, func(_ *Engine, w *worker) { w.VM = "vm-9" }, endedUnknown},
+		"order of another leader": {other, func(e *Engine, _ *worker) {
+			e.vmOrders.heldUntil = map[string]time.Time{"vm": now.Add(time.Second)}
+		}, endedUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &Engine{fleet: fleet{vms: []msworker.VM{c.vm}, readAt: now}}
+			w := &worker{Worker: msworker.Worker{ID: "w-1", Pool: "booth", VM: "vm"}}
+			if c.change != nil {
+				c.change(e, w)
+			}
+			require.Equal(t, c.want.String(), e.endOf(w, now).String())
+		})
+	}
+}
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -17,6 +17,7 @@
 	jobs   *prometheus.CounterVec
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
+	givenUp         prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -43,7 +44,10 @@
 	m.workers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marjoramspan_workers_ended_total", Help: "Workers that ended with attempts on them, by what ended them.",
 	}, []string{"worker_end"})
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers)
+	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
+	})
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp)
 	return m
 }
 
@@ -87,3 +91,9 @@
 		m.workers.WithLabelValues(end.String()).Inc()
 	}
 }
+
+func (m *Metrics) gaveUp() {
+	if m != nil {
+		m.givenUp.Inc()
+	}
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -80,13 +80,20 @@
 	if t := r.job.p.Task(r.task); t != nil {
 		s.Checkpoint = t.Checkpoint
 	}
+	if r.uncertain && r.crashes > 0 && !r.sentAt.IsZero() && !r.w.reportRequestedAt.After(r.sentAt) {
+		// The worker may have crashed and restarted; its next report shows that.
+		return s, r.w.Worker, true
+	}
 	if r.w.lease.Known() && e.Term.Valid() {
 		s.Until = r.w.lease.Until()
 		if r.w.reachable {
 			s.Until = r.w.lease.Grant(e.Clock.Now(), e.leaseDuration())
 		}
 	}
-	r.sent = r.sent || s.Until != 0
+	if s.Until != 0 {
+		r.sentAt = e.Clock.Now()
+		r.unanswered++
+	}
 	return s, r.w.Worker, true
 }
 
@@ -99,6 +106,9 @@
 	if clock > 0 {
 		r.w.lease.Observe(clock, now)
 	}
+	if msworker.ReasonOf(err) != msworker.Unknown {
+		r.unanswered = max(0, r.unanswered-1)
+	}
 	if e.runs[r.runKey] != r || r.state != runOrdered {
 		return true
 	}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -37,8 +37,12 @@
 	for _, r := range all {
 		sort.Slice(r.workers, func(i, k int) bool { return r.workers[i].ID < r.workers[k].ID })
 		for _, w := range r.workers {
-			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]))}
+			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool])), Isolated: now.Before(w.isolatedUntil)}
 			for _, run := range w.runs {
+				recent := run.confirmedRuntime() < minExoneratingRuntime
+				v.Recent += boolToInt(recent)
+				v.Suspects += boolToInt(run.crashes > 0)
+				v.Isolated = v.Isolated || recent && run.crashes >= msplace.IsolatedCrashes
 				if s := run.step(); s != nil {
 					v.Serving += boolToInt(s.TailLatencyTarget > 0)
 					v.Backfilling += boolToInt(s.Backfill)
@@ -226,8 +230,16 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		want.Avoid = j.avoid[id]
+		want.Avoid, want.Crashes = j.avoid[id], tasks[i].MaxCrashes()
+		if step.Gang {
+			// The members of a gang have to start at the same time.
+			want.Crashes = min(want.Crashes, 1)
+		}
 		n := msplace.Choose(want, pool.placement)
+		if n < 0 && want.Crashes >= msplace.IsolatedCrashes {
+			isolateWorker(want, pool, now)
+			continue
+		}
 		if n < 0 {
 			break
 		}
@@ -251,6 +263,19 @@
 	return placed
 }
 
+// isolateWorker keeps new tasks away from a worker, so that the task can soon start there
+// alone.
+func isolateWorker(want msplace.Requirements, pool *poolSnapshot, now time.Time) {
+	if n := msplace.ChooseIsolated(want, pool.placement); n >= 0 {
+		pool.placement[n].Isolated = true
+		pool.workers[n].isolatedUntil = now.Add(isolationTime)
+	}
+}
+
+// isolationTime is how long a worker is kept free for a task that has to start alone. The
+// attempts that run there have ended by then, or have run for long enough.
+const isolationTime = minExoneratingRuntime + reportWait
+
 // logPlaced logs in one line what a pass has placed of a step.
 func (e *Engine) logPlaced(j *job, k, s int, placed []*run, waiting int, site *mssite.Site) {
 	if len(placed) == 0 {
@@ -298,6 +323,10 @@
 	e.addRun(r)
 	v := &pool.placement[n]
 	v.Free = w.free()
+	v.Recent++
+	v.Suspects += boolToInt(want.Crashes > 0)
+	v.Isolated = v.Isolated || want.Crashes >= msplace.IsolatedCrashes
+	w.isolatedUntil = time.Time{}
 	v.Serving += boolToInt(want.Step.TailLatencyTarget > 0)
 	v.Backfilling += boolToInt(want.Step.Backfill)
 	v.LongRunning += boolToInt(want.Step.LongRunning)
--- a/msscheduler/progress.go
+++ b/msscheduler/progress.go
@@ -111,7 +111,7 @@
 // attempt.
 func (e *Engine) wantsDuplicate(j *job, id msjob.TaskID, t *msjob.Task, now time.Time) bool {
 	s := &j.def.Steps[id.Step]
-	if !s.Duplicates || s.Gang || s.LongRunning || t.Phase != msjob.Assigned {
+	if !s.Duplicates || s.Gang || s.LongRunning || t.Phase != msjob.Assigned || t.MaxCrashes() > 0 {
 		return false
 	}
 	r := e.runs[runKey{task: id, attempt: t.Attempt}]
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -40,8 +40,12 @@
 	// answeredAt is when a start or a stop was answered; only a report requested after
 	// it shows whether the worker has the attempt.
 	answeredAt time.Time
-	// sent says that a start may have been sent to the worker.
-	sent bool
+	// crashes is how many workers may have crashed because of the task.
+	crashes int
+	// sentAt is when the latest start was sent, unanswered how many starts the worker may
+	// have had without a confirmation.
+	sentAt     time.Time
+	unanswered int
 	// confirmedAt is when the worker first confirmed that it runs the attempt, by its
 	// answer to the start or in a report.
 	confirmedAt time.Time
@@ -107,9 +111,14 @@
 // newRun returns an attempt of a known task on w, without adding it.
 func (e *Engine) newRun(j *job, id msjob.TaskID, attempt int, w *worker) *run {
 	s := &j.def.Steps[id.Step]
+	crashes := 0
+	if t := j.p.Task(id); t != nil {
+		crashes = t.MaxCrashes()
+	}
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
+		crashes: crashes,
 	}
 }
 
@@ -127,7 +136,7 @@
 				id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 				n := e.newRun(j, id, t.Attempt, e.workerFor(t.Worker))
 				// The earlier leader may have sent the start without an answer.
-				n.state, n.uncertain, n.sent = runAdopted, true, true
+				n.state, n.uncertain, n.unanswered = runAdopted, true, 1
 				e.addRun(n)
 			}
 		}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -122,13 +122,17 @@
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
 			// A VM that is down may come back with the same worker.
-			end := e.endOf(w, now)
-			e.noteEnd(w, end, "VM down")
+			var runs []*run
 			for _, r := range w.runs {
 				if r.orderedAt.Before(asked) {
-					e.markLost(r, end, "its VM is down")
+					runs = append(runs, r)
 				}
 			}
+			end := e.endOf(w, now)
+			e.noteEnd(w, end, "VM down", runs)
+			for _, r := range runs {
+				e.markLost(r, end, "its VM is down")
+			}
 		}
 	}
 }
@@ -142,12 +146,13 @@
 // terminateWorker marks a worker as terminated and gives up its attempts.
 func (e *Engine) terminateWorker(w *worker, reason string) {
 	end := e.endOf(w, e.Clock.Now())
-	e.noteEnd(w, end, reason)
+	runs := w.allRuns()
+	e.noteEnd(w, end, reason, runs)
 	w.terminated, w.reachable = true, false
 	if w.cancel != nil {
 		w.cancel()
 	}
-	for _, r := range w.runs {
+	for _, r := range runs {
 		e.markLost(r, end, reason)
 	}
 	e.wakeLoop()
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -60,6 +60,11 @@
 	processed, acked int64
 	// stored is closed and replaced when acked has risen.
 	stored chan struct{}
+	// isolatedUntil is until when the worker is kept free for a task that has to start
+	// alone.
+	isolatedUntil time.Time
+	// reportRequestedAt is when the latest report was requested.
+	reportRequestedAt time.Time
 	// blockedUntil is until when the worker gets no new tasks.
 	blockedUntil time.Time
 	cancel       context.CancelFunc
@@ -262,7 +267,7 @@
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
-	w.reported = true
+	w.reported, w.reportRequestedAt = true, sent
 	for _, end := range rep.Ended {
 		if end.Seq > w.processed {
 			w.processed = end.Seq
@@ -287,6 +292,7 @@
 		}
 		e.updateRun(r, row, now)
 		r.reportedAt = now
+		e.exonerate(r)
 	}
 	if len(rep.Ended) >= msworker.MaxEnds {
 		// The list of ends is full, so the ends of unlisted attempts may still follow.
@@ -357,16 +363,22 @@
 // no longer run, and the sequence numbers of its ends start again.
 func (e *Engine) handleRestart(w *worker, processStart int64) {
 	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", processStart), zap.Int("runs", len(w.runs)))
-	e.noteEnd(w, endedByCrash, "restarted")
+	end := restarted
+	if !w.drainingSince.IsZero() {
+		end, w.drainingSince = endedAsPlanned, time.Time{}
+	}
+	runs := w.allRuns()
+	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
 	w.score = failureScore{}
-	for _, r := range w.runs {
+	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
-			e.markLost(r, endedByCrash, "its worker restarted")
+			e.markLost(r, end, "its worker restarted")
 		case r.state == runStopping:
-		case r.state == runStarted:
+		case r.state == runStarted, r.state == runOrdered && r.unanswered > 0:
+			// The start may still be carried out, so the task must not start elsewhere yet.
 			e.stop(r)
 		}
 	}
@@ -386,8 +398,9 @@
 			continue
 		}
 		end := e.endOf(w, now)
-		e.noteEnd(w, end, "lease expired")
-		for _, r := range w.runs {
+		runs := w.allRuns()
+		e.noteEnd(w, end, "lease expired", runs)
+		for _, r := range runs {
 			e.markLost(r, end, "lease expired while the worker was unreachable")
 		}
 	}
