--- /dev/null
+++ b/msscheduler/capacity_test.go
@@ -0,0 +1,105 @@
+package msscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msstandin"
+)
+
+// setCapacity changes what a worker says of its capacity.
+func (w *testCluster) setCapacity(id string, capacity msjob.Resources) {
+	entry := w.reg.All()[id]
+	entry.Capacity = capacity
+	w.reg.Set(entry)
+}
+
+// A worker shrinks while the attempts that were assigned to it wait for the log. Workers
+// that don't check their capacity would start all of them.
+func TestCapacityThatShrinksBeforeTheStart(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	w.setCapacity("w-2", msjob.Resources{})
+	w.log.SetFault(msstandin.LogFault{Delay: 400 * time.Millisecond})
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=1s", Steps: []msjob.Step{step(4)}})
+	g := e.current()
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.workers["w-1"].runs) == 4
+	}, eventually, time.Millisecond)
+	small := msjob.Resources{CPU: 2000, Memory: 8000}
+	w.setCapacity("w-1", small)
+	w.setCapacity("w-2", small)
+	w.log.SetFault(msstandin.LogFault{})
+	w.await(e, "0000000000000002", msjob.Completed)
+	requireWithin(t, w.journal.Runs(), 2)
+	w.requireNoDuplicates()
+}
+
+// requireWithin requires that no worker ran more than n tasks of a core at a time.
+func requireWithin(t *testing.T, runs []msstandin.JobRunEntry, n int) {
+	t.Helper()
+	byWorker := map[string][]msstandin.JobRunEntry{}
+	for _, r := range runs {
+		if r.Task.Job != "0000000000000001" {
+			byWorker[r.Worker] = append(byWorker[r.Worker], r)
+		}
+	}
+	for id, runs := range byWorker {
+		require.LessOrEqual(t, maxConcurrent(runs), n, "tasks of a core at a time on %s", id)
+	}
+}
+
+// What runs on a worker that has shrunk goes on; it gets new tasks once it has room again,
+// and all of its room when it has grown.
+func TestCapacityThatShrinksAndGrows(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{longRunning(2, 1)}})
+	w.awaitRunning(2)
+	w.setCapacity("w-1", msjob.Resources{CPU: 1000, Memory: 8000})
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=100ms", Steps: []msjob.Step{step(4)}})
+	time.Sleep(600 * time.Millisecond)
+	require.Equal(t, 2, w.running(), "tasks on a worker that is full")
+	w.setCapacity("w-1", msjob.Resources{CPU: 4000, Memory: 8000})
+	w.await(e, "0000000000000002", msjob.Completed)
+	requireWithin(t, w.journal.Runs(), 2)
+}
+
+// A worker drains while the attempts that were assigned to it wait for the log.
+func TestWorkerThatDrainsBeforeTheStart(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	w.setCapacity("w-2", msjob.Resources{})
+	w.log.SetFault(msstandin.LogFault{Delay: 400 * time.Millisecond})
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=100ms", Steps: []msjob.Step{step(4)}})
+	g := e.current()
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.workers["w-1"].runs) == 4
+	}, eventually, time.Millisecond)
+	draining := w.reg.All()["w-1"]
+	draining.Draining, draining.RemainingTime = true, 2*time.Second
+	w.reg.Set(draining)
+	w.setCapacity("w-2", msjob.Resources{CPU: 4000, Memory: 8000})
+	w.log.SetFault(msstandin.LogFault{})
+	w.await(e, "0000000000000002", msjob.Completed)
+	for _, r := range w.journal.Runs() {
+		if r.Task.Job == "0000000000000002" {
+			require.Equal(t, "w-2", r.Worker)
+		}
+	}
+	w.requireNoDuplicates()
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -76,6 +76,14 @@
 	if e.runs[r.runKey] != r || r.state != runOrdered || r.w.terminated {
 		return msworker.Start{}, msworker.Worker{}, false
 	}
+	if reason := e.unfit(r); reason != "" {
+		if r.unanswered == 0 && !r.uncertain {
+			e.markLost(r, notEnded, reason)
+		} else {
+			e.stop(r)
+		}
+		return msworker.Start{}, msworker.Worker{}, false
+	}
 	s := msworker.Start{Task: r.task, Attempt: r.attempt, Spec: r.job.def.Spec, Token: e.Term.Epoch, Ticket: r.ticket}
 	if t := r.job.p.Task(r.task); t != nil {
 		s.Checkpoint = t.Checkpoint
@@ -97,6 +105,23 @@
 	return s, r.w.Worker, true
 }
 
+// unfit returns why the worker of an attempt no longer suits it, or "". The worker may have
+// changed while the attempt waited for its record to be stored.
+func (e *Engine) unfit(r *run) string {
+	entry, ok := e.Registry.Worker(r.w.ID)
+	if !ok {
+		return ""
+	}
+	r.w.Capacity = entry.Capacity
+	switch {
+	case !r.w.used.Fits(r.w.Capacity):
+		return "its worker has shrunk"
+	case entry.Draining:
+		return "its worker drains"
+	}
+	return ""
+}
+
 // handleStartAnswer handles the answer to a start and reports whether the order is
 // settled.
 func (e *Engine) handleStartAnswer(r *run, clock time.Duration, err error) bool {
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -249,6 +249,14 @@
 	r.workers = nil
 }
 
+// Worker returns the worker with the given id.
+func (r *Registry) Worker(id string) (Worker, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, ok := r.workers[id]
+	return w, ok
+}
+
 // All returns a copy of the list, by worker id.
 func (r *Registry) All() map[string]Worker {
 	r.mu.Lock()
