--- a/msscheduler/capacity_test.go
+++ b/msscheduler/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"marjoramspan/msjob"
 	"marjoramspan/msstandin"
+	"marjoramspan/msworker"
 )
 
 // setCapacity changes what a worker says of its capacity.
@@ -103,3 +104,21 @@
 	}
 	w.requireNoDuplicates()
 }
+
+// A job has ended under an earlier leader, and what it needs is no longer known. Its tasks
+// take room on their worker until they have stopped.
+func TestUnknownAttemptsTakeRoom(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	w := &worker{
+		Worker: msworker.Worker{ID: "w-1", Capacity: msjob.Resources{CPU: 4000}}, registered: true, reported: true, reachable: true,
+		runs: map[runKey]*run{}, stored: make(chan struct{}),
+	}
+	require.True(t, w.usable(now))
+	stray := &run{runKey: runKey{task: msjob.TaskID{Job: "00000000000000ff"}, attempt: 1}, w: w, state: runStopping}
+	e := &Engine{runs: map[runKey]*run{}, wake: make(chan struct{}, 1)}
+	e.addRun(stray)
+	require.False(t, w.usable(now))
+	e.dropRun(stray)
+	require.True(t, w.usable(now))
+}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -79,6 +79,9 @@
 func (e *Engine) addRun(r *run) {
 	e.runs[r.runKey] = r
 	r.w.runs[r.runKey] = r
+	if r.job == nil {
+		r.w.unknownRuns++
+	}
 	if r.job != nil {
 		if r.job.runs == nil {
 			r.job.runs = map[runKey]*run{}
@@ -98,6 +101,9 @@
 	}
 	delete(e.runs, r.runKey)
 	delete(r.w.runs, r.runKey)
+	if r.job == nil {
+		r.w.unknownRuns--
+	}
 	if r.job != nil {
 		delete(r.job.runs, r.runKey)
 	}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -55,6 +55,9 @@
 	lease        msworker.Lease
 	runs         map[runKey]*run
 	used         msjob.Resources
+	// unknownRuns counts the attempts of jobs that are no longer known, and so what they
+	// reserve isn't either.
+	unknownRuns int
 	// processed is the sequence number of the latest end handled, acked that of the
 	// latest end stored.
 	processed, acked int64
@@ -109,7 +112,8 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !now.Before(w.blockedUntil)
+	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
+		w.unknownRuns == 0 && !now.Before(w.blockedUntil)
 }
 
 // workerFor returns the worker with the given ID and adds it if it is unknown.
