--- a/msscheduler/capacity_test.go
+++ b/msscheduler/capacity_test.go
@@ -122,3 +122,18 @@
 	e.dropRun(stray)
 	require.True(t, w.usable(now))
 }
+
+// A worker is back under its ID, perhaps with another capacity, before its new entry is
+// known.
+func TestRestartedWorkerWaitsForItsEntry(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	w := &worker{Worker: msworker.Worker{ID: "w-1", ProcessStart: 5}, registered: true, reported: true, reachable: true, processStart: 5}
+	require.True(t, w.usable(now))
+	w.processStart = 7
+	require.False(t, w.usable(now))
+	w.ProcessStart = 7
+	require.True(t, w.usable(now))
+	w.ProcessStart = 0
+	require.True(t, w.usable(now), "an entry that does not name the start of its process")
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -113,7 +113,13 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
-		w.unknownRuns == 0 && !now.Before(w.blockedUntil)
+		w.unknownRuns == 0 && !w.outdated() && !now.Before(w.blockedUntil)
+}
+
+// outdated reports whether the registry still has an earlier life of a worker that has
+// restarted under its ID. The capacity and labels of the present one may differ.
+func (w *worker) outdated() bool {
+	return w.ProcessStart != 0 && w.ProcessStart < w.processStart
 }
 
 // workerFor returns the worker with the given ID and adds it if it is unknown.
