--- a/msjob/crash_test.go
+++ b/msjob/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -29,6 +30,21 @@
 	}
 }
 
+// The last start that a task may have is alone, so that no task is given up beside others.
+func TestLastStartIsIsolated(t *testing.T) {
+	t.Parallel()
+	for mask := range 1 << (maxCrashes - 1) {
+		var task Task
+		for i := range maxCrashes - 1 {
+			require.False(t, task.CrashesWorkers(false))
+			task.RecordCrash(CrashEvidence(mask>>i&1)+CrashUnconfirmed, 0)
+		}
+		require.True(t, task.NeedsIsolation(), "%b", mask)
+	}
+	unconfirmed := Task{UnconfirmedCrashes: 2}
+	require.False(t, unconfirmed.NeedsIsolation())
+}
+
 // However the evidence comes in, no task may crash more workers than the bound.
 func TestTasksCrashABoundedNumberOfWorkers(t *testing.T) {
 	t.Parallel()
@@ -37,7 +53,7 @@
 		n := 0
 		for i := range 6 {
 			n++
-			task.RecordCrash(mask>>(2*i)&1 != 0)
+			task.RecordCrash(CrashEvidence(mask>>(2*i)&1)+CrashUnconfirmed, 0)
 			if task.CrashesWorkers(mask>>(2*i)&2 != 0) {
 				break
 			}
@@ -50,9 +66,24 @@
 func TestExoneratedTasksAreNotSuspect(t *testing.T) {
 	t.Parallel()
 	var task Task
-	task.RecordCrash(true)
-	task.RecordCrash(false)
+	task.RecordCrash(CrashConfirmed, 2*time.Second)
+	task.RecordCrash(CrashUnconfirmed, time.Second)
+	require.Equal(t, 3150*time.Millisecond, task.TrialTime())
 	require.Equal(t, 2, task.MaxCrashes())
 	task.Exonerate()
 	require.Zero(t, task.MaxCrashes())
 }
+
+// Tasks that had run for some time beside ones that had just started are not given up,
+// however often their worker crashes, but start alone.
+func TestUnlikelyCausesAreNotGivenUp(t *testing.T) {
+	t.Parallel()
+	var task Task
+	for range 20 {
+		task.RecordCrash(CrashUnlikely, 2*time.Second)
+		require.False(t, task.CrashesWorkers(false))
+	}
+	require.True(t, task.NeedsIsolation())
+	task.RecordCrash(CrashConfirmed, 2*time.Second)
+	require.True(t, task.CrashesWorkers(true))
+}
--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -66,10 +66,12 @@
 	EndedAttempts uint64 `json:"e,omitempty"`
 	// Failures counts the failed attempts.
 	Failures int `json:"f,omitempty"`
-	// Crashes counts the workers that crashed while they ran the task, UnconfirmedCrashes
-	// those that ended for an unknown reason or before they had confirmed the start.
+	// Crashes counts the workers that crashed shortly after they had started the task,
+	// UnconfirmedCrashes those that may have.
 	Crashes            int `json:"x,omitempty"`
 	UnconfirmedCrashes int `json:"u,omitempty"`
+	// CrashRuntime is the longest time for which an attempt had run before a crash.
+	CrashRuntime time.Duration `json:"t,omitempty"`
 	// Worker is the worker that the newest attempt was assigned to. Tasks that are
 	// done or waiting keep it.
 	Worker string `json:"w,omitempty"`
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -22,8 +22,10 @@
 	// Recent counts the attempts that started on the worker shortly before, Suspects those
 	// of tasks under which a worker has crashed.
 	Recent, Suspects int
-	// Isolated keeps other tasks away, for a task that runs or shall run there alone.
-	Isolated bool
+	// Isolated keeps other jobs away, for tasks that have to start alone. IsolatedFor is
+	// their job, or empty if none of them has started yet.
+	Isolated    bool
+	IsolatedFor string
 }
 
 // Requirements describes what a task requires of its worker, and where related tasks run.
@@ -33,14 +35,13 @@
 	Avoid map[string]bool
 	// OnWorker counts the step's tasks in this occurrence by worker, OnRack by rack.
 	OnWorker, OnRack map[string]int
-	// Crashes is how many workers may have crashed because of the task.
-	Crashes int
+	// Suspect is set if a worker may have crashed because of the task, Alone if it must start
+	// on a worker where no other job has started tasks lately.
+	Suspect, Alone bool
+	// Job is the task's job.
+	Job string
 }
 
-// IsolatedCrashes is from how many crashes on a task starts alone on a worker, so that
-// another crash proves that it is the cause.
-const IsolatedCrashes = 2
-
 const (
 	// The terms of a worker's score; the highest sum wins. A task that runs away from
 	// its data or on a second rack takes 1.5 times as long. For tasks that are neither
@@ -69,17 +70,21 @@
 	// different workers, so that a crash shows which of them is the cause.
 	// scoreSuspectFreeCapacity prefers idle workers for suspect tasks: the others have more
 	// to lose.
-	scoreSuspect             = -6.0
+	scoreSuspect = -6.0
+	// scoreIsolated keeps the suspect tasks of a job together: if any of them is the cause,
+	// the whole job is.
+	scoreIsolated            = 8.0
 	scoreSuspectFreeCapacity = 4.0
 )
 
 // Choose returns the index of the worker with the highest score, or -1 if none can run
 // the task.
 func Choose(want Requirements, workers []Worker) int {
+	mayIsolate := !want.Alone || mayIsolate(workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !CanRun(want, w) {
+		if !CanRun(want, w) || !mayIsolate && !w.Isolated {
 			continue
 		}
 		if s := scoreOf(want, w); best < 0 || s > bestScore {
@@ -89,14 +94,31 @@
 	return best
 }
 
+// mayIsolate reports whether another worker may be kept for tasks that start alone. A third
+// of the workers is left to the other tasks, unless there is only one worker.
+func mayIsolate(workers []Worker) bool {
+	n := 0
+	for i := range workers {
+		n += boolToInt(workers[i].Isolated)
+	}
+	return n < max(1, 2*len(workers)/3)
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
 	if !s.Reserved().Fits(w.Free) {
 		return false
 	}
-	if want.Crashes >= IsolatedCrashes {
-		if w.Recent > 0 || w.Suspects > 0 {
+	if want.Alone {
+		if !isolatedFor(want, w) && (w.Recent > 0 || w.Suspects > 0) {
 			return false
 		}
 	} else if w.Isolated {
@@ -108,6 +130,11 @@
 	return s.Label == "" || hasLabel(w.Labels, s.Label)
 }
 
+// isolatedFor reports whether tasks of the same job have started alone on the worker.
+func isolatedFor(want Requirements, w *Worker) bool {
+	return w.Isolated && w.IsolatedFor != "" && w.IsolatedFor == want.Job
+}
+
 func hasLabel(labels []string, want string) bool {
 	for _, l := range labels {
 		if l == want {
@@ -125,10 +152,13 @@
 	} else {
 		score += scoreUsedCapacity * (1 - freeShare(w))
 	}
-	if w.Suspects > 0 || want.Crashes > 0 && w.Recent > 0 {
+	switch {
+	case want.Alone && isolatedFor(want, w):
+		score += scoreIsolated
+	case w.Suspects > 0 || want.Suspect && w.Recent > 0:
 		score += scoreSuspect
 	}
-	if want.Crashes > 0 {
+	if want.Suspect {
 		score += scoreSuspectFreeCapacity * freeShare(w)
 	}
 	if s.DataRack != "" && s.DataRack == w.Rack {
@@ -153,28 +183,24 @@
 }
 
 // ChooseIsolated returns the index of the worker that is the soonest to be free of recent
-// attempts and could run the task, or -1 if there is none or a third of the workers, but at
-// least one, are isolated already.
+// attempts and could run the task alone, or -1 if there is none or no more workers may be
+// isolated.
 func ChooseIsolated(want Requirements, workers []Worker) int {
-	best, isolated := -1, 0
+	if !mayIsolate(workers) {
+		return -1
+	}
+	best := -1
 	for i := range workers {
 		w := &workers[i]
-		if w.Isolated {
-			isolated++
-			continue
-		}
 		idle := *w
 		idle.Free, idle.Recent, idle.Suspects = w.Capacity, 0, 0
-		if !CanRun(want, &idle) {
+		if w.Isolated || !CanRun(want, &idle) {
 			continue
 		}
 		if best < 0 || w.Recent < workers[best].Recent || w.Recent == workers[best].Recent && freeShare(w) > freeShare(&workers[best]) {
 			best = i
 		}
 	}
-	if isolated >= max(1, len(workers)/3) {
-		return -1
-	}
 	return best
 }
 
--- a/msplace/place_test.go
+++ b/msplace/place_test.go
@@ -286,25 +286,27 @@
 	t.Parallel()
 	need := msjob.Resources{CPU: 1000, Memory: 100}
 	room := msjob.Resources{CPU: 4000, Memory: 4000}
-	want := Requirements{Step: &msjob.Step{Count: 1, Need: need}}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: need}, Job: "j"}
 	busy, idle := room.Minus(need), room
 	for name, c := range map[string]struct {
-		crashes int
-		workers []Worker
-		want    int
+		suspect, alone bool
+		workers        []Worker
+		want           int
 	}{
-		"packed without a crash":          {0, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 0},
-		"apart after a crash":             {1, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 1},
-		"beside others if it must":        {1, []Worker{{Free: busy, Recent: 1}}, 0},
-		"others away from a suspect":      {0, []Worker{{Free: busy, Suspects: 1}, {Free: idle}}, 1},
-		"alone after two":                 {2, []Worker{{Free: busy, Recent: 1}, {Free: idle, Suspects: 1}}, -1},
-		"alone on the worker kept for it": {2, []Worker{{Free: busy, Recent: 1}, {Free: idle, Isolated: true}}, 1},
-		"nobody else there":               {1, []Worker{{Free: idle, Isolated: true}}, -1},
+		"packed without a crash":          {false, false, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 0},
+		"apart after a crash":             {true, false, []Worker{{Free: busy, Recent: 1}, {Free: idle}}, 1},
+		"beside others if it must":        {true, false, []Worker{{Free: busy, Recent: 1}}, 0},
+		"others away from a suspect":      {false, false, []Worker{{Free: busy, Suspects: 1}, {Free: idle}}, 1},
+		"alone on none":                   {true, true, []Worker{{Free: busy, Recent: 1}, {Free: idle, Suspects: 1}}, -1},
+		"alone on the worker kept for it": {true, true, []Worker{{Free: busy, Recent: 1}, {Free: idle, Isolated: true}}, 1},
+		"with its own job":                {true, true, []Worker{{Free: idle}, {Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "j"}}, 1},
+		"not with another job":            {true, true, []Worker{{Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "k"}}, -1},
+		"nobody else there":               {true, false, []Worker{{Free: idle, Isolated: true}}, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			want := want
-			want.Crashes = c.crashes
+			want.Suspect, want.Alone = c.suspect, c.alone
 			for i := range c.workers {
 				c.workers[i].Capacity = room
 			}
@@ -316,7 +318,7 @@
 func TestWorkersAreKeptFreeForSuspectTasks(t *testing.T) {
 	t.Parallel()
 	room := msjob.Resources{CPU: 4000, Memory: 4000}
-	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Crashes: IsolatedCrashes}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Suspect: true, Alone: true}
 	workers := []Worker{
 		{Capacity: room, Free: room, Recent: 3},
 		{Capacity: room, Recent: 1},
@@ -324,7 +326,9 @@
 	}
 	require.Equal(t, 2, ChooseIsolated(want, workers))
 	workers[2].Isolated = true
-	require.Equal(t, -1, ChooseIsolated(want, workers), "a third of the workers")
+	require.Equal(t, 1, ChooseIsolated(want, workers))
+	workers[1].Isolated = true
+	require.Equal(t, -1, ChooseIsolated(want, workers), "two thirds of the workers")
 	require.Equal(t, 0, ChooseIsolated(want, workers[:1]), "the only worker")
-	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Crashes: 2}, workers[:1]))
+	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Alone: true}, workers[:1]))
 }
--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -34,35 +34,46 @@
 	return [...]string{"none", "unknown", "planned", "cut-off", "crash", "restart"}[w]
 }
 
-// endOf returns what ended a worker that is unreachable or no longer listed. The caller
-// holds mu.
+// endOf returns what ended a worker that is unreachable or no longer listed, by the VM list.
+// The caller holds mu.
 func (e *Engine) endOf(w *worker, now time.Time) workerEnd {
-	name := w.vm
-	if name == "" {
-		name = w.VM
+	if w.Draining {
+		return endedAsPlanned
+	}
+	if w.crashed {
+		return endedByCrash
 	}
-	vm := e.fleet.find(name)
+	vm := e.fleet.find(w.vmName())
 	ordered := w.moving || w.reserved || !w.maintenanceSince.IsZero()
 	switch {
-	case w.Draining:
-		return endedAsPlanned
-	case vm == nil || !e.fleet.readAt.After(w.unreachableSince):
+	case vm == nil || !e.fleet.readAt.After(w.firstReportAt):
 		return endedUnknown
 	case vm.Maintained || vm.Moving || vm.Pool != w.Pool:
 		return endedAsPlanned
 	case !vm.Up:
 		return endedByCrash
-	case vm.Worker == w.ID:
+	case vm.Worker == w.ID && e.fleet.readAt.After(w.unreachableSince):
 		return cutOff
+	case vm.Worker == w.ID:
+		return endedUnknown
 	case ordered:
 		return endedAsPlanned
-	case !e.vmOrders.mayOrder(name, now):
+	case !e.vmOrders.mayOrder(vm.Name, now):
 		// An earlier leader may have ordered the maintenance of the VM.
 		return endedUnknown
 	}
 	return endedByCrash
 }
 
+// vmName returns the name of the worker's VM, or "" if neither the VM list nor its entry has
+// shown it.
+func (w *worker) vmName() string {
+	if w.vm != "" {
+		return w.vm
+	}
+	return w.VM
+}
+
 // find returns the VM with the given name, or nil.
 func (f *fleet) find(name string) *msworker.VM {
 	for i := range f.vms {
@@ -80,11 +91,15 @@
 		return
 	}
 	var recent []string
-	jobs := map[*job]bool{}
+	recentJobs, jobs := map[*job]bool{}, map[*job]bool{}
 	for _, r := range runs {
-		if r.mayHaveStarted() && r.confirmedRuntime() < minExoneratingRuntime {
+		if !r.mayHaveStarted() {
+			continue
+		}
+		jobs[r.job] = true
+		if r.recent() {
 			recent = append(recent, r.task.String())
-			jobs[r.job] = true
+			recentJobs[r.job] = true
 		}
 	}
 	e.Metrics.workerEnded(end)
@@ -93,41 +108,69 @@
 	if end == endedAsPlanned || end == cutOff {
 		return
 	}
+	suspects := recentJobs
+	if len(suspects) == 0 {
+		suspects = jobs
+	}
+	alone := len(suspects) == 1 && end != endedUnknown && !e.rackFails(w)
 	for _, r := range runs {
-		alone := end != endedUnknown && len(jobs) == 1 && jobs[r.job] && r.confirmedRuntime() < minExoneratingRuntime
-		e.recordCrash(r, end, alone)
+		likely := len(recentJobs) == 0 || r.recent()
+		e.recordCrash(r, end, likely, alone && likely)
+	}
+}
+
+// rackFails reports whether other workers of the rack are gone as well, which a task on one
+// of them does not explain.
+func (e *Engine) rackFails(w *worker) bool {
+	n, gone := 0, 0
+	for _, o := range e.workers {
+		if o == w || o.Rack != w.Rack || !o.registered {
+			continue
+		}
+		n++
+		if apart := o.unreachableSince.Sub(w.unreachableSince).Abs(); !o.reachable && apart < rackFailureSpan {
+			gone++
+		}
 	}
+	return gone >= 2 && 2*gone >= n
 }
 
-// recordCrash counts the end of a worker against an attempt that may have run there.
-func (e *Engine) recordCrash(r *run, end workerEnd, alone bool) {
+// rackFailureSpan is the time within which the workers of a rack that fails become
+// unreachable.
+const rackFailureSpan = 500 * time.Millisecond
+
+// recordCrash counts the end of a worker against an attempt that may have run there. likely
+// says that no other attempt there is a more likely cause, alone that no other job is.
+func (e *Engine) recordCrash(r *run, end workerEnd, likely, alone bool) {
 	if !r.mayHaveStarted() || r.state == runStopping || r.job == nil || r.job.p.State.Final() {
 		return
 	}
 	t := r.job.p.Task(r.task)
-	if t == nil || t.Phase != msjob.Assigned {
+	if t == nil || t.Phase != msjob.Assigned || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime {
 		return
 	}
+	evidence, n := msjob.CrashUnconfirmed, 1
 	switch {
-	case end != endedUnknown && !r.confirmedAt.IsZero():
-		t.RecordCrash(true)
-	case end == restarted:
+	case !likely:
+		evidence = msjob.CrashUnlikely
+	case end == restarted && r.confirmedAt.IsZero():
 		// The worker may have crashed with each of the starts.
-		for range r.unanswered {
-			t.RecordCrash(false)
-		}
-	default:
-		t.RecordCrash(false)
+		n = r.unanswered
+	case end != endedUnknown && !r.confirmedAt.IsZero():
+		evidence = msjob.CrashConfirmed
+	}
+	for range n {
+		t.RecordCrash(evidence, r.confirmedRuntime())
 	}
 	e.markDirty(r.job)
 	if !t.CrashesWorkers(alone) {
 		return
 	}
-	n := strconv.Itoa(t.MaxCrashes())
+	crashes := strconv.Itoa(t.MaxCrashes())
 	e.Logger.Warn("task given up", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt), zap.String("worker", r.w.ID),
 		zap.Int("crashes", t.Crashes), zap.Int("unconfirmed", t.UnconfirmedCrashes), zap.Bool("alone", alone))
 	e.Metrics.gaveUp()
-	e.endJob(r.job, msjob.Failed, "task "+r.task.String()+" was started on "+n+" workers that crashed")
+	e.endJob(r.job, msjob.Failed, "task "+r.task.String()+" was started on "+crashes+" workers that crashed")
 }
 
 // mayHaveStarted reports whether the worker has started the attempt or may have.
@@ -135,16 +178,19 @@
 	return r.unanswered > 0 || !r.confirmedAt.IsZero()
 }
 
-// exonerate forgets the crashes of a long-running task that has run for long enough.
+// exonerate forgets the crashes of a task that has run alone for long enough, or lasts and
+// has run for long.
 func (e *Engine) exonerate(r *run) {
-	if r.crashes == 0 || r.confirmedRuntime() < exoneratingRuntime || r.job.p.State.Final() {
+	if !r.suspect || r.job.p.State.Final() {
 		return
 	}
-	r.crashes = 0
-	if s, t := r.step(), r.job.p.Task(r.task); s.LongRunning && t != nil {
-		t.Exonerate()
-		e.markDirty(r.job)
+	t := r.job.p.Task(r.task)
+	if t == nil || !(r.isolated && !r.recent() || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime) {
+		return
 	}
+	r.suspect, r.isolated, r.trialTime = false, false, 0
+	t.Exonerate()
+	e.markDirty(r.job)
 }
 
 // allRuns returns the attempts on the worker.
@@ -160,9 +206,10 @@
 // count against its task: over the life of a long-running task several workers may crash.
 const exoneratingRuntime = 10 * time.Second
 
-// minExoneratingRuntime is how long an attempt must have run before the crash of its
-// worker, so that a more recent attempt is the more likely cause.
-const minExoneratingRuntime = 2 * time.Second
+// recent reports whether the attempt has started shortly before, as far as is known.
+func (r *run) recent() bool {
+	return r.confirmedRuntime() < max(r.trialTime, msjob.MinTrialTime)
+}
 
 // confirmedRuntime returns how long the worker is known to have run the attempt.
 func (r *run) confirmedRuntime() time.Duration {
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -141,7 +141,9 @@
 		"worker drains":       {down, func(_ *Engine, w *worker) { w.Draining = true }, endedAsPlanned},
 		"maintenance ordered": {other, func(_ *Engine, w *worker) { w.maintenanceSince = now }, endedAsPlanned},
 		"order, VM down":      {down, func(_ *Engine, w *worker) { w.moving = true }, endedByCrash},
-		"list too old":        {down, func(_ *Engine, w *worker) { w.unreachableSince = now }, endedUnknown},
+		"list from before":    {down, func(_ *Engine, w *worker) { w.firstReportAt = now }, endedUnknown},
+		"cut off later":       {vm, func(_ *Engine, w *worker) { w.unreachableSince = now }, endedUnknown},
+		"crash seen before":   {moving, func(_ *Engine, w *worker) { w.crashed = true }, endedByCrash},
 		"VM not listed":       {down, func(_ *Engine, w *worker) { w.VM = "vm-9" }, endedUnknown},
 		"order of another leader": {other, func(e *Engine, _ *worker) {
 			e.vmOrders.heldUntil = map[string]time.Time{"vm": now.Add(time.Second)}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -88,7 +88,7 @@
 	if t := r.job.p.Task(r.task); t != nil {
 		s.Checkpoint = t.Checkpoint
 	}
-	if r.uncertain && r.crashes > 0 && !r.sentAt.IsZero() && !r.w.reportRequestedAt.After(r.sentAt) {
+	if r.uncertain && r.suspect && !r.sentAt.IsZero() && !r.w.reportRequestedAt.After(r.sentAt) {
 		// The worker may have crashed and restarted; its next report shows that.
 		return s, r.w.Worker, true
 	}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -39,10 +39,11 @@
 		for _, w := range r.workers {
 			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool])), Isolated: now.Before(w.isolatedUntil)}
 			for _, run := range w.runs {
-				recent := run.confirmedRuntime() < minExoneratingRuntime
-				v.Recent += boolToInt(recent)
-				v.Suspects += boolToInt(run.crashes > 0)
-				v.Isolated = v.Isolated || recent && run.crashes >= msplace.IsolatedCrashes
+				v.Recent += boolToInt(run.recent())
+				v.Suspects += boolToInt(run.suspect && run.recent())
+				if run.isolated && run.recent() {
+					v.Isolated, v.IsolatedFor = true, run.task.Job
+				}
 				if s := run.step(); s != nil {
 					v.Serving += boolToInt(s.TailLatencyTarget > 0)
 					v.Backfilling += boolToInt(s.Backfill)
@@ -220,7 +221,7 @@
 		tickets = a.tickets
 		pool = a.restrict(pool)
 	}
-	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
+	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}, Job: j.def.ID}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -230,13 +231,10 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		want.Avoid, want.Crashes = j.avoid[id], tasks[i].MaxCrashes()
-		if step.Gang {
-			// The members of a gang have to start at the same time.
-			want.Crashes = min(want.Crashes, 1)
-		}
+		// The members of a gang have to start at the same time.
+		want.Avoid, want.Suspect, want.Alone = j.avoid[id], tasks[i].MaxCrashes() > 0, tasks[i].NeedsIsolation() && !step.Gang
 		n := msplace.Choose(want, pool.placement)
-		if n < 0 && want.Crashes >= msplace.IsolatedCrashes {
+		if n < 0 && want.Alone {
 			isolateWorker(want, pool, now)
 			continue
 		}
@@ -274,7 +272,7 @@
 
 // isolationTime is how long a worker is kept free for a task that has to start alone. The
 // attempts that run there have ended by then, or have run for long enough.
-const isolationTime = minExoneratingRuntime + reportWait
+const isolationTime = msjob.MinTrialTime + reportWait
 
 // logPlaced logs in one line what a pass has placed of a step.
 func (e *Engine) logPlaced(j *job, k, s int, placed []*run, waiting int, site *mssite.Site) {
@@ -324,8 +322,10 @@
 	v := &pool.placement[n]
 	v.Free = w.free()
 	v.Recent++
-	v.Suspects += boolToInt(want.Crashes > 0)
-	v.Isolated = v.Isolated || want.Crashes >= msplace.IsolatedCrashes
+	v.Suspects += boolToInt(want.Suspect)
+	if want.Alone {
+		v.Isolated, v.IsolatedFor = true, j.def.ID
+	}
 	w.isolatedUntil = time.Time{}
 	v.Serving += boolToInt(want.Step.TailLatencyTarget > 0)
 	v.Backfilling += boolToInt(want.Step.Backfill)
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -40,8 +40,12 @@
 	// answeredAt is when a start or a stop was answered; only a report requested after
 	// it shows whether the worker has the attempt.
 	answeredAt time.Time
-	// crashes is how many workers may have crashed because of the task.
-	crashes int
+	// suspect is set if a worker may have crashed because of the task, isolated if it has to
+	// start alone.
+	suspect, isolated bool
+	// trialTime is how long the attempt has to run before it is no longer a likely cause of
+	// a crash.
+	trialTime time.Duration
 	// sentAt is when the latest start was sent, unanswered how many starts the worker may
 	// have had without a confirmation.
 	sentAt     time.Time
@@ -117,14 +121,14 @@
 // newRun returns an attempt of a known task on w, without adding it.
 func (e *Engine) newRun(j *job, id msjob.TaskID, attempt int, w *worker) *run {
 	s := &j.def.Steps[id.Step]
-	crashes := 0
-	if t := j.p.Task(id); t != nil {
-		crashes = t.MaxCrashes()
+	t := j.p.Task(id)
+	if t == nil {
+		t = &msjob.Task{}
 	}
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
-		crashes: crashes,
+		suspect: t.MaxCrashes() > 0, isolated: t.NeedsIsolation() && !s.Gang, trialTime: t.TrialTime(),
 	}
 }
 
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -110,6 +110,7 @@
 	}
 	for id, w := range e.workers {
 		vm := of[id]
+		w.crashed = w.crashed || w.reported && !w.reachable && vm == nil && e.endOf(w, now) == endedByCrash
 		switch {
 		case w.terminated:
 		case vm != nil && vm.Up:
@@ -117,7 +118,10 @@
 				w.maintenanceSince = time.Time{}
 			}
 		case vm == nil && w.vm == "" && w.registered:
-			// The worker has just joined and isn't in this list yet.
+			// The worker has just joined and isn't in this list yet, unless it has left again.
+			if w.reported && !w.reachable && asked.After(w.unreachableSince) && e.endOf(w, now) == endedByCrash {
+				e.terminateWorker(w, "its VM is down or another worker")
+			}
 		case vm == nil || vm.Maintained || vm.Moving:
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -16,7 +16,8 @@
 	// reportWait is how long a worker with running tasks waits for one to end before it
 	// answers a report request. Its lease is renewed at least that often.
 	reportWait = time.Second
-	// servingReportWait is the same for a worker with serving and backfill tasks.
+	// servingReportWait is the same for a worker with serving and backfill tasks, or with a
+	// suspect task that has just started.
 	servingReportWait = 300 * time.Millisecond
 	// idleReportWait is the same for a worker without tasks.
 	idleReportWait = 2 * time.Second
@@ -66,6 +67,10 @@
 	// isolatedUntil is until when the worker is kept free for a task that has to start
 	// alone.
 	isolatedUntil time.Time
+	// firstReportAt is when the worker first answered in this term.
+	firstReportAt time.Time
+	// crashed says that a VM list has shown the worker's VM down or with another worker.
+	crashed bool
 	// reportRequestedAt is when the latest report was requested.
 	reportRequestedAt time.Time
 	// blockedUntil is until when the worker gets no new tasks.
@@ -100,6 +105,16 @@
 	return serves && backfills
 }
 
+// runsSuspect reports whether a task that may have crashed a worker has just started.
+func (w *worker) runsSuspect() bool {
+	for _, r := range w.runs {
+		if r.suspect && r.recent() {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) signalStored() {
 	close(w.stored)
 	w.stored = make(chan struct{})
@@ -217,7 +232,7 @@
 	}
 	if w.reported && w.reachable {
 		renewal.Wait = reportWait
-		if w.mixesServingAndBackfill() {
+		if w.mixesServingAndBackfill() || w.runsSuspect() || now.Before(w.isolatedUntil) {
 			renewal.Wait = servingReportWait
 		}
 		if len(w.runs) == 0 {
@@ -277,6 +292,9 @@
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
+	if !w.reported {
+		w.firstReportAt = now
+	}
 	w.reported, w.reportRequestedAt = true, sent
 	for _, end := range rep.Ended {
 		if end.Seq > w.processed {
