--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -185,7 +185,8 @@
 		return
 	}
 	t := r.job.p.Task(r.task)
-	if t == nil || !(r.isolated && !r.recent() || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime) {
+	proven := r.isolated && !r.recent() || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime
+	if t == nil || !proven {
 		return
 	}
 	r.suspect, r.isolated, r.trialTime = false, false, 0
