--- a/msentry/caller.go
+++ b/msentry/caller.go
@@ -68,9 +68,11 @@
 	key         string
 	path        string
 	body        []byte
-	arrived     time.Time
-	deadline    time.Time
-	log         *zap.Logger
+	// broken counts the VMs that got the request and did not answer.
+	broken   int
+	arrived  time.Time
+	deadline time.Time
+	log      *zap.Logger
 }
 
 // ServeHTTP handles a caller's request.
--- a/msentry/entry_test.go
+++ b/msentry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,3 +131,19 @@
 	require.Empty(t, got)
 	require.Empty(t, res.Header.Get("Content-Type"))
 }
+
+// A request that breaks each VM that gets it was sent to four of them.
+func TestRequestThatBreaksItsVMsIsSentToTwo(t *testing.T) {
+	var sent atomic.Int64
+	target := startEntry(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/break" {
+			sent.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	res, _, err := send(t, target+"/break", "x", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, res.StatusCode)
+	require.Equal(t, OutcomeUnknown, res.Header.Get(HeaderOutcome))
+	require.Equal(t, int64(2), sent.Load())
+}
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -21,6 +21,9 @@
 const (
 	// maxAttempts is how many times a request is sent, each time with a new grant.
 	maxAttempts = 4
+	// maxBroken is how many VMs may break off a request that is sent again: it may be the
+	// request that takes them down.
+	maxBroken = 2
 	// responseGrace is how long after its deadline an upstream's response is still accepted.
 	responseGrace = 250 * time.Millisecond
 	// maxBufferedBody is the longest body that is buffered for resending, in bytes.
@@ -54,6 +57,9 @@
 			// Once an attempt may have run, a later refusal can't make the outcome not-run.
 			last = upstreamFailure(err)
 		}
+		if err.Sent {
+			rq.broken++
+		}
 		if !rq.mayRetry(err, try) {
 			break
 		}
@@ -71,7 +77,7 @@
 	if try+1 == maxAttempts || err.Reason == "canceled" || err.Reason == "withheld" {
 		return false
 	}
-	if err.Sent && !rq.queue.Idempotent {
+	if err.Sent && (!rq.queue.Idempotent || rq.broken >= maxBroken) {
 		return false
 	}
 	return rq.body != nil || rq.r.ContentLength == 0 || err.BodyUnread
