--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -23,6 +23,7 @@
 	}{
 		{name: "start answered", spec: "run=50ms crash=0"},
 		{name: "start without an answer", spec: "run=50ms crash=0 unanswered"},
+		{name: "some time after its start", spec: "run=3s crash=0 crash-after=1200ms"},
 		{name: "restart under the ID", spec: "run=50ms crash=0", keepIDs: true},
 		{name: "restart under the ID, start without an answer", spec: "run=50ms crash=0 unanswered", keepIDs: true},
 	} {
@@ -32,7 +33,9 @@
 			w.keepIDs = c.keepIDs
 			e := w.entry("a")
 			for i := range 6 {
-				w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=300ms", Steps: []msjob.Step{step(3)}})
+				second, third := step(3), step(3)
+				second.After, third.After = []int{0}, []int{1}
+				w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=300ms", Steps: []msjob.Step{step(3), second, third}})
 			}
 			w.submit(&msjob.Job{ID: "00000000000000ff", Spec: c.spec, Steps: []msjob.Step{step(2)}})
 			w.await(e, "00000000000000ff", msjob.Failed)
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -16,8 +16,8 @@
 // JobWorker runs attempts of tasks in memory. What an attempt does stands in its
 // job's spec: "run=300ms" is how long it takes, "fail=2" lets the first two attempts
 // of every task fail, and "crash=1" lets the task with index 1 of every step crash its
-// worker. With "unanswered", the start that crashes the worker gets no answer. The fields
-// are set before use.
+// worker, "crash-after=1s" how long after its start. With "unanswered", the start that
+// crashes the worker gets no answer. The fields are set before use.
 type JobWorker struct {
 	Worker msworker.Worker
 	// Clock is the system's by default.
@@ -221,10 +221,10 @@
 	if lose {
 		w.loseStarts--
 	}
-	crashes, unanswered := crashSpec(s)
+	crashes, after, unanswered := crashSpec(s)
 	if err == nil && crashes && w.OnCrash != nil {
 		lose = lose || unanswered
-		go w.crash()
+		go w.crash(after)
 	}
 	w.mu.Unlock()
 	if lose {
@@ -259,22 +259,27 @@
 	return nil
 }
 
-// crashDelay is how long after its start a task crashes its worker.
+// crashDelay is how long after its start a task crashes its worker unless its spec says.
 const crashDelay = 10 * time.Millisecond
 
-func (w *JobWorker) crash() {
-	_ = msclock.Sleep(context.Background(), w.Clock, crashDelay)
+func (w *JobWorker) crash(after time.Duration) {
+	_ = msclock.Sleep(context.Background(), w.Clock, after)
 	w.OnCrash(w.Worker.ID)
 }
 
-// crashSpec reads whether a task crashes its worker, and whether its start is answered.
-func crashSpec(s msworker.Start) (crashes, unanswered bool) {
+// crashSpec reads whether and when a task crashes its worker, and whether its start is
+// answered.
+func crashSpec(s msworker.Start) (crashes bool, after time.Duration, unanswered bool) {
+	after = crashDelay
 	for _, f := range strings.Fields(s.Spec) {
 		name, value, _ := strings.Cut(f, "=")
 		crashes = crashes || name == "crash" && value == strconv.Itoa(s.Task.Index)
 		unanswered = unanswered || name == "unanswered"
+		if d, err := time.ParseDuration(value); name == "crash-after" && err == nil {
+			after = d
+		}
 	}
-	return crashes, unanswered
+	return crashes, after, unanswered
 }
 
 // parseSpec reads what an attempt does.
