--- a/msjob/crash.go
+++ b/msjob/crash.go
@@ -8,9 +8,8 @@
 	minCrashes = 2
 	// minUnconfirmedCrashes is the same if not all of the workers had confirmed the start.
 	minUnconfirmedCrashes = 3
-	// isolatedCrashes and maxUnprovenCrashes are from how many crashes on, and from how many
-	// with those that are not confirmed, a task starts alone on a worker.
-	isolatedCrashes    = 1
+	// maxUnprovenCrashes is from how many crashes on a task that is not a likely cause is
+	// isolated.
 	maxUnprovenCrashes = 3
 	// maxCrashes is how many workers a task may take down, whatever else may have been the
 	// cause.
@@ -37,7 +36,7 @@
 	case evidence == CrashConfirmed:
 		t.Crashes++
 	case evidence == CrashUnconfirmed, t.MaxCrashes() < maxUnprovenCrashes:
-		// Unlikely causes only make the task start alone.
+		// Unlikely causes only make the task start apart from others.
 		t.UnconfirmedCrashes++
 	}
 	t.CrashRuntime = max(t.CrashRuntime, ran)
@@ -46,14 +45,15 @@
 // TrialTime is how long an attempt of the task has to run before it is no longer a likely
 // cause of a crash.
 func (t *Task) TrialTime() time.Duration {
-	return min(max(MinTrialTime, t.CrashRuntime+t.CrashRuntime/2+MinTrialTime/2), maxTrialTime)
+	return min(max(MinTrialTime, t.CrashRuntime+t.CrashRuntime/2+MinTrialTime/2), MaxTrialTime)
 }
 
 const (
 	// MinTrialTime is the TrialTime of tasks that have not run before a crash: most tasks
 	// that crash a worker do so as they start.
 	MinTrialTime = 300 * time.Millisecond
-	maxTrialTime = 10 * time.Second
+	// MaxTrialTime is the longest. A task that crashes its workers later is not found.
+	MaxTrialTime = 10 * time.Second
 )
 
 // MaxCrashes returns how many workers the task may have crashed. A task with any is
@@ -62,11 +62,29 @@
 	return t.Crashes + t.UnconfirmedCrashes
 }
 
-// NeedsIsolation reports whether the task must start alone on a worker, so that another
-// crash proves that it is the cause. Tasks that are a less likely cause of a crash are only
-// kept apart from others where there is room.
-func (t *Task) NeedsIsolation() bool {
-	return t.Crashes >= isolatedCrashes || t.MaxCrashes() >= maxUnprovenCrashes
+// Isolation is beside what a suspect task may start.
+type Isolation int
+
+const (
+	// NotIsolated tasks start beside any other, on an idle worker if there is one.
+	NotIsolated Isolation = iota
+	// IsolatedWithSuspects tasks start beside others of their kind: none of them is a likely
+	// cause, and it would take long to start each of them alone.
+	IsolatedWithSuspects
+	// IsolatedByJob tasks start beside tasks of their job only, so that another crash proves
+	// that the job is the cause.
+	IsolatedByJob
+)
+
+// Isolation returns beside what the task may start.
+func (t *Task) Isolation() Isolation {
+	switch {
+	case t.Crashes > 0 || t.MaxCrashes() > maxUnprovenCrashes:
+		return IsolatedByJob
+	case t.MaxCrashes() >= maxUnprovenCrashes:
+		return IsolatedWithSuspects
+	}
+	return NotIsolated
 }
 
 // Exonerate forgets the crashes, once an attempt has run for long.
--- a/msjob/crash_test.go
+++ b/msjob/crash_test.go
@@ -39,10 +39,12 @@
 			require.False(t, task.CrashesWorkers(false))
 			task.RecordCrash(CrashEvidence(mask>>i&1)+CrashUnconfirmed, 0)
 		}
-		require.True(t, task.NeedsIsolation(), "%b", mask)
+		require.Equal(t, IsolatedByJob, task.Isolation(), "%b", mask)
+	}
+	for n, want := range []Isolation{NotIsolated, NotIsolated, NotIsolated, IsolatedWithSuspects, IsolatedByJob} {
+		unconfirmed := Task{UnconfirmedCrashes: n}
+		require.Equal(t, want, unconfirmed.Isolation(), n)
 	}
-	unconfirmed := Task{UnconfirmedCrashes: 2}
-	require.False(t, unconfirmed.NeedsIsolation())
 }
 
 // However the evidence comes in, no task may crash more workers than the bound.
@@ -83,7 +85,7 @@
 		task.RecordCrash(CrashUnlikely, 2*time.Second)
 		require.False(t, task.CrashesWorkers(false))
 	}
-	require.True(t, task.NeedsIsolation())
+	require.Equal(t, IsolatedWithSuspects, task.Isolation())
 	task.RecordCrash(CrashConfirmed, 2*time.Second)
 	require.True(t, task.CrashesWorkers(true))
 }
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -22,8 +22,8 @@
 	// Recent counts the attempts that started on the worker shortly before, Suspects those
 	// of tasks under which a worker has crashed.
 	Recent, Suspects int
-	// Isolated keeps other jobs away, for tasks that have to start alone. IsolatedFor is
-	// their job, or empty if none of them has started yet.
+	// Isolated keeps other tasks away, for tasks that have to start apart. IsolatedFor is
+	// their group, or empty if none of them has started yet.
 	Isolated    bool
 	IsolatedFor string
 }
@@ -35,11 +35,11 @@
 	Avoid map[string]bool
 	// OnWorker counts the step's tasks in this occurrence by worker, OnRack by rack.
 	OnWorker, OnRack map[string]int
-	// Suspect is set if a worker may have crashed because of the task, Alone if it must start
-	// on a worker where no other job has started tasks lately.
-	Suspect, Alone bool
-	// Job is the task's job.
-	Job string
+	// Suspect is set if a worker may have crashed because of the task.
+	Suspect bool
+	// Group, if set, has the task start on a worker where only tasks of the same group have
+	// started lately.
+	Group string
 }
 
 const (
@@ -71,8 +71,7 @@
 	// scoreSuspectFreeCapacity prefers idle workers for suspect tasks: the others have more
 	// to lose.
 	scoreSuspect = -6.0
-	// scoreIsolated keeps the suspect tasks of a job together: if any of them is the cause,
-	// the whole job is.
+	// scoreIsolated keeps the tasks of a group on few workers.
 	scoreIsolated            = 8.0
 	scoreSuspectFreeCapacity = 4.0
 )
@@ -80,7 +79,7 @@
 // Choose returns the index of the worker with the highest score, or -1 if none can run
 // the task.
 func Choose(want Requirements, workers []Worker) int {
-	mayIsolate := !want.Alone || mayIsolate(workers)
+	mayIsolate := want.Group == "" || mayIsolate(workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
@@ -94,7 +93,7 @@
 	return best
 }
 
-// mayIsolate reports whether another worker may be kept for tasks that start alone. A third
+// mayIsolate reports whether another worker may be kept for tasks that start apart. A third
 // of the workers is left to the other tasks, unless there is only one worker.
 func mayIsolate(workers []Worker) bool {
 	n := 0
@@ -117,7 +116,7 @@
 	if !s.Reserved().Fits(w.Free) {
 		return false
 	}
-	if want.Alone {
+	if want.Group != "" {
 		if !isolatedFor(want, w) && (w.Recent > 0 || w.Suspects > 0) {
 			return false
 		}
@@ -130,9 +129,9 @@
 	return s.Label == "" || hasLabel(w.Labels, s.Label)
 }
 
-// isolatedFor reports whether tasks of the same job have started alone on the worker.
+// isolatedFor reports whether the worker is isolated for the task's group.
 func isolatedFor(want Requirements, w *Worker) bool {
-	return w.Isolated && w.IsolatedFor != "" && w.IsolatedFor == want.Job
+	return want.Group != "" && w.Isolated && w.IsolatedFor == want.Group
 }
 
 func hasLabel(labels []string, want string) bool {
@@ -153,7 +152,7 @@
 		score += scoreUsedCapacity * (1 - freeShare(w))
 	}
 	switch {
-	case want.Alone && isolatedFor(want, w):
+	case isolatedFor(want, w):
 		score += scoreIsolated
 	case w.Suspects > 0 || want.Suspect && w.Recent > 0:
 		score += scoreSuspect
@@ -183,7 +182,7 @@
 }
 
 // ChooseIsolated returns the index of the worker that is the soonest to be free of recent
-// attempts and could run the task alone, or -1 if there is none or no more workers may be
+// attempts and could run the task, or -1 if there is none or no more workers may be
 // isolated.
 func ChooseIsolated(want Requirements, workers []Worker) int {
 	if !mayIsolate(workers) {
--- a/msplace/place_test.go
+++ b/msplace/place_test.go
@@ -286,7 +286,7 @@
 	t.Parallel()
 	need := msjob.Resources{CPU: 1000, Memory: 100}
 	room := msjob.Resources{CPU: 4000, Memory: 4000}
-	want := Requirements{Step: &msjob.Step{Count: 1, Need: need}, Job: "j"}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: need}}
 	busy, idle := room.Minus(need), room
 	for name, c := range map[string]struct {
 		suspect, alone bool
@@ -299,14 +299,17 @@
 		"others away from a suspect":      {false, false, []Worker{{Free: busy, Suspects: 1}, {Free: idle}}, 1},
 		"alone on none":                   {true, true, []Worker{{Free: busy, Recent: 1}, {Free: idle, Suspects: 1}}, -1},
 		"alone on the worker kept for it": {true, true, []Worker{{Free: busy, Recent: 1}, {Free: idle, Isolated: true}}, 1},
-		"with its own job":                {true, true, []Worker{{Free: idle}, {Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "j"}}, 1},
-		"not with another job":            {true, true, []Worker{{Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "k"}}, -1},
+		"with its own group":              {true, true, []Worker{{Free: idle}, {Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "j"}}, 1},
+		"not with another group":          {true, true, []Worker{{Free: busy, Recent: 1, Suspects: 1, Isolated: true, IsolatedFor: "k"}}, -1},
 		"nobody else there":               {true, false, []Worker{{Free: idle, Isolated: true}}, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			want := want
-			want.Suspect, want.Alone = c.suspect, c.alone
+			want.Suspect = c.suspect
+			if c.alone {
+				want.Group = "j"
+			}
 			for i := range c.workers {
 				c.workers[i].Capacity = room
 			}
@@ -318,7 +321,7 @@
 func TestWorkersAreKeptFreeForSuspectTasks(t *testing.T) {
 	t.Parallel()
 	room := msjob.Resources{CPU: 4000, Memory: 4000}
-	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Suspect: true, Alone: true}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Suspect: true, Group: "j"}
 	workers := []Worker{
 		{Capacity: room, Free: room, Recent: 3},
 		{Capacity: room, Recent: 1},
@@ -330,5 +333,5 @@
 	workers[1].Isolated = true
 	require.Equal(t, -1, ChooseIsolated(want, workers), "two thirds of the workers")
 	require.Equal(t, 0, ChooseIsolated(want, workers[:1]), "the only worker")
-	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Alone: true}, workers[:1]))
+	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Group: "j"}, workers[:1]))
 }
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -113,7 +113,7 @@
 				}
 				n, waiting := int64(0), int64(0)
 				for i := range occurrence.Steps[s] {
-					if t := &occurrence.Steps[s][i]; t.Phase != msjob.Done && t.NeedsIsolation() {
+					if t := &occurrence.Steps[s][i]; t.Phase != msjob.Done && t.Isolation() == msjob.IsolatedByJob {
 						// The task takes a worker for itself.
 						p.Demand += max(0, p.VMMilliCores-step.Reserved().CPU)
 					}
--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -91,16 +91,15 @@
 		return
 	}
 	var recent []string
-	recentJobs, jobs := map[*job]bool{}, map[*job]bool{}
+	recentJobs, youngJobs := map[*job]bool{}, map[*job]bool{}
 	for _, r := range runs {
-		if !r.mayHaveStarted() {
-			continue
-		}
-		jobs[r.job] = true
-		if r.recent() {
+		if r.mayHaveStarted() && r.recent() {
 			recent = append(recent, r.task.String())
 			recentJobs[r.job] = true
 		}
+		if r.mayHaveStarted() && r.young() {
+			youngJobs[r.job] = true
+		}
 	}
 	e.Metrics.workerEnded(end)
 	e.Logger.Info("worker ended", zap.String("worker", w.ID), zap.String("vm", w.VM), zap.String("end", end.String()),
@@ -108,36 +107,42 @@
 	if end == endedAsPlanned || end == cutOff {
 		return
 	}
-	suspects := recentJobs
-	if len(suspects) == 0 {
-		suspects = jobs
+	likely, suspects := (*run).recent, recentJobs
+	if len(recent) == 0 {
+		likely, suspects = (*run).young, youngJobs
 	}
 	alone := len(suspects) == 1 && end != endedUnknown && !e.rackFails(w)
 	for _, r := range runs {
-		likely := len(recentJobs) == 0 || r.recent()
-		e.recordCrash(r, end, likely, alone && likely)
+		e.recordCrash(r, end, likely(r), alone && likely(r))
 	}
 }
 
-// rackFails reports whether other workers of the rack are gone as well, which a task on one
-// of them does not explain.
+// rackFails reports whether other workers of the rack have ended at the same time, which a
+// task on one of them does not explain.
 func (e *Engine) rackFails(w *worker) bool {
-	n, gone := 0, 0
-	for _, o := range e.workers {
-		if o == w || o.Rack != w.Rack || !o.registered {
+	now := e.Clock.Now()
+	gone := map[string]bool{}
+	n := 0
+	for i := range e.fleet.vms {
+		vm := &e.fleet.vms[i]
+		if vm.Rack != w.Rack || vm.Name == w.vmName() {
 			continue
 		}
 		n++
-		if apart := o.unreachableSince.Sub(w.unreachableSince).Abs(); !o.reachable && apart < rackFailureSpan {
-			gone++
+		if at, ok := e.fleet.endedAt[vm.Name]; ok && now.Sub(at) < rackFailureSpan {
+			gone[vm.Name] = true
 		}
 	}
-	return gone >= 2 && 2*gone >= n
+	for _, o := range e.workers {
+		if o != w && o.Rack == w.Rack && o.registered && !o.reachable && o.unreachableSince.Sub(w.unreachableSince).Abs() < rackFailureSpan {
+			gone[o.vmName()] = true
+		}
+	}
+	return len(gone) >= 2 && 2*len(gone) >= n
 }
 
-// rackFailureSpan is the time within which the workers of a rack that fails become
-// unreachable.
-const rackFailureSpan = 500 * time.Millisecond
+// rackFailureSpan is the time within which the VMs of a rack that fails are seen to be down.
+const rackFailureSpan = time.Second
 
 // recordCrash counts the end of a worker against an attempt that may have run there. likely
 // says that no other attempt there is a more likely cause, alone that no other job is.
@@ -146,7 +151,7 @@
 		return
 	}
 	t := r.job.p.Task(r.task)
-	if t == nil || t.Phase != msjob.Assigned || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime {
+	if t == nil || t.Phase != msjob.Assigned || r.confirmedRuntime() >= r.exoneratingRuntime() {
 		return
 	}
 	evidence, n := msjob.CrashUnconfirmed, 1
@@ -178,14 +183,13 @@
 	return r.unanswered > 0 || !r.confirmedAt.IsZero()
 }
 
-// exonerate forgets the crashes of a task that has run alone for long enough, or lasts and
-// has run for long.
+// exonerate forgets the crashes of a task that has run for long, or alone for long enough.
 func (e *Engine) exonerate(r *run) {
 	if !r.suspect || r.job.p.State.Final() {
 		return
 	}
 	t := r.job.p.Task(r.task)
-	proven := r.isolated && !r.recent() || r.step().LongRunning && r.confirmedRuntime() >= exoneratingRuntime
+	proven := r.isolated && !r.recent() || r.confirmedRuntime() >= r.exoneratingRuntime()
 	if t == nil || !proven {
 		return
 	}
@@ -194,6 +198,21 @@
 	e.markDirty(r.job)
 }
 
+// suspectsGroup is the group of the tasks that are isolated with other suspects.
+const suspectsGroup = "suspects"
+
+// isolationGroup returns the group of tasks beside which a task may start, or "" if it may
+// start beside any. The members of a gang have to start at the same time.
+func isolationGroup(j *job, s *msjob.Step, t *msjob.Task) string {
+	switch isolation := t.Isolation(); {
+	case s.Gang || isolation == msjob.NotIsolated:
+		return ""
+	case isolation == msjob.IsolatedWithSuspects:
+		return suspectsGroup
+	}
+	return j.def.ID
+}
+
 // allRuns returns the attempts on the worker.
 func (w *worker) allRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
@@ -203,15 +222,33 @@
 	return runs
 }
 
-// exoneratingRuntime is how long an attempt must have run before earlier crashes no longer
-// count against its task: over the life of a long-running task several workers may crash.
-const exoneratingRuntime = 10 * time.Second
+// exoneratingRuntime is how long an attempt must have run to show that its task does not
+// crash its workers. Over the life of a long-running task several workers may crash.
+func (r *run) exoneratingRuntime() time.Duration {
+	if r.step().LongRunning {
+		return maxYoungRuntime
+	}
+	return msjob.MaxTrialTime
+}
 
 // recent reports whether the attempt has started shortly before, as far as is known.
 func (r *run) recent() bool {
+	if r.adopted && !r.isolated && !r.confirmedAt.IsZero() {
+		// It has run since before the change of leader.
+		return false
+	}
 	return r.confirmedRuntime() < max(r.trialTime, msjob.MinTrialTime)
 }
 
+// young reports whether the attempt may be the cause of a crash when no other has started
+// more recently. One that has run for longer has more likely lost its worker to a failure of
+// the VM.
+func (r *run) young() bool {
+	return r.recent() || !r.adopted && r.confirmedRuntime() < maxYoungRuntime
+}
+
+const maxYoungRuntime = 2 * time.Second
+
 // confirmedRuntime returns how long the worker is known to have run the attempt.
 func (r *run) confirmedRuntime() time.Duration {
 	if r.confirmedAt.IsZero() || r.reportedAt.Before(r.confirmedAt) {
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"marjoramspan/msclock"
 	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
@@ -163,3 +166,53 @@
 		})
 	}
 }
+
+// The VMs of a rack fail at the same moment, some time after one of them has crashed: the
+// tasks that lose a worker again are not the cause.
+func TestRackFailureProvesNothing(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 0)
+	for i := range 12 {
+		w.vms.Add(msworker.VM{
+			Name: "vm-" + strconv.Itoa(i), Pool: "booth", Rack: "r" + strconv.Itoa(i/4), Up: true,
+			Capacity: msjob.Resources{CPU: 4000, Memory: 8000},
+		})
+	}
+	w.vms.Away = 500 * time.Millisecond
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{longRunning(6, 1)}})
+	w.awaitRunning(6)
+	for i := range 6 {
+		rack := "r" + strconv.Itoa(i%3)
+		for id, entry := range w.reg.All() {
+			if entry.Rack == rack {
+				w.vms.Crash(id)
+			}
+		}
+		w.awaitRunning(6)
+		time.Sleep(50 * time.Millisecond)
+	}
+	j, ok := e.jobs.Job("0000000000000001")
+	require.True(t, ok)
+	require.Equal(t, msjob.Running, j.State())
+}
+
+// A long-running task that has run for seconds loses its worker twice by chance.
+func TestLongRunningTasksOutliveCrashes(t *testing.T) {
+	t.Parallel()
+	task := msjob.Task{Phase: msjob.Assigned}
+	def := &msjob.Job{ID: "0000000000000001", Steps: []msjob.Step{longRunning(1, 1)}}
+	j := &job{def: def, p: &msjob.Progress{}}
+	e := &Engine{Clock: msclock.System{}, Logger: zap.NewNop(), dirty: map[string]*job{}}
+	start := time.Now()
+	for _, ran := range []time.Duration{7 * time.Second, 9 * time.Second, 3 * time.Second, 2 * time.Second, 20 * time.Second} {
+		j.p.Occurrence(def, 0).Steps[0][0] = task
+		w := &worker{Worker: msworker.Worker{ID: "w-1"}}
+		r := e.newRun(j, msjob.TaskID{Job: def.ID}, 1, w)
+		r.state, r.confirmedAt, r.reportedAt = runStarted, start, start.Add(ran)
+		e.noteEnd(w, endedByCrash, "VM down", []*run{r})
+		task = j.p.Occurrence(def, 0).Steps[0][0]
+		require.Zero(t, task.MaxCrashes())
+		require.False(t, j.p.State.Final())
+	}
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -42,7 +42,7 @@
 				v.Recent += boolToInt(run.recent())
 				v.Suspects += boolToInt(run.suspect && run.recent())
 				if run.isolated && run.recent() {
-					v.Isolated, v.IsolatedFor = true, run.task.Job
+					v.Isolated, v.IsolatedFor = true, run.group
 				}
 				if s := run.step(); s != nil {
 					v.Serving += boolToInt(s.TailLatencyTarget > 0)
@@ -221,7 +221,7 @@
 		tickets = a.tickets
 		pool = a.restrict(pool)
 	}
-	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}, Job: j.def.ID}
+	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -231,10 +231,9 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		// The members of a gang have to start at the same time.
-		want.Avoid, want.Suspect, want.Alone = j.avoid[id], tasks[i].MaxCrashes() > 0, tasks[i].NeedsIsolation() && !step.Gang
+		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n := msplace.Choose(want, pool.placement)
-		if n < 0 && want.Alone {
+		if n < 0 && want.Group != "" {
 			isolateWorker(want, pool, now)
 			continue
 		}
@@ -262,7 +261,7 @@
 }
 
 // isolateWorker keeps new tasks away from a worker, so that the task can soon start there
-// alone.
+// apart from others.
 func isolateWorker(want msplace.Requirements, pool *poolSnapshot, now time.Time) {
 	if n := msplace.ChooseIsolated(want, pool.placement); n >= 0 {
 		pool.placement[n].Isolated = true
@@ -323,8 +322,8 @@
 	v.Free = w.free()
 	v.Recent++
 	v.Suspects += boolToInt(want.Suspect)
-	if want.Alone {
-		v.Isolated, v.IsolatedFor = true, j.def.ID
+	if want.Group != "" {
+		v.Isolated, v.IsolatedFor = true, want.Group
 	}
 	w.isolatedUntil = time.Time{}
 	v.Serving += boolToInt(want.Step.TailLatencyTarget > 0)
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -41,11 +41,14 @@
 	// it shows whether the worker has the attempt.
 	answeredAt time.Time
 	// suspect is set if a worker may have crashed because of the task, isolated if it has to
-	// start alone.
+	// start apart from others: beside tasks of its group only.
 	suspect, isolated bool
+	group             string
 	// trialTime is how long the attempt has to run before it is no longer a likely cause of
 	// a crash.
 	trialTime time.Duration
+	// adopted says that an earlier leader assigned the attempt.
+	adopted bool
 	// sentAt is when the latest start was sent, unanswered how many starts the worker may
 	// have had without a confirmation.
 	sentAt     time.Time
@@ -125,10 +128,11 @@
 	if t == nil {
 		t = &msjob.Task{}
 	}
+	group := isolationGroup(j, s, t)
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
-		suspect: t.MaxCrashes() > 0, isolated: t.NeedsIsolation() && !s.Gang, trialTime: t.TrialTime(),
+		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(),
 	}
 }
 
@@ -146,7 +150,7 @@
 				id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 				n := e.newRun(j, id, t.Attempt, e.workerFor(t.Worker))
 				// The earlier leader may have sent the start without an answer.
-				n.state, n.uncertain, n.unanswered = runAdopted, true, 1
+				n.state, n.uncertain, n.adopted, n.unanswered = runAdopted, true, true, 1
 				e.addRun(n)
 			}
 		}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -26,6 +26,29 @@
 type fleet struct {
 	vms    []msworker.VM
 	readAt time.Time
+	// endedAt is when a list first showed that a VM's worker had ended, neither moved nor
+	// maintained.
+	endedAt map[string]time.Time
+}
+
+// set replaces the list by one that was requested at asked.
+func (f *fleet) set(vms []msworker.VM, asked, now time.Time) {
+	before := make(map[string]*msworker.VM, len(f.vms))
+	for i := range f.vms {
+		before[f.vms[i].Name] = &f.vms[i]
+	}
+	ended := map[string]time.Time{}
+	for i := range vms {
+		vm := &vms[i]
+		if at, ok := f.endedAt[vm.Name]; ok && now.Sub(at) < rackFailureSpan {
+			ended[vm.Name] = at
+		}
+		old := before[vm.Name]
+		if old != nil && old.Up && old.Worker != "" && old.Worker != vm.Worker && old.Pool == vm.Pool && !vm.Maintained && !vm.Moving {
+			ended[vm.Name] = now
+		}
+	}
+	f.vms, f.readAt, f.endedAt = vms, asked, ended
 }
 
 // manageVMs refreshes the VM list, runs maintenance waves and resizes pools until ctx is
@@ -99,7 +122,7 @@
 // when the list was requested.
 func (e *Engine) applyVMs(vms []msworker.VM, asked time.Time) {
 	now := e.Clock.Now()
-	e.fleet = fleet{vms: vms, readAt: asked}
+	e.fleet.set(vms, asked, now)
 	e.releaseUnmoved(asked)
 	of := make(map[string]*msworker.VM, len(vms))
 	for i := range vms {
