--- a/msplace/place.go
+++ b/msplace/place.go
@@ -40,6 +40,8 @@
 	// Group, if set, has the task start on a worker where only tasks of the same group have
 	// started lately.
 	Group string
+	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
+	MaxIsolated int
 }
 
 const (
@@ -79,7 +81,7 @@
 // Choose returns the index of the worker with the highest score, or -1 if none can run
 // the task.
 func Choose(want Requirements, workers []Worker) int {
-	mayIsolate := want.Group == "" || mayIsolate(workers)
+	mayIsolate := want.Group == "" || mayIsolate(want, workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
@@ -93,14 +95,13 @@
 	return best
 }
 
-// mayIsolate reports whether another worker may be kept for tasks that start apart. A third
-// of the workers is left to the other tasks, unless there is only one worker.
-func mayIsolate(workers []Worker) bool {
+// mayIsolate reports whether another worker may be kept for tasks that start apart.
+func mayIsolate(want Requirements, workers []Worker) bool {
 	n := 0
 	for i := range workers {
 		n += boolToInt(workers[i].Isolated)
 	}
-	return n < max(1, 2*len(workers)/3)
+	return n < want.MaxIsolated
 }
 
 func boolToInt(b bool) int {
@@ -185,7 +186,7 @@
 // attempts and could run the task, or -1 if there is none or no more workers may be
 // isolated.
 func ChooseIsolated(want Requirements, workers []Worker) int {
-	if !mayIsolate(workers) {
+	if !mayIsolate(want, workers) {
 		return -1
 	}
 	best := -1
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -112,6 +112,9 @@
 	fleet      fleet
 	pools      pools
 	vmOrders   vmOrders
+	// othersWait has the pools in which tasks that need not be isolated waited after the
+	// latest pass.
+	othersWait map[string]bool
 	// adviceByStep has the advisor's answers, adviceInFlight the number of pending
 	// requests.
 	adviceByStep   map[stepKey]*advice
@@ -166,6 +169,7 @@
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
 	e.adviceByStep = map[stepKey]*advice{}
+	e.othersWait = map[string]bool{}
 	e.pools.movedAt = map[string]time.Time{}
 	if err := e.takeOver(ctx); err != nil {
 		return err
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -17,6 +17,10 @@
 type poolSnapshot struct {
 	workers   []*worker
 	placement []msplace.Worker
+	// maxIsolated bounds the workers that are isolated at a time for suspect tasks.
+	maxIsolated int
+	// othersWait is set once a task that need not be isolated has found no worker.
+	othersWait bool
 }
 
 // snapshotPools returns the usable workers of each pool.
@@ -75,10 +79,20 @@
 	}
 	snapshots := e.snapshotPools(now)
 	site := e.Sites.Site()
+	for name, pool := range snapshots {
+		pool.maxIsolated = len(pool.workers)
+		if e.othersWait[name] {
+			// Half of the workers are left to the tasks that are not suspect.
+			pool.maxIsolated = max(1, len(pool.workers)/2)
+		}
+	}
 	var placed []*run
 	for _, j := range jobs {
 		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
 	}
+	for name, pool := range snapshots {
+		e.othersWait[name] = pool.othersWait
+	}
 	return placed
 }
 
@@ -213,6 +227,7 @@
 		waiting = waiting[:n]
 	}
 	var tickets map[string]string
+	whole := pool
 	if q := queueOf(j.def, site); q != nil && q.Advisor != nil {
 		a := e.adviceFor(stepKey{j.def.ID, k, s}, q, pool, now)
 		if a == nil {
@@ -221,7 +236,7 @@
 		tickets = a.tickets
 		pool = a.restrict(pool)
 	}
-	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}}
+	want := msplace.Requirements{Step: step, OnWorker: map[string]int{}, OnRack: map[string]int{}, MaxIsolated: pool.maxIsolated}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -238,6 +253,7 @@
 			continue
 		}
 		if n < 0 {
+			whole.othersWait = true
 			break
 		}
 		if tasks[i].Phase == msjob.Assigned {
