--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -27,7 +27,7 @@
 	BaseSize int
 	// Size is the number of VMs in the pool once the moves in progress are done.
 	Size int
-	// VMMilliCores is the CPU capacity of one VM of the pool, in thousandths of a core.
+	// VMMilliCores is the mean CPU capacity of a VM of the pool, in thousandths of a core.
 	VMMilliCores int64
 	// LongRunning is the CPU reserved by lasting tasks, which run until their job is
 	// cancelled. Demand is the CPU of all other tasks that run or could start now.
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -42,7 +42,12 @@
 			continue
 		}
 		p.Size++
-		p.VMMilliCores = max(p.VMMilliCores, vm.Capacity.CPU)
+		p.VMMilliCores += e.capacityOf(vm).CPU
+	}
+	for _, p := range by {
+		if p.Size > 0 {
+			p.VMMilliCores /= int64(p.Size)
+		}
 	}
 	e.addDemand(by)
 	for name, p := range by {
@@ -63,6 +68,15 @@
 	return all
 }
 
+// capacityOf returns the capacity of a VM: what its worker says, as that may shrink and grow
+// while it runs, or what the VM list says if it has no worker.
+func (e *Engine) capacityOf(vm msworker.VM) msjob.Resources {
+	if w := e.workers[vm.Worker]; w != nil && w.registered {
+		return w.Capacity
+	}
+	return vm.Capacity
+}
+
 // setBaseSizes sets the base sizes. They are restored from the records; the first size
 // seen of a pool without a record counts as the one that operators gave it.
 func (e *Engine) setBaseSizes(by map[string]*mscapacity.Pool) {
--- a/msscheduler/capacity_test.go
+++ b/msscheduler/capacity_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjoramspan/msclock"
 	"marjoramspan/msjob"
+	"marjoramspan/mssite"
 	"marjoramspan/msstandin"
 	"marjoramspan/msworker"
 )
@@ -137,3 +139,17 @@
 	w.ProcessStart = 0
 	require.True(t, w.usable(now), "an entry that does not name the start of its process")
 }
+
+// Pools whose workers have shrunk need more VMs for the same load.
+func TestPoolsAreSizedByWhatTheirWorkersSay(t *testing.T) {
+	t.Parallel()
+	e := &Engine{Sites: &mssite.Store{}, Jobs: &msjob.Table{}, Wall: msclock.System{}, workers: map[string]*worker{}}
+	e.Sites.Set(&mssite.Site{Version: 1, Pools: map[string]mssite.Pool{"booth": {Name: "booth"}}})
+	for _, id := range []string{"w-1", "w-2"} {
+		e.fleet.vms = append(e.fleet.vms, msworker.VM{Name: "vm-" + id, Pool: "booth", Worker: id, Up: true, Capacity: msjob.Resources{CPU: 4000}})
+	}
+	now := time.Unix(1000, 0)
+	require.Equal(t, int64(4000), e.measurePools(now)[0].VMMilliCores)
+	e.workers["w-1"] = &worker{Worker: msworker.Worker{ID: "w-1", Pool: "booth", Capacity: msjob.Resources{CPU: 1000}}, registered: true}
+	require.Equal(t, int64(2500), e.measurePools(now)[0].VMMilliCores)
+}
