--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -111,9 +111,11 @@
 	if len(recent) == 0 {
 		likely, suspects = (*run).young, youngJobs
 	}
-	alone := len(suspects) == 1 && end != endedUnknown && !e.rackFails(w)
+	rackFails := e.rackFails(w)
+	alone := len(suspects) == 1 && end != endedUnknown && !rackFails
 	for _, r := range runs {
-		e.recordCrash(r, end, likely(r), alone && likely(r))
+		likely := likely(r) && (r.isolated || !rackFails)
+		e.recordCrash(r, end, likely, alone && likely)
 	}
 }
 
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -195,6 +195,12 @@
 	j, ok := e.jobs.Job("0000000000000001")
 	require.True(t, ok)
 	require.Equal(t, msjob.Running, j.State())
+	g := e.current()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, task := range g.jobs["0000000000000001"].p.Occurrences[0].Steps[0] {
+		require.Zero(t, task.Crashes)
+	}
 }
 
 // A long-running task that has run for seconds loses its worker twice by chance.
