--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -21,6 +21,15 @@
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
+	// suspectsWait is set once a task that has to start apart has found no worker.
+	suspectsWait bool
+}
+
+// releaseIsolated allows other tasks on the workers that were kept free for suspect tasks.
+func (p *poolSnapshot) releaseIsolated() {
+	for _, w := range p.workers {
+		w.isolatedUntil = time.Time{}
+	}
 }
 
 // snapshotPools returns the usable workers of each pool.
@@ -92,6 +101,9 @@
 	}
 	for name, pool := range snapshots {
 		e.othersWait[name] = pool.othersWait
+		if !pool.suspectsWait {
+			pool.releaseIsolated()
+		}
 	}
 	return placed
 }
@@ -249,6 +261,7 @@
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n := msplace.Choose(want, pool.placement)
 		if n < 0 && want.Group != "" {
+			whole.suspectsWait = true
 			isolateWorker(want, pool, now)
 			continue
 		}
@@ -287,7 +300,7 @@
 
 // isolationTime is how long a worker is kept free for a task that has to start alone. The
 // attempts that run there have ended by then, or have run for long enough.
-const isolationTime = msjob.MinTrialTime + reportWait
+const isolationTime = msjob.MinTrialTime + servingReportWait + reportPause
 
 // logPlaced logs in one line what a pass has placed of a step.
 func (e *Engine) logPlaced(j *job, k, s int, placed []*run, waiting int, site *mssite.Site) {
