--- a/msscheduler/capacity_test.go
+++ b/msscheduler/capacity_test.go
@@ -132,8 +132,9 @@
 	now := time.Unix(1000, 0)
 	w := &worker{Worker: msworker.Worker{ID: "w-1", ProcessStart: 5}, registered: true, reported: true, reachable: true, processStart: 5}
 	require.True(t, w.usable(now))
-	w.processStart = 7
+	w.processStart, w.processSeenAt = 7, now
 	require.False(t, w.usable(now))
+	require.True(t, w.usable(now.Add(maxEntryDelay)), "an entry that names another time than the reports")
 	w.ProcessStart = 7
 	require.True(t, w.usable(now))
 	w.ProcessStart = 0
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -53,9 +53,11 @@
 
 	// processStart is the start time of the worker process that reported last.
 	processStart int64
-	lease        msworker.Lease
-	runs         map[runKey]*run
-	used         msjob.Resources
+	// processSeenAt is when that process was first seen.
+	processSeenAt time.Time
+	lease         msworker.Lease
+	runs          map[runKey]*run
+	used          msjob.Resources
 	// unknownRuns counts the attempts of jobs that are no longer known, and so what they
 	// reserve isn't either.
 	unknownRuns int
@@ -128,15 +130,19 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
-		w.unknownRuns == 0 && !w.outdated() && !now.Before(w.blockedUntil)
+		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil)
 }
 
 // outdated reports whether the registry still has an earlier life of a worker that has
 // restarted under its ID. The capacity and labels of the present one may differ.
-func (w *worker) outdated() bool {
-	return w.ProcessStart != 0 && w.ProcessStart < w.processStart
+func (w *worker) outdated(now time.Time) bool {
+	return w.ProcessStart != 0 && w.ProcessStart < w.processStart && now.Sub(w.processSeenAt) < maxEntryDelay
 }
 
+// maxEntryDelay bounds how long a restarted worker is kept unused until its entry arrives. A
+// worker that writes another start time to its entry than to its reports is used after it.
+const maxEntryDelay = 5 * time.Second
+
 // workerFor returns the worker with the given ID and adds it if it is unknown.
 func (e *Engine) workerFor(id string) *worker {
 	w := e.workers[id]
@@ -281,7 +287,9 @@
 	if w.reported && rep.ProcessStart != w.processStart {
 		e.handleRestart(w, rep.ProcessStart)
 	}
-	w.processStart = rep.ProcessStart
+	if rep.ProcessStart != w.processStart {
+		w.processStart, w.processSeenAt = rep.ProcessStart, now
+	}
 	w.lease.Observe(rep.Clock, now)
 	if !w.reported {
 		// An earlier leader may have granted a lease just before it was fenced.
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -117,6 +117,14 @@
 	w.changed = make(chan struct{})
 }
 
+// Born returns when the worker's life began, and begins it if it has not.
+func (w *JobWorker) Born() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin()
+	return w.born
+}
+
 // Restart ends the worker's life and begins another under the same id.
 func (w *JobWorker) Restart() {
 	w.mu.Lock()
