--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -222,3 +222,23 @@
 		require.False(t, j.p.State.Final())
 	}
 }
+
+// A task is done, and its worker crashes before a report of the end has arrived: nobody
+// knows of the end, so the task must run again. That is no duplicate.
+func TestEndsLostWithTheirWorkerRunAgain(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 3)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=200ms", Steps: []msjob.Step{step(1)}})
+	w.awaitRunning(1)
+	w.loseReports.Store(true)
+	w.awaitRunning(0)
+	w.vms.Crash(w.journal.Runs()[0].Worker)
+	w.loseReports.Store(false)
+	w.await(e, "0000000000000001", msjob.Completed)
+	runs := w.journal.Runs()
+	require.Len(t, runs, 2)
+	require.Equal(t, string(msworker.EndDone), runs[0].How)
+	require.False(t, runs[0].Acked)
+	w.requireNoDuplicates()
+}
