--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -242,3 +242,27 @@
 	require.False(t, runs[0].Acked)
 	w.requireNoDuplicates()
 }
+
+// The members of a gang start at the same time, on several workers, and copies of a task may
+// run beside each other: both take down more workers at a time than other tasks do.
+func TestGangsAndCopiesThatCrashTheirWorkersAreGivenUp(t *testing.T) {
+	t.Parallel()
+	gang, copies := step(3), step(2)
+	gang.Gang, copies.Duplicates = true, true
+	for name, s := range map[string]msjob.Step{"gang": gang, "copies": copies} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, 6)
+			e := w.entry("a")
+			for i := range 4 {
+				w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=300ms", Steps: []msjob.Step{step(3)}})
+			}
+			w.submit(&msjob.Job{ID: "00000000000000ff", Spec: "run=5s crash=0", Steps: []msjob.Step{s}})
+			w.await(e, "00000000000000ff", msjob.Failed)
+			require.LessOrEqual(t, w.crashes.Load(), int64(maxCrashes))
+			for i := range 4 {
+				w.await(e, fmt.Sprintf("%016x", i), msjob.Completed)
+			}
+		})
+	}
+}
