mszone, msscheduler: evacuated data centres get no starts, cold workers few

Operators evacuate a data centre by the record evacuate/NAME of the stream op. mssite.Store keeps these records across a new listing of the stream, and the scheduler uses no worker there: planned starts are dropped right before they are sent, starts without an answer count as running, long-running tasks leave as their step allows, tasks with checkpoints that can't end soon after them. Sizing counts no capacity there. Where a deadline is set, a new leader reads the operators' records to their end first, and starts nothing on a view that is older than the deadline less one second.

Workers that report warmup_left_ms are chosen last, get a bounded number of starts in a second and count as half of their capacity.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -162,7 +162,8 @@
 	n.vms = (&platform.VMClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().VMServiceAddr }}).VMs()
 	n.advise = (&platform.AdviceClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().AdvisorAddr }}).Advise
 	name := msjournal.ProducerName(set.Name, n.clock.Now(), rand.Uint64())
-	n.operators = n.follower(platform.StreamOperators, func(r msjournal.Record) error { return platform.ApplyOperatorRecord(&n.sites, r) }, func() {})
+	n.operators = n.follower(platform.StreamOperators, func(r msjournal.Record) error { return platform.ApplyOperatorRecord(&n.sites, r) }, n.sites.BeginListing)
+	n.operators.Loaded = n.sites.EndListing
 	n.workers = n.follower(platform.StreamWorkers, func(r msjournal.Record) error { return platform.ApplyWorkerRecord(&n.registry, r) }, n.registry.Reset)
 	n.records = n.follower(streamJobs, func(r msjournal.Record) error {
 		return n.jobs.Apply(msjob.Record{Key: r.Key, Value: r.Value})
@@ -246,11 +247,12 @@
 	b := set.Bounds
 	e := &msscheduler.Engine{
 		Term: t, Holder: set.Name, Log: n.journal, PublicStream: streamJobs, ProgressStream: streamProgress, VMOrderStream: streamVMOrders, Jobs: &n.jobs, Journal: n.records,
-		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Report: n.report,
+		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Operators: n.operators, Report: n.report,
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
 			MaxLease: b.MaxLease, StatusRetention: b.StatusRetention, MinHolderInterval: b.MinHolderInterval,
-			MaintenanceDuration: b.MaintenanceDuration,
+			MaintenanceDuration: b.MaintenanceDuration, EvacuationDeadline: b.EvacuationDeadline,
+			WarmupOverage: b.WarmupOverage, WarmupSlack: b.WarmupSlack,
 		},
 	}
 	n.setScheduler(e)
--- a/msscheduler/advice.go
+++ b/msscheduler/advice.go
@@ -123,7 +123,7 @@
 
 // restrict returns a snapshot of only the workers that have a ticket.
 func (a *advice) restrict(pool *poolSnapshot) *poolSnapshot {
-	out := &poolSnapshot{maxIsolated: pool.maxIsolated}
+	out := &poolSnapshot{maxIsolated: pool.maxIsolated, size: pool.size}
 	for i, w := range pool.workers {
 		if a.tickets[w.ID] != "" {
 			out.workers = append(out.workers, w)
@@ -133,6 +133,22 @@
 	return out
 }
 
+// dropEvacuatedAdvice drops the tickets of workers in evacuated data centres. A step that
+// is left without tickets asks anew at once.
+func (e *Engine) dropEvacuatedAdvice() {
+	for _, a := range e.adviceByStep {
+		n := len(a.tickets)
+		for id := range a.tickets {
+			if w := e.workers[id]; w != nil && w.evacuated {
+				delete(a.tickets, id)
+			}
+		}
+		if n > 0 && len(a.tickets) == 0 {
+			a.until = time.Time{}
+		}
+	}
+}
+
 // deleteAdvice deletes the advice for all steps of a job.
 func (e *Engine) deleteAdvice(job string) {
 	for k := range e.adviceByStep {
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -12,6 +12,7 @@
 	"marjoramspan/mscapacity"
 	"marjoramspan/msjob"
 	"marjoramspan/msworker"
+	"marjoramspan/mszone"
 )
 
 // pools has the sizes of the pools and the bursts of their load. Engine.mu guards it.
@@ -36,17 +37,27 @@
 	for name, p := range site.Pools {
 		by[name] = &mscapacity.Pool{Name: name, Spare: p.Spare}
 	}
+	// VMs of evacuated data centres are in total only: they are no capacity.
+	total, totalCPU := map[string]int{}, map[string]int64{}
 	for _, vm := range e.fleet.vms {
 		p := by[vm.Pool]
 		if p == nil {
 			continue
 		}
+		cpu := e.countedCPU(vm, now)
+		total[vm.Pool]++
+		totalCPU[vm.Pool] += cpu
+		if _, ok := e.vmEvacuated(vm, now); ok {
+			continue
+		}
 		p.Size++
-		p.VMMilliCores += e.capacityOf(vm).CPU
+		p.VMMilliCores += cpu
 	}
-	for _, p := range by {
+	for name, p := range by {
 		if p.Size > 0 {
 			p.VMMilliCores /= int64(p.Size)
+		} else if total[name] > 0 {
+			p.VMMilliCores = totalCPU[name] / int64(total[name])
 		}
 	}
 	e.addDemand(by)
@@ -58,7 +69,7 @@
 			p.LongRunningVMs++
 		}
 	}
-	e.setBaseSizes(by)
+	e.setBaseSizes(by, total)
 	var all []mscapacity.Pool
 	for _, p := range by {
 		all = append(all, *p)
@@ -68,18 +79,18 @@
 	return all
 }
 
-// capacityOf returns the capacity of a VM: what its worker says, as that may shrink and grow
-// while it runs, or what the VM list says if it has no worker.
-func (e *Engine) capacityOf(vm msworker.VM) msjob.Resources {
+// countedCPU returns the CPU with which a VM counts: what its worker says, as that may
+// shrink and grow while it runs, or what the VM list says if it has no worker.
+func (e *Engine) countedCPU(vm msworker.VM, now time.Time) int64 {
 	if w := e.workers[vm.Worker]; w != nil && w.registered {
-		return w.Capacity
+		return w.countedCPU(now)
 	}
-	return vm.Capacity
+	return vm.Capacity.CPU
 }
 
 // setBaseSizes sets the base sizes. They are restored from the records; the first size
 // seen of a pool without a record counts as the one that operators gave it.
-func (e *Engine) setBaseSizes(by map[string]*mscapacity.Pool) {
+func (e *Engine) setBaseSizes(by map[string]*mscapacity.Pool, total map[string]int) {
 	if e.pools.baseSizes == nil {
 		if f, ok := e.Jobs.Fleet(); ok {
 			e.pools.baseSizes = f.BaseSize
@@ -96,8 +107,8 @@
 		}
 	}
 	for name, p := range by {
-		if _, ok := e.pools.baseSizes[name]; !ok && p.Size > 0 {
-			e.pools.baseSizes[name] = p.Size
+		if _, ok := e.pools.baseSizes[name]; !ok && total[name] > 0 {
+			e.pools.baseSizes[name] = total[name]
 			e.pools.dirty = true
 		}
 		p.BaseSize = e.pools.baseSizes[name]
@@ -209,17 +220,30 @@
 	byName := map[string]msworker.VM{}
 	var vms []mscapacity.VM
 	spare := map[string]bool{}
+	sparePool := ""
 	for _, p := range pools {
 		spare[p.Name] = p.Spare
+		if p.Spare {
+			sparePool = p.Name
+		}
 	}
+	var evacuated []mszone.VM
 	for _, vm := range e.fleet.vms {
 		if !vm.Up || now.Sub(e.pools.movedAt[vm.Name]) < moveCooldown || !e.vmOrders.mayOrder(vm.Name, now) {
 			continue
 		}
 		byName[vm.Name] = vm
-		vms = append(vms, e.vmToPlan(vm, spare[vm.Pool]))
+		v := e.vmToPlan(vm, spare[vm.Pool])
+		if since, ok := e.vmEvacuated(vm, now); ok {
+			evacuated = append(evacuated, mszone.VM{Name: v.Name, Pool: v.Pool, Idle: v.Idle, Pinned: v.Pinned, Evacuated: since})
+			continue
+		}
+		vms = append(vms, v)
 	}
 	orders := e.pools.bursts.Plan(pools, vms)
+	for _, name := range mszone.Releases(evacuated, sparePool) {
+		orders.Moves = append(orders.Moves, mscapacity.Move{VM: name, To: sparePool})
+	}
 	for _, w := range e.workers {
 		w.scalingDown = false
 	}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -35,6 +35,12 @@
 	MinHolderInterval time.Duration
 	// MaintenanceDuration is how long the maintenance of a VM takes.
 	MaintenanceDuration time.Duration
+	// EvacuationDeadline is the time within which no task may start any more in a data
+	// centre that operators evacuate. 0 means that there is no such bound.
+	EvacuationDeadline time.Duration
+	// WarmupOverage and WarmupSlack bound the starts on a cold worker; 0 means the
+	// defaults of mszone.
+	WarmupOverage, WarmupSlack float64
 }
 
 const (
@@ -67,6 +73,9 @@
 	// Advise returns the workers that may run a step, for queues that need it.
 	Advise msworker.Advisor
 	Sites  *mssite.Store
+	// Operators, if set, follows the operators' records that Sites holds. They are read
+	// to their end before anything is placed.
+	Operators *msjournal.Follower
 	// Report tells operators that a wave has started or is completed.
 	Report func(ctx context.Context, wave int64, completed bool) error
 	// Clock includes the time that the machine is suspended; Wall is the time of day.
@@ -89,7 +98,7 @@
 
 	// mu guards all fields below and all state of jobs, workers and runs. While it is
 	// held, no call is made to a package that takes a lock of its own, except to read
-	// the term and the site.
+	// the term, the site and how current it is.
 	mu   sync.Mutex
 	jobs map[string]*job
 	// active has the jobs that haven't ended, dirty those whose progress has changed
@@ -112,6 +121,7 @@
 	fleet      fleet
 	pools      pools
 	vmOrders   vmOrders
+	zones      zones
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -201,6 +211,7 @@
 		return e.sync(ctx, e.Journal)
 	})
 	streams.Go(func() error { return e.takeOverVMOrders(ctx) })
+	streams.Go(func() error { return e.syncOperators(ctx) })
 	if err := streams.Wait(); err != nil {
 		return err
 	}
@@ -310,9 +321,11 @@
 func (e *Engine) pass(now time.Time) batch {
 	begun := e.Clock.Now()
 	e.syncWorkers(now)
+	e.syncZones(now)
 	e.expireLeases(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
+	e.evacuateZones(now)
 	e.stopStalled(now)
 	e.beginOccurrences()
 	b.starts = e.place(now)
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -45,6 +45,8 @@
 	crashes atomic.Int64
 	// vmOrders has the orders to VMs as they arrived.
 	vmOrders []arrivedVMOrder
+	// configure, if set, changes the engines of entries before they run.
+	configure func(g *Engine)
 }
 
 // arrivedVMOrder is an order to a VM, with the record of VM orders that the log had when
@@ -86,7 +88,7 @@
 func (w *testCluster) join(vm msworker.VM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, Rack: vm.Rack, Capacity: vm.Capacity, VM: vm.Name}
+	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, DataCentre: vm.DataCentre, Rack: vm.Rack, Capacity: vm.Capacity, VM: vm.Name}
 	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal, OnCrash: w.crash}
 	w.reg.Set(entry)
 }
@@ -224,6 +226,9 @@
 					MinHolderInterval: w.minHolderInterval, MaintenanceDuration: 300 * time.Millisecond,
 				},
 			}
+			if w.configure != nil {
+				w.configure(g)
+			}
 			e.set(g)
 			defer e.set(nil)
 			return g.Run(ctx)
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -18,6 +18,10 @@
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
+	// evacuatedZones has the evacuated data centres, evacuatedLeft the attempts there, and
+	// evacuatedTasks the tasks that were stopped there.
+	evacuatedZones, evacuatedLeft prometheus.Gauge
+	evacuatedTasks                *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -47,6 +51,16 @@
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
 	})
+	m.evacuatedZones = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marjoramspan_evacuated_data_centres", Help: "Data centres that operators evacuate, by this leader's view.",
+	})
+	m.evacuatedLeft = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marjoramspan_evacuated_attempts", Help: "Attempts that may still run in evacuated data centres.",
+	})
+	m.evacuatedTasks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_tasks_evacuated_total", Help: "Tasks stopped in evacuated data centres to start elsewhere, by kind.",
+	}, []string{"kind"})
+	reg.MustRegister(m.evacuatedZones, m.evacuatedLeft, m.evacuatedTasks)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp)
 	return m
 }
@@ -97,3 +111,21 @@
 		m.givenUp.Inc()
 	}
 }
+
+func (m *Metrics) evacuation(zones, attempts int) {
+	if m != nil {
+		m.evacuatedZones.Set(float64(zones))
+		m.evacuatedLeft.Set(float64(attempts))
+	}
+}
+
+func (m *Metrics) evacuatedTask(longRunning bool) {
+	if m == nil {
+		return
+	}
+	kind := "checkpoints"
+	if longRunning {
+		kind = "long-running"
+	}
+	m.evacuatedTasks.WithLabelValues(kind).Inc()
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -76,6 +76,12 @@
 	if e.runs[r.runKey] != r || r.state != runOrdered || r.w.terminated {
 		return msworker.Start{}, msworker.Worker{}, false
 	}
+	if r.unanswered > 0 && !r.sentAt.IsZero() && e.zoneOf(r) != "" {
+		// A start without an answer counts as running: sent again, it might be carried out
+		// only now. The next report shows whether it was, and if not, it is stopped.
+		r.state, r.uncertain, r.answeredAt = runStarted, true, e.Clock.Now()
+		return msworker.Start{}, msworker.Worker{}, false
+	}
 	if reason := e.unfit(r); reason != "" {
 		if r.unanswered == 0 && !r.uncertain {
 			e.markLost(r, notEnded, reason)
@@ -92,7 +98,7 @@
 		// The worker may have crashed and restarted; its next report shows that.
 		return s, r.w.Worker, true
 	}
-	if r.w.lease.Known() && e.Term.Valid() {
+	if r.w.lease.Known() && e.Term.Valid() && e.operatorsCurrent(e.Clock.Now()) {
 		s.Until = r.w.lease.Until()
 		if r.w.reachable {
 			s.Until = r.w.lease.Grant(e.Clock.Now(), e.leaseDuration())
@@ -108,6 +114,9 @@
 // unfit returns why the worker of an attempt no longer suits it, or "". The worker may have
 // changed while the attempt waited for its record to be stored.
 func (e *Engine) unfit(r *run) string {
+	if zone := e.zoneOf(r); zone != "" {
+		return "its data centre " + zone + " is evacuated"
+	}
 	entry, ok := e.Registry.Worker(r.w.ID)
 	if !ok {
 		return ""
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -17,6 +17,8 @@
 type poolSnapshot struct {
 	workers   []*worker
 	placement []msplace.Worker
+	// size is the number of usable workers of the whole pool.
+	size int
 	// maxIsolated bounds the workers that are isolated at a time for suspect tasks.
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
@@ -49,8 +51,9 @@
 	medians := e.medianRuntimeRatios()
 	for _, r := range all {
 		sort.Slice(r.workers, func(i, k int) bool { return r.workers[i].ID < r.workers[k].ID })
+		r.size = len(r.workers)
 		for _, w := range r.workers {
-			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool])), Isolated: now.Before(w.isolatedUntil)}
+			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: e.offered(w, r.size, now), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]), w.coldness(now)), Isolated: now.Before(w.isolatedUntil)}
 			for _, run := range w.runs {
 				v.Recent += boolToInt(run.recent())
 				v.Suspects += boolToInt(run.suspect && run.recent())
@@ -79,7 +82,7 @@
 // place assigns waiting tasks to workers and returns the new attempts. Their starts may
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
-	if !e.Term.Valid() || !e.initialReportsReceived(now) {
+	if !e.Term.Valid() || !e.initialReportsReceived(now) || !e.operatorsCurrent(now) {
 		return nil
 	}
 	jobs := e.queue()
@@ -347,8 +350,10 @@
 	w := pool.workers[n]
 	r := e.newRun(j, id, attempt, w)
 	e.addRun(r)
+	now := e.Clock.Now()
+	e.countStart(w, now)
 	v := &pool.placement[n]
-	v.Free = w.free()
+	v.Free = e.offered(w, pool.size, now)
 	v.Recent++
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -128,7 +128,7 @@
 	for i := range vms {
 		of[vms[i].Worker] = &vms[i]
 		if w := e.workers[vms[i].Worker]; w != nil {
-			w.vm = vms[i].Name
+			w.vm, w.vmDataCentre = vms[i].Name, vms[i].DataCentre
 		}
 	}
 	for id, w := range e.workers {
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -10,6 +10,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
+	"marjoramspan/mszone"
 )
 
 const (
@@ -92,6 +93,13 @@
 	moving bool
 	// scalingDown keeps new tasks away, as the pool needs fewer VMs.
 	scalingDown bool
+	// evacuated says that operators evacuate the worker's data centre. vmDataCentre is the
+	// data centre of its VM, once a VM list has shown it.
+	evacuated    bool
+	vmDataCentre string
+	// coldUntil is until when the worker runs tasks slowly. starts counts its recent starts.
+	coldUntil time.Time
+	starts    mszone.Starts
 }
 
 // mixesServingAndBackfill reports whether backfill tasks run beside tasks with a latency
@@ -129,7 +137,7 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
+	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated &&
 		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil)
 }
 
@@ -158,6 +166,7 @@
 	all := e.Registry.All()
 	for id, entry := range all {
 		w := e.workerFor(id)
+		w.noteWarmup(entry, now)
 		if w.cancel == nil || (w.Address != entry.Address && !w.terminated) {
 			if w.cancel != nil {
 				w.cancel()
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -122,6 +122,9 @@
 	mu    sync.Mutex
 	site  *Site
 	waves map[int64]Wave
+	// evacuated has the evacuated data centres. listed has those that a listing of the
+	// records has named so far; it is nil while no listing is in progress.
+	evacuated, listed map[string]bool
 }
 
 // Set replaces the site by s if s has a higher version, and reports whether it did.
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -35,6 +35,8 @@
 	// VM is the name of the VM that the worker is an incarnation of, or empty if its entry
 	// does not name it.
 	VM string
+	// WarmupLeft is how much longer a worker that has just come up runs tasks slowly.
+	WarmupLeft time.Duration
 }
 
 // Start is the order to start an attempt of a task.
