msstate, msentry, msoperator, cmd: data centres are evacuated by command

zone evacuate and zone release append a change to the state stream with who and why; zone list shows the data centres. An entry gives the VMs of an evacuated data centre no work and looks again right before it sends a request; what runs there ends. The VMs count as out of service for pools, their budgets and moves, and waves go on there.

--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -45,6 +45,7 @@
 	Pool     poolCmd     `cmd:"" help:"Show the pools."`
 	VM       vmCmd       `cmd:"" name:"vm" help:"Move VMs between pools."`
 	Wave     waveCmd     `cmd:"" help:"Plan, start, pause, resume or show a maintenance wave."`
+	Zone     zoneCmd     `cmd:"" help:"Evacuate, release or list data centres."`
 	Why      whyCmd      `cmd:"" help:"Say why something is as it is."`
 	Jobs     jobsCmd     `cmd:"" help:"List the jobs on the users' platform."`
 	Status   statusCmd   `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
--- a/cmd/marjoramspan/query.go
+++ b/cmd/marjoramspan/query.go
@@ -103,7 +103,7 @@
 			if !e.Outcome.Accepted {
 				became = "void: " + e.Outcome.Reason
 			}
-			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s", e.Time.Format(time.RFC3339), e.Outcome.Version, e.Outcome.Change.Kind, e.Outcome.Change.By, became))
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%s\t%s", e.Time.Format(time.RFC3339), e.Outcome.Version, e.Outcome.Change.Kind, e.Outcome.Change.By, became+zoneDetail(e.Outcome.Change)))
 		}
 		table(w, "TIME\tVERSION\tCHANGE\tBY\tOUTCOME", rows)
 	})
--- a/msentry/entry.go
+++ b/msentry/entry.go
@@ -220,6 +220,7 @@
 func (e *Entry) applyTables(t *tables, now time.Time) {
 	e.updateView(t.state, now)
 	e.updateTotals(t.state, now)
+	e.vms.setEvacuated(t.state.Evacuations)
 	e.updatePools(t)
 	e.links.set(t.state.Members, e)
 	if _, ok := t.state.Member(e.id); !ok && e.joined.Load() {
--- a/msentry/fleet.go
+++ b/msentry/fleet.go
@@ -182,6 +182,7 @@
 		Moving:      h.To,
 		MoveDrained: h.Phase == mspool.Drained,
 		Lent:        h.Lent,
+		Evacuated:   s.Evacuated(vm.DataCentre),
 		Running:     vm.Running,
 		ReportedAt:  vm.ReportedAt,
 		BootID:      vm.BootID,
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -35,6 +35,10 @@
 // errWithheld prevents the sending of a request when the entry is no longer fresh.
 var errWithheld = errors.New("the entry is no longer fresh")
 
+// errEvacuated prevents the sending of a request to a VM whose data centre is evacuated
+// since the slot was granted. It is sent to another VM.
+var errEvacuated = errors.New("the data centre of the VM is evacuated")
+
 // run waits for a slot and sends the request to its VM, and retries with another slot
 // if that fails and a retry is safe.
 func (rq *request) run(cl *msrequest.Claim) {
@@ -74,7 +78,7 @@
 
 // mayRetry reports whether the request may be sent again.
 func (rq *request) mayRetry(err *msupstream.Error, try int) bool {
-	if try+1 == maxAttempts || err.Reason == "canceled" || err.Reason == "withheld" {
+	if try+1 == maxAttempts || err.Reason == "canceled" || err.Reason == "withheld" && !errors.Is(err, errEvacuated) {
 		return false
 	}
 	if err.Sent && (!rq.queue.Idempotent || rq.broken >= maxBroken) {
@@ -142,7 +146,7 @@
 	started := e.now()
 	until := earlier(rq.deadline, started.Add(e.Settings.Limits.MaxRun))
 	ctx, cancel := rq.upstreamContext(until.Add(responseGrace).Sub(started))
-	res, err := e.sender.Send(rq.upstreamRequest(ctx, cl, until.Sub(started)), g.vm.Name, g.vm.Address, rq.checkFresh) //nolint:bodyclose // relayResponse closes it.
+	res, err := e.sender.Send(rq.upstreamRequest(ctx, cl, until.Sub(started)), g.vm.Name, g.vm.Address, func() error { return rq.checkSend(g) }) //nolint:bodyclose // relayResponse closes it.
 	if err != nil {
 		cancel()
 		ue := asUpstreamError(err, g.vm.Name)
@@ -167,11 +171,14 @@
 	return context.WithTimeout(context.WithoutCancel(rq.r.Context()), d)
 }
 
-// checkFresh is called just before the first byte is sent to the upstream.
-func (rq *request) checkFresh() error {
+// checkSend is called just before the first byte is sent to the upstream.
+func (rq *request) checkSend(g grant) error {
 	if fresh, _ := rq.e.view.Fresh(rq.e.now()); !fresh {
 		return errWithheld
 	}
+	if rq.e.vms.inEvacuation(g.vm) {
+		return errEvacuated
+	}
 	return nil
 }
 
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -8,6 +8,7 @@
 
 	"marjoramspan/msclock"
 	"marjoramspan/mslog"
+	"marjoramspan/msstate"
 )
 
 // vmTable holds the state of the VMs: the platform's list, which lags behind, and
@@ -18,6 +19,8 @@
 	vms    map[string]*vmState
 	list   []mslog.VM
 	readAt time.Time
+	// evacuated has the evacuated data centres. The map is never changed.
+	evacuated map[string]msstate.Evacuation
 }
 
 type vmState struct {
@@ -108,12 +111,27 @@
 	if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingTTL {
 		return mslog.VM{}, false
 	}
-	if now.Before(s.downUntil) {
+	if _, ok := t.evacuated[s.vm.DataCentre]; ok || now.Before(s.downUntil) {
 		return mslog.VM{}, false
 	}
 	return s.vm, true
 }
 
+// setEvacuated sets the evacuated data centres, whose VMs get no new work.
+func (t *vmTable) setEvacuated(evacuated map[string]msstate.Evacuation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated = evacuated
+}
+
+// inEvacuation reports whether the VM's data centre is evacuated.
+func (t *vmTable) inEvacuation(vm mslog.VM) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.evacuated[vm.DataCentre]
+	return ok
+}
+
 // setLeaving records that the VM reported that it is leaving, and returns whether that
 // is new.
 func (t *vmTable) setLeaving(name string, now time.Time) bool {
--- a/mspool/plan.go
+++ b/mspool/plan.go
@@ -160,8 +160,12 @@
 }
 
 // isPresent reports whether v counts as a member that works or will soon. A
-// rebooting VM counts, because it is back before another one could be moved in.
+// rebooting VM counts, because it is back before another one could be moved in. A VM of
+// an evacuated data centre doesn't, as nobody knows how long that stays evacuated.
 func (p *planner) isPresent(v VM) bool {
+	if v.Evacuated {
+		return false
+	}
 	switch v.State {
 	case Leaving:
 		return false
--- a/mspool/plan_test.go
+++ b/mspool/plan_test.go
@@ -282,3 +282,21 @@
 	}
 	require.Len(t, racks, 3)
 }
+
+// An evacuated data centre is no capacity: pools get spare VMs of the others, and none of
+// its own. Maintenance goes on there.
+func TestPlanReplacesEvacuatedVMs(t *testing.T) {
+	table := Table{Pools: []Pool{{Name: "p", Size: 4, Available: 50}, {Name: "spare", Size: 4, Spare: true}}}
+	for i := range 8 {
+		v := VM{Name: string(rune('a' + i)), Pool: table.Pools[i/4].Name, DataCentre: []string{"north", "south"}[i%2], Rack: string(rune('k' + i)), State: Serving}
+		v.Evacuated = v.DataCentre == "north"
+		require.True(t, v.Maintainable())
+		table.VMs = append(table.VMs, v)
+	}
+	var moved []string
+	for _, d := range Plan(table, Settings{}, time.Unix(1000, 0)) {
+		require.Equal(t, "p", d.To)
+		moved = append(moved, d.VM)
+	}
+	require.Equal(t, []string{"f", "h"}, moved, "b and d serve, and the spare VMs f and h are in the other data centre")
+}
--- a/mspool/table.go
+++ b/mspool/table.go
@@ -28,6 +28,8 @@
 	MoveDrained bool
 	// Lent is set while the VM is lent to the platform's jobs.
 	Lent bool
+	// Evacuated is set while the VM's data centre is evacuated. The VM gets no work then.
+	Evacuated bool
 	// LastMaintained is when the VM last came back from a maintenance reboot or
 	// from a repair.
 	LastMaintained time.Time
@@ -78,18 +80,18 @@
 }
 
 // Up reports whether the VM counts towards the budget of its pool: it is serving
-// or idle, is not lent, and no move has started.
+// or idle, is not lent or evacuated, and no move has started.
 func (v VM) Up() bool {
-	if v.Pool == "" || v.Moving != "" || v.Lent {
+	if v.Pool == "" || v.Moving != "" || v.Lent || v.Evacuated {
 		return false
 	}
 	return v.State == Serving || v.State == Idle
 }
 
-// Maintainable reports whether the VM is up and in a pool, lent or not, so that it can be
-// taken for maintenance.
+// Maintainable reports whether the VM is up and in a pool, lent, evacuated or neither, so
+// that it can be taken for maintenance.
 func (v VM) Maintainable() bool {
-	v.Lent = false
+	v.Lent, v.Evacuated = false, false
 	return v.Up()
 }
 
--- a/msstate/apply.go
+++ b/msstate/apply.go
@@ -87,6 +87,8 @@
 		return s.settle(c)
 	case KindMemberVouch:
 		return s.vouch(c)
+	case KindZoneEvacuate, KindZoneRelease:
+		return s.applyZoneRecord(c, r)
 	case KindSnapshot:
 		s.SnapshotAt = version
 		s.SnapshotTime = at
--- a/msstate/state.go
+++ b/msstate/state.go
@@ -55,6 +55,9 @@
 	MoveTimes map[string]time.Time `json:"move-times,omitempty"`
 	// Wave is the maintenance wave in progress, or the last one.
 	Wave mswave.State `json:"wave"`
+	// Evacuations has the evacuated data centres, by name. It is absent in the snapshots
+	// of versions that know no evacuations.
+	Evacuations map[string]Evacuation `json:"evacuations,omitempty"`
 	// SnapshotAt is the version of the newest snapshot record.
 	SnapshotAt uint64 `json:"snapshot-at,omitempty"`
 	// SnapshotTime is the log time of that record.
@@ -154,6 +157,7 @@
 	c.Ownership.LastTaken = maps.Clone(s.Ownership.LastTaken)
 	c.MoveTimes = maps.Clone(s.MoveTimes)
 	c.Wave.VMs = maps.Clone(s.Wave.VMs)
+	c.Evacuations = maps.Clone(s.Evacuations)
 	c.Seen = append([]SeenID(nil), s.Seen...)
 	c.Rules.Keys = append([]msrule.Key(nil), s.Rules.Keys...)
 	return &c
