--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -16,6 +16,8 @@
 type poolSnapshot struct {
 	workers   []*worker
 	placement []msplace.Worker
+	// size is the number of usable workers of the whole pool.
+	size int
 	// maxIsolated bounds the workers that are isolated at a time for suspect tasks.
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
@@ -49,7 +51,7 @@
 		}
 		n := w.attemptCounts()
 		v := msplace.Worker{
-			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool])),
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
 		}
@@ -57,8 +59,15 @@
 		r.placement = append(r.placement, v)
 	}
 	for name, r := range all {
-		if len(r.workers) == 0 {
+		r.size = len(r.workers)
+		if r.size == 0 {
 			delete(all, name)
+			continue
+		}
+		for i, w := range r.workers {
+			if w.cold(now) {
+				r.placement[i].Free = e.offered(w, r.size, now)
+			}
 		}
 	}
 	return all
@@ -74,7 +83,7 @@
 // place assigns waiting tasks to workers and returns the new attempts. Their starts may
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
-	if !e.Term.Valid() || !e.initialReportsReceived(now) {
+	if !e.Term.Valid() || !e.initialReportsReceived(now) || !e.operatorsCurrent(now) {
 		return nil
 	}
 	jobs := e.queue()
@@ -342,8 +351,10 @@
 	w := pool.workers[n]
 	r := e.newRun(j, id, attempt, w)
 	e.addRun(r)
+	now := e.Clock.Now()
+	e.countStart(w, now)
 	v := &pool.placement[n]
-	v.Free = w.free()
+	v.Free = e.offered(w, pool.size, now)
 	v.Recent++
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
