--- a/msentry/pool_test.go
+++ b/msentry/pool_test.go
@@ -147,6 +147,25 @@
 	require.Zero(t, h.p.ledger.Counts("slot/vm-1").Entitlement)
 }
 
+// The VMs of an evacuated data centre get no slot granted, and slots again once it is
+// released.
+func TestEvacuatedVMsGetNoSlots(t *testing.T) {
+	h := newPoolHarness()
+	h.p.vms.set([]mslog.VM{{Name: "vm-1", Address: "x", DataCentre: "north", State: mslog.VMLive}, {Name: "vm-2", Address: "y", DataCentre: "south", State: mslog.VMLive}}, h.now)
+	h.p.vms.setEvacuated(map[string]msstate.Evacuation{"north": {}})
+	for id := range uint64(3) {
+		ticket, err := h.p.enqueue(msteam.Waiter{ID: id + 1, Team: "a", Arrived: h.now}, h.now)
+		require.NoError(t, err)
+		h.waiting = append(h.waiting, ticket)
+	}
+	h.collect()
+	require.Equal(t, []runningRequest{{"a", "vm-2"}, {"a", "vm-2"}}, h.running)
+	h.p.vms.setEvacuated(nil)
+	h.p.dispatch(h.now)
+	h.collect()
+	require.Equal(t, runningRequest{"a", "vm-1"}, h.running[2])
+}
+
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	h := newPoolHarness()
 	h.p.vms.setLeaving("vm-1", h.now)
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -169,6 +169,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer e.group.Wait()
 	defer cancel()
+	defer e.Metrics.evacuation(0, 0)
 	e.ctx = ctx
 	e.startedAt = e.Clock.Now()
 	e.wake = make(chan struct{}, 1)
--- a/msscheduler/zone.go
+++ b/msscheduler/zone.go
@@ -170,15 +170,22 @@
 	}
 }
 
-// vmEvacuated returns how long the data centre of a VM has been evacuated, and whether it
-// is. The caller holds mu.
+// vmEvacuated returns whether the data centre of a VM is evacuated, and for how long this
+// leader has known that. The caller holds mu.
 func (e *Engine) vmEvacuated(vm msworker.VM, now time.Time) (time.Duration, bool) {
 	name := vm.DataCentre
 	if w := e.workers[vm.Worker]; w != nil && name == "" {
 		name = w.dataCentre()
 	}
+	if !e.Sites.Evacuated(name) {
+		return 0, false
+	}
+	// The pools may be sized before the first pass has noted the evacuation.
 	since, ok := e.zones.since[name]
-	return now.Sub(since), ok
+	if !ok {
+		return 0, true
+	}
+	return now.Sub(since), true
 }
 
 // noteWarmup notes until when a worker is cold, when it has written a new entry.
--- a/msscheduler/zone_test.go
+++ b/msscheduler/zone_test.go
@@ -40,31 +40,31 @@
 	return z
 }
 
-// follow has each engine follow the operators' log with a view of its own. A paused one
-// reads it only when it has to.
+// follow has the engines that begin from now on follow the operators' log. A paused
+// follower has read the log now, and reads it again only when it has to.
 func (z *zonedCluster) follow(paused bool) {
+	store := &mssite.Store{}
+	store.Set(z.sites.Site())
+	operators := &msjournal.Follower{
+		Log: z.operators.Log(), Clock: &msclock.Boot{}, Logger: zap.NewNop(), Stream: "op", Reset: store.BeginListing, Loaded: store.EndListing,
+		Apply: func(r msjournal.Record, _ int64) {
+			if name := strings.TrimPrefix(r.Key, "evacuate/"); len(r.Value) > 0 {
+				store.Evacuate(name)
+			} else {
+				store.Release(name)
+			}
+		},
+	}
 	z.configure = func(g *Engine) {
-		g.Settings.EvacuationDeadline = evacuationDeadline
-		store := &mssite.Store{}
-		store.Set(z.sites.Site())
-		g.Sites = store
-		g.Operators = &msjournal.Follower{
-			Log: z.operators.Log(), Clock: g.Clock, Logger: zap.NewNop(), Stream: "op", Reset: store.BeginListing, Loaded: store.EndListing,
-			Apply: func(r msjournal.Record, _ int64) {
-				if name := strings.TrimPrefix(r.Key, "evacuate/"); len(r.Value) > 0 {
-					store.Evacuate(name)
-				} else {
-					store.Release(name)
-				}
-			},
-		}
-		if paused {
-			return
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		z.t.Cleanup(cancel)
-		go func() { _ = g.Operators.Run(ctx) }()
+		g.Settings.EvacuationDeadline, g.Sites, g.Operators = evacuationDeadline, store, operators
 	}
+	require.NoError(z.t, operators.Sync(z.t.Context()))
+	if paused {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	z.t.Cleanup(cancel)
+	go func() { _ = operators.Run(ctx) }()
 }
 
 // in counts the attempts that run or ran in a data centre and whose start is after t.
@@ -157,12 +157,12 @@
 	a := z.entry("a")
 	z.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
 	z.await(a, "0000000000000001", msjob.Completed)
+	z.follow(true)
 	z.operators.SetFault(msstandin.LogFault{Down: true})
 	z.operators.Put("op", "evacuate/north", []byte("x"))
 	a.stop()
 	lost := time.Now()
 	z.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=200ms", Steps: []msjob.Step{step(8)}})
-	z.follow(true)
 	b := z.entry("b")
 	time.Sleep(1500 * time.Millisecond)
 	require.Zero(t, z.running(), "a leader that can't read the operators' records")
@@ -245,6 +245,7 @@
 		}
 	}
 	require.Equal(t, 8, e.measurePools(now)[0].BaseSize)
+	e.Sites.Evacuate("north")
 	e.zones.since = map[string]time.Time{"north": e.Clock.Now().Add(-time.Minute)}
 	pools := e.measurePools(now)
 	require.Equal(t, []int{4, 8, 4}, []int{pools[0].Size, pools[0].BaseSize, pools[1].Size})
@@ -257,6 +258,27 @@
 	require.Equal(t, map[string]int{"booth from south": 4, "spare from north": 4}, to)
 }
 
+// Workers that are warm get the work while they have room, and cold ones the rest.
+func TestWarmWorkersGoFirst(t *testing.T) {
+	t.Parallel()
+	z := newZonedCluster(t, 2)
+	for _, entry := range z.reg.All() {
+		if entry.DataCentre == "north" {
+			entry.WarmupLeft = 20 * time.Second
+			z.reg.Set(entry)
+		}
+	}
+	e := z.entry("a")
+	z.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=300ms", Steps: []msjob.Step{step(8)}})
+	z.await(e, "0000000000000001", msjob.Completed)
+	started, _ := z.in("north", time.Time{})
+	require.Zero(t, started, "starts on cold workers")
+	z.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=300ms", Steps: []msjob.Step{step(12)}})
+	z.await(e, "0000000000000002", msjob.Completed)
+	started, _ = z.in("north", time.Time{})
+	require.Equal(t, 4, started, "starts on cold workers once the warm ones are full")
+}
+
 // A cold worker gets no more starts than it should even if it has room, and all of its
 // room once it is warm.
 func TestColdWorkersGetFewStarts(t *testing.T) {
--- a/mszone/cold.go
+++ b/mszone/cold.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// DefaultOverage and DefaultSlack bound the starts on cold workers where the settings
-	// state no bound.
+	// DefaultOverage is the multiple of its fair share of starts that a cold worker may get
+	// where the settings state no bound.
 	DefaultOverage = 1.5
-	DefaultSlack   = 5.0
+	// DefaultSlack is how many starts it may get in addition.
+	DefaultSlack = 5.0
 	// ColdCapacity is the fraction of its capacity with which a cold worker counts. Its
 	// report says how long it stays slow, not how slow it is; a half errs by at most a
 	// factor of two for workers between full speed and a quarter of it.
