--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -374,7 +374,7 @@
 	pool.full = pool.full[:0]
 	for n, w := range pool.workers {
 		if w == r.w {
-			pool.placement[n].Free = w.free()
+			pool.placement[n].Free = e.offered(w, pool.size, e.Clock.Now())
 		}
 	}
 }
--- a/msscheduler/zone_test.go
+++ b/msscheduler/zone_test.go
@@ -130,6 +130,22 @@
 	z.requireNoDuplicates()
 }
 
+// With every data centre evacuated new work waits, and starts in the one that is released.
+func TestWorkWaitsWhileAllIsEvacuated(t *testing.T) {
+	t.Parallel()
+	z := newZonedCluster(t, 1)
+	z.sites.Evacuate("north")
+	z.sites.Evacuate("south")
+	e := z.entry("a")
+	z.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20ms", Steps: []msjob.Step{step(4)}})
+	time.Sleep(time.Second)
+	require.Empty(t, z.journal.Runs())
+	z.sites.Release("south")
+	z.await(e, "0000000000000001", msjob.Completed)
+	started, _ := z.in("north", time.Time{})
+	require.Zero(t, started)
+}
+
 // The answers to starts are lost and the data centre is evacuated: the attempts count as
 // running, and are not sent again.
 func TestUnansweredStartsInAnEvacuatedDataCentre(t *testing.T) {
