--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -100,6 +102,9 @@
 	}
 	defer func() { _ = out.Sync() }()
 	klog.SetLogger(kratosLog{log: logger})
+	if n := threads(set.CPULimit, runtime.GOMAXPROCS(0)); n < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(n)
+	}
 	debug.SetGCPercent(platformGCPercent)
 	if set.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryLimit) * heapShare))
@@ -110,6 +115,16 @@
 	return n.run(ctx)
 }
 
+// threads returns how many threads may run Go code at a time, for a limit in cores and the
+// runtime's own choice. The runtime uses at least two; on a VM with less than a core the
+// second only wakes up to look for work, which takes a fourth of a leader's processor time.
+func threads(limit float64, chosen int) int {
+	if limit <= 0 {
+		return chosen
+	}
+	return min(chosen, max(1, int(math.Ceil(limit))))
+}
+
 func newPlatformLogger(out *msoutput.Writer, level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/cmd/marjoramspan/platform_test.go
+++ b/cmd/marjoramspan/platform_test.go
@@ -82,3 +82,14 @@
 	require.Equal(t, http.StatusGatewayTimeout, w.StatusCode, "its record may be stored")
 	require.NoError(t, <-served)
 }
+
+// Guards against threads that an entry with little processor time can't use, and against
+// none at all.
+func TestThreads(t *testing.T) {
+	for _, c := range []struct {
+		limit        float64
+		chosen, want int
+	}{{0, 7, 7}, {0.192, 2, 1}, {0.8, 7, 1}, {1.5, 7, 2}, {8, 4, 4}} {
+		require.Equal(t, c.want, threads(c.limit, c.chosen))
+	}
+}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -48,6 +48,15 @@
 	renewalGrace = 5 * time.Second
 	// maxPassInterval is the longest time between two passes.
 	maxPassInterval = 200 * time.Millisecond
+	// maxPassDelay is how long events may wait for others that are handled in the same
+	// pass. Callers wait for one pass for each step of a job, and the shortest objectives
+	// are above half a second.
+	maxPassDelay = 5 * time.Millisecond
+	// passIntervalFactor is how many times as long as a pass the time between the begins
+	// of two passes is, up to maxPassDelay, so that passes take a fifth of a core. A delay
+	// below minPassDelay costs more for its timer than it saves.
+	passIntervalFactor = 5
+	minPassDelay       = time.Millisecond
 )
 
 // Engine schedules for one term. Its exported fields are set before Run.
@@ -279,6 +288,7 @@
 		e.mu.Lock()
 		now := e.Clock.Now()
 		b := e.pass(now)
+		took := e.Clock.Now().Sub(now)
 		e.mu.Unlock()
 		if err := e.commit(ctx, b); err != nil {
 			if ctx.Err() != nil {
@@ -294,9 +304,26 @@
 		case <-e.wake:
 		case <-e.Clock.After(maxPassInterval):
 		}
+		if d := passDelay(took, e.Clock.Now().Sub(now)); d > 0 {
+			_ = msclock.Sleep(ctx, e.Clock, d)
+		}
+		select {
+		case <-e.wake:
+		default:
+		}
 	}
 }
 
+// passDelay returns how long the next pass waits for further events. took is how long the
+// previous pass took, since the time from its begin. It is for bursts in which attempts end
+// every half a millisecond: a pass for each end would take most of a core.
+func passDelay(took, since time.Duration) time.Duration {
+	if d := min(passIntervalFactor*took, maxPassDelay) - since; d >= minPassDelay {
+		return d
+	}
+	return 0
+}
+
 // wakeLoop makes the loop start its next pass without delay.
 func (e *Engine) wakeLoop() {
 	select {
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -37,7 +37,10 @@
 // next call.
 func (e *Engine) snapshotPools(now time.Time) map[string]*poolSnapshot {
 	all := e.resetSnapshots()
-	medians := e.medianRuntimeRatios()
+	if now.Sub(e.mediansAt) >= mediansMaxAge {
+		e.medians, e.mediansAt = e.medianRuntimeRatios(), now
+	}
+	medians := e.medians
 	for _, w := range e.workersByID() {
 		if !w.usable(now) {
 			continue
