msplace, msscheduler: a full pool is divided by the work of the teams

All waiting jobs stood in a single line by slack, so a team that sent six times its usual load made the jobs of the others as late as its own. Within a pool and a priority the next job that has not started and can be in time is now one of the team with the least running and recently started work for its weight (msplace.Rank). Jobs beyond their team's share go last within their team only.

Started jobs that are late no longer go before jobs in time of their priority; of the late jobs the least late goes first, and nothing is started for a job that is late beyond three times its objective while others wait for room.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -119,6 +119,11 @@
 	// requests.
 	adviceByStep   map[stepKey]*advice
 	adviceInFlight int
+	// shares has the work of the teams by pool. It counts the same attempts as runs, apart
+	// from those of long-running and backfill steps.
+	shares msplace.Shares
+	// fullPools has when the order in each pool was last logged.
+	fullPools map[string]time.Time
 	// teamLimiter decides which jobs are within their team's share.
 	teamLimiter msplace.TeamLimiter
 }
@@ -138,6 +143,9 @@
 	retryAt map[msjob.TaskID]time.Time
 	// overShare jobs exceed their team's share.
 	overShare bool
+	// useless is set if the latest pass expected the job to end after callers have a use
+	// for its result.
+	useless bool
 	// duplicated has the tasks of which a duplicate was started.
 	duplicated map[msjob.TaskID]bool
 	// avoid has the workers on which a task has failed or stalled.
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -21,6 +21,9 @@
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
+	// usefulWait is set once a task has found no worker whose job serves callers only for
+	// some time and can still be of use to them.
+	usefulWait bool
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
 }
@@ -82,7 +85,7 @@
 	if !e.Term.Valid() || !e.initialReportsReceived(now) {
 		return nil
 	}
-	jobs := e.queue()
+	jobs, candidates := e.queue(now)
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -104,6 +107,9 @@
 		if !pool.suspectsWait {
 			pool.releaseIsolated()
 		}
+		if pool.usefulWait {
+			e.logFullPool(name, candidates, now)
+		}
 	}
 	return placed
 }
@@ -126,9 +132,12 @@
 	return len(e.workers) > 0
 }
 
-// queue returns the jobs with tasks that may be placed, in the order of placement.
-func (e *Engine) queue() []*job {
+// queue returns the jobs with tasks that may be placed, in the order of placement, and
+// what they were ordered by.
+func (e *Engine) queue(now time.Time) ([]*job, []msplace.Candidate) {
 	wall := e.Wall.Now()
+	site := e.Sites.Site()
+	defaultWeight := meanWeight(site)
 	var jobs []*job
 	var candidates []msplace.Candidate
 	for _, j := range e.active {
@@ -136,34 +145,48 @@
 		if !ok {
 			continue
 		}
-		t.Index = len(jobs)
+		t.Index, t.Pool, t.Weight = len(jobs), poolOf(j.def, site), teamWeight(j.def.Team, site, defaultWeight)
+		j.useless = t.Useless()
 		jobs = append(jobs, j)
 		candidates = append(candidates, t)
 	}
-	msplace.SortCandidates(candidates)
+	if len(jobs) == 0 {
+		return nil, nil
+	}
+	msplace.Rank(candidates, &e.shares, e.poolCapacities(now), now)
 	ordered := make([]*job, len(candidates))
 	for i := range candidates {
 		ordered[i] = jobs[candidates[i].Index]
 	}
-	return ordered
+	return ordered, candidates
 }
 
 // candidate describes a job for the placement order and reports whether any of its tasks
 // waits to be placed.
 func (j *job) candidate(now time.Time) (msplace.Candidate, bool) {
-	t := msplace.Candidate{ID: j.def.ID, LongRunning: j.def.LongRunning(), Priority: j.def.Priority, OverShare: j.overShare, Started: j.p.Started}
+	t := msplace.Candidate{
+		ID: j.def.ID, Team: j.def.Team, LongRunning: j.def.LongRunning(), Priority: j.def.Priority,
+		OverShare: j.overShare, Started: j.p.Started, Objective: j.def.LatencyObjective(),
+	}
 	waiting := false
 	for k, occurrence := range j.p.Occurrences {
 		for s := range occurrence.Steps {
 			if !occurrence.Ready(j.def, s) {
 				continue
 			}
+			n := int64(0)
 			for i := range occurrence.Steps[s] {
-				if p := occurrence.Steps[s][i].Phase; p == msjob.Waiting || p == msjob.Assigned && j.def.Steps[s].Duplicates {
+				switch p := occurrence.Steps[s][i].Phase; {
+				case p == msjob.Waiting:
+					n++
+				case p == msjob.Assigned && j.def.Steps[s].Duplicates:
 					waiting = true
-					break
 				}
 			}
+			if n > 0 {
+				waiting = true
+				t.Wanted = t.Wanted.Plus(j.def.Steps[s].Reserved().Times(n))
+			}
 		}
 		left := occurrence.RemainingPath(j.def)
 		slack := j.def.Due(k).Add(j.def.LatencyObjective()).Sub(now) - left
@@ -201,7 +224,7 @@
 
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
 	pool := snapshots[poolOf(j.def, site)]
-	if pool == nil {
+	if pool == nil || j.useless && pool.usefulWait {
 		return nil
 	}
 	var placed []*run
@@ -267,6 +290,7 @@
 		}
 		if n < 0 {
 			whole.othersWait = true
+			whole.usefulWait = whole.usefulWait || !j.useless && !j.def.LongRunning()
 			break
 		}
 		if tasks[i].Phase == msjob.Assigned {
--- /dev/null
+++ b/msscheduler/shares.go
@@ -0,0 +1,112 @@
+package msscheduler
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msplace"
+	"marjoramspan/mssite"
+)
+
+// countShare counts a new attempt in its team's share of the pool. Long-running tasks
+// don't count: they never compete with jobs that end, and would push their team's other
+// jobs back for as long as they run. Backfill tasks only use what is idle.
+func (e *Engine) countShare(r *run) {
+	s := r.step()
+	if s == nil || s.LongRunning || s.Backfill {
+		return
+	}
+	r.pool = poolOf(r.job.def, e.Sites.Site())
+	e.shares.Start(r.pool, r.team, r.need, s.Estimate, e.Clock.Now())
+}
+
+// uncountShare counts off an attempt that has ended or was never started.
+func (e *Engine) uncountShare(r *run) {
+	switch s := r.step(); {
+	case r.pool == "" || s == nil:
+	case r.state == runPlanned:
+		e.shares.Undo(r.pool, r.team, r.need, s.Estimate)
+	default:
+		e.shares.End(r.pool, r.team, r.need)
+	}
+}
+
+// poolCapacities returns the capacity of the usable workers of each pool.
+func (e *Engine) poolCapacities(now time.Time) map[string]msjob.Resources {
+	all := map[string]msjob.Resources{}
+	for _, w := range e.workers {
+		if w.usable(now) {
+			all[w.Pool] = all[w.Pool].Plus(w.Capacity)
+		}
+	}
+	return all
+}
+
+// teamWeight returns the weight of a team's share, or the default if it has none.
+func teamWeight(team string, site *mssite.Site, defaultWeight float64) float64 {
+	if site != nil {
+		if t, ok := site.Teams[team]; ok && t.Weight > 0 {
+			return t.Weight
+		}
+	}
+	return defaultWeight
+}
+
+// meanWeight returns the mean weight of the teams. Jobs without a team, and of teams
+// without a weight, compete for capacity as those of an average team.
+func meanWeight(site *mssite.Site) float64 {
+	if site == nil {
+		return 1
+	}
+	sum, n := 0.0, 0
+	for _, t := range site.Teams {
+		if t.Weight > 0 {
+			sum += t.Weight
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// fullPoolLogInterval is the minimum time between two log lines on the order in a pool. A
+// pool stays full for seconds, and a leader makes tens of passes a second.
+const fullPoolLogInterval = time.Second
+
+// logFullPool logs which job went first in a pool in which tasks found no worker, and why.
+func (e *Engine) logFullPool(pool string, ranked []msplace.Candidate, now time.Time) {
+	if last, ok := e.fullPools[pool]; ok && now.Sub(last) < fullPoolLogInterval {
+		return
+	}
+	if e.fullPools == nil {
+		e.fullPools = map[string]time.Time{}
+	}
+	e.fullPools[pool] = now
+	var first *msplace.Candidate
+	inTime, late, useless := 0, 0, 0
+	for i := range ranked {
+		c := &ranked[i]
+		switch {
+		case c.Pool != pool || c.LongRunning:
+		case c.Useless():
+			useless++
+		case c.Late():
+			late++
+		default:
+			inTime++
+			if first == nil && !c.Started {
+				first = c
+			}
+		}
+	}
+	fields := []zap.Field{zap.String("pool", pool), zap.Int("in-time", inTime), zap.Int("late", late), zap.Int("useless", useless)}
+	if first != nil {
+		fields = append(fields, zap.String("next", first.ID), zap.String("team", first.Team), zap.Float64("weight", first.Weight),
+			zap.Float64("share", e.shares.Share(pool, first.Team, e.poolCapacities(now)[pool], now)), zap.Duration("slack", first.Slack))
+	}
+	e.Logger.Info("pool full", fields...)
+}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -30,11 +30,13 @@
 // and the team's limit until it is dropped.
 type run struct {
 	runKey
-	job    *job
-	w      *worker
-	need   msjob.Resources
-	team   string
-	limit  msjob.Resources
+	job   *job
+	w     *worker
+	need  msjob.Resources
+	team  string
+	limit msjob.Resources
+	// pool is the pool whose shares count the attempt, or empty.
+	pool   string
 	state  runState
 	ticket string
 	// answeredAt is when a start or a stop was answered; only a report requested after
@@ -99,6 +101,7 @@
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Plus(r.limit)
 	}
+	e.countShare(r)
 }
 
 // dropRun removes an attempt that certainly doesn't run any more and never will.
@@ -118,6 +121,7 @@
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Minus(r.limit)
 	}
+	e.uncountShare(r)
 	e.wakeLoop()
 }
 
