--- a/msplace/order.go
+++ b/msplace/order.go
@@ -33,6 +33,9 @@
 	RemainingPath time.Duration
 	// Started is set once a task of the job was started.
 	Started bool
+	// Share is the part of the pool that the team took when Rank placed the job, if it went
+	// by shares.
+	Share float64
 
 	stage stage
 }
--- a/msplace/shares.go
+++ b/msplace/shares.go
@@ -82,8 +82,10 @@
 	return msjob.Resources{}
 }
 
-// Share returns the part of a pool's capacity that a team's running and recently started
-// work takes, by the resource of which it takes most.
+// Share returns the part of a pool's capacity that a team takes, by the resource of which
+// it takes most. It is the mean of what its tasks take now and what the tasks that it
+// started within about shareDecay take on average. What runs alone favours a team whose
+// tasks are short, as they have just ended whenever the next job is chosen.
 func (s *Shares) Share(pool, team string, capacity msjob.Resources, now time.Time) float64 {
 	w := s.teams[teamKey{pool, team}]
 	if w == nil {
@@ -94,7 +96,7 @@
 		part(float64(w.running.CPU)+w.recent[0]*decay, capacity.CPU),
 		part(float64(w.running.Memory)+w.recent[1]*decay, capacity.Memory),
 		part(float64(w.running.GPUs)+w.recent[2]*decay, capacity.GPUs),
-	)
+	) / 2
 }
 
 func (w *teamWork) decay(now time.Time) float64 {
@@ -116,9 +118,11 @@
 
 // Rank sorts jobs into the order in which they get capacity. It is the order of
 // SortCandidates, except that the jobs of a pool and a priority that have not started and
-// can end in time go by teams: next is a job of the team with the smallest share for its
-// weight, counting the jobs ranked before. So the teams without demand leave their share
-// to the others.
+// can end in time go by teams. First come the jobs of teams below their fair part of the
+// pool, which is their part of the weights of all teams with such jobs, by slack. Then next
+// is each time a job of the team with the smallest share for its weight. Jobs ranked before
+// count in the share. So teams without demand leave their part to the others, and as long
+// as no team exceeds its part, all jobs go by slack, which makes the fewest late.
 //
 // Jobs that have started keep their place, as they would end late together otherwise; what
 // they take counts in the share of their team.
@@ -136,58 +140,84 @@
 	}
 }
 
-// line has the jobs of one team in one pool in their order.
+// line has the jobs of one team in one pool that exceed its fair part, in their order.
 type line struct {
-	pool string
-	jobs []int
-	// used is the team's share of the pool for its weight.
-	used float64
+	jobs []Candidate
+	// weight is the team's weight, share the part of the pool that it takes.
+	weight, share float64
+}
+
+// poolLines has the lines of a pool.
+type poolLines struct {
+	lines []*line
+	// weight is the sum of the teams' weights.
+	weight   float64
+	capacity msjob.Resources
 }
 
 // rankByShare orders jobs of one priority by the shares of their teams.
 func rankByShare(candidates []Candidate, shares *Shares, capacity map[string]msjob.Resources, now time.Time) {
-	lines, ids := []*line{}, map[teamKey]*line{}
-	pools, byPool := []string{}, map[string][]*line{}
+	byTeam, byPool := map[teamKey]*line{}, map[string]*poolLines{}
+	var pools []*poolLines
 	for i := range candidates {
 		c := &candidates[i]
 		k := teamKey{c.Pool, c.Team}
-		l := ids[k]
-		if l == nil {
-			l = &line{pool: c.Pool, used: shares.Share(c.Pool, c.Team, capacity[c.Pool], now) / c.weight()}
-			ids[k] = l
-			lines = append(lines, l)
-			if byPool[c.Pool] == nil {
-				pools = append(pools, c.Pool)
-			}
-			byPool[c.Pool] = append(byPool[c.Pool], l)
+		if byTeam[k] != nil {
+			continue
+		}
+		p := byPool[c.Pool]
+		if p == nil {
+			p = &poolLines{capacity: capacity[c.Pool]}
+			byPool[c.Pool] = p
+			pools = append(pools, p)
 		}
-		l.jobs = append(l.jobs, i)
+		l := &line{weight: c.weight(), share: shares.Share(c.Pool, c.Team, p.capacity, now)}
+		byTeam[k] = l
+		p.lines = append(p.lines, l)
+		p.weight += l.weight
 	}
-	if len(lines) == len(pools) {
+	if len(byTeam) == len(pools) {
 		return
 	}
 	ranked := make([]Candidate, 0, len(candidates))
-	for _, pool := range pools {
-		for waiting := byPool[pool]; len(waiting) > 0; {
-			n := 0
-			for i, l := range waiting {
-				if l.used < waiting[n].used || l.used == waiting[n].used && l.jobs[0] < waiting[n].jobs[0] {
-					n = i
-				}
-			}
-			l := waiting[n]
-			c := candidates[l.jobs[0]]
-			ranked = append(ranked, c)
-			l.used += dominantPart(c.Wanted, capacity[pool]) / c.weight()
-			if l.jobs = l.jobs[1:]; len(l.jobs) == 0 {
-				waiting[n] = waiting[len(waiting)-1]
-				waiting = waiting[:len(waiting)-1]
-			}
+	for i := range candidates {
+		c := &candidates[i]
+		p, l := byPool[c.Pool], byTeam[teamKey{c.Pool, c.Team}]
+		c.Share = l.share
+		if len(l.jobs) > 0 || l.share >= l.weight/p.weight {
+			l.jobs = append(l.jobs, *c)
+			continue
 		}
+		ranked = append(ranked, *c)
+		l.share += dominantPart(c.Wanted, p.capacity)
+	}
+	for _, p := range pools {
+		ranked = p.appendByShare(ranked)
 	}
 	copy(candidates, ranked)
 }
 
+// appendByShare appends the jobs of the lines, each time one of the team with the smallest
+// share for its weight.
+func (p *poolLines) appendByShare(ranked []Candidate) []Candidate {
+	for {
+		var next *line
+		for _, l := range p.lines {
+			if len(l.jobs) > 0 && (next == nil || l.share/l.weight < next.share/next.weight) {
+				next = l
+			}
+		}
+		if next == nil {
+			return ranked
+		}
+		c := next.jobs[0]
+		c.Share = next.share
+		ranked = append(ranked, c)
+		next.share += dominantPart(c.Wanted, p.capacity)
+		next.jobs = next.jobs[1:]
+	}
+}
+
 // weight is the weight of the job's team, or 1 if it has none.
 func (t *Candidate) weight() float64 {
 	if t.Weight > 0 {
--- /dev/null
+++ b/msplace/shares_test.go
@@ -0,0 +1,225 @@
+package msplace
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+)
+
+// replayedJob is a job of replayOverload.
+type replayedJob struct {
+	team                     string
+	weight                   float64
+	covered, started, inTime bool
+	accepted, objective      time.Duration
+	estimate, path           time.Duration
+	work, stepCount          float64
+	need                     msjob.Resources
+	steps                    [][]time.Duration
+	waiting, running         int
+}
+
+// served counts jobs and those in time.
+type served struct{ inTime, all float64 }
+
+func (s *served) add(inTime bool) {
+	s.all++
+	s.inTime += float64(boolToInt(inTime))
+}
+
+func (s served) part() float64 { return s.inTime / max(1, s.all) }
+
+// overload is what replayOverload returns: jobs that the objective covers, of the team that
+// sends too much, of the others, and the largest tenth of all.
+type overload struct{ all, hot, others, wide served }
+
+const replayedWorkers = 100
+
+// replayOverload replays a pool of 100 workers of 64 cores, about 125 jobs a second, to
+// which one team sends hot jobs a second for 8 s, six times its usual, and 19 others send 50.
+// Jobs have 1 to 3 steps of 1 to 15 tasks. A job is in time by the real run times, which
+// only objective and path, the factors on the estimates, tell rank.
+func replayOverload(seed uint64, hot, objective, path float64, rank func([]Candidate, *Shares, map[string]msjob.Resources, time.Time)) overload {
+	r := rand.New(rand.NewPCG(seed, 1))
+	spread := func(s float64) float64 { return math.Exp(r.NormFloat64() * s) }
+	capacity := map[string]msjob.Resources{"p": {CPU: 64_000 * replayedWorkers}}
+	workers := make([]Worker, replayedWorkers)
+	for i := range workers {
+		workers[i] = Worker{ID: fmt.Sprint(i), Capacity: msjob.Resources{CPU: 64_000}, Free: msjob.Resources{CPU: 64_000}}
+	}
+	var shares Shares
+	var limiter TeamLimiter
+	var all []*replayedJob
+	type end struct {
+		j *replayedJob
+		w int
+	}
+	ends := map[int][]end{}
+	const tick = 20 * time.Millisecond
+	next := 0.0
+	for n := range 800 {
+		now := time.Duration(n) * tick
+		at := time.Unix(1000, 0).Add(now)
+		for next <= now.Seconds() && now < 10*time.Second {
+			rate := hot / 6
+			if now > time.Second && now < 9*time.Second {
+				rate = hot
+			}
+			next += r.ExpFloat64() / (rate + 50)
+			j := &replayedJob{team: "hot", weight: 191, accepted: now}
+			if k := r.IntN(19); r.Float64()*(rate+50) > rate {
+				j.team, j.weight = fmt.Sprint(k), float64(10+k)
+			}
+			j.covered = limiter.Allow(j.team, j.weight, at)
+			j.need.CPU = 2000 + r.Int64N(8400)
+			j.estimate = time.Duration(0.6 * spread(0.4) * float64(time.Second))
+			off := spread(0.25)
+			steps := []int{1, 1, 1, 1, 1, 2, 2, 2, 3, 3}[r.IntN(10)]
+			for range steps {
+				tasks := make([]time.Duration, 1+r.IntN(15))
+				longest := time.Duration(0)
+				for i := range tasks {
+					tasks[i] = time.Duration(float64(j.estimate) * off * spread(0.3))
+					longest = max(longest, tasks[i])
+				}
+				j.steps = append(j.steps, tasks)
+				j.path += longest
+				j.work += float64(len(tasks)) * float64(j.need.CPU) * j.estimate.Seconds()
+			}
+			j.waiting, j.stepCount = len(j.steps[0]), float64(steps)
+			j.objective = j.path*8/5 + 600*time.Millisecond
+			all = append(all, j)
+		}
+		for _, x := range ends[n] {
+			workers[x.w].Free = workers[x.w].Free.Plus(x.j.need)
+			shares.End("p", x.j.team, x.j.need)
+			if x.j.running--; x.j.running+x.j.waiting > 0 {
+				continue
+			}
+			if x.j.steps = x.j.steps[1:]; len(x.j.steps) > 0 {
+				x.j.waiting = len(x.j.steps[0])
+			} else {
+				x.j.inTime = now <= x.j.accepted+x.j.objective
+			}
+		}
+		var candidates []Candidate
+		for i, j := range all {
+			if j.waiting == 0 {
+				continue
+			}
+			c := Candidate{
+				ID: fmt.Sprintf("%05d", i), Index: i, Pool: "p", Team: j.team, Weight: j.weight, OverShare: !j.covered, Started: j.started,
+				Wanted: j.need.Times(int64(j.waiting)), RemainingPath: time.Duration(path * float64(j.estimate) * float64(len(j.steps))),
+			}
+			c.Objective = time.Duration(1.6*objective*float64(j.estimate)*j.stepCount) + 600*time.Millisecond
+			c.Slack = j.accepted + c.Objective - now - c.RemainingPath
+			candidates = append(candidates, c)
+		}
+		rank(candidates, &shares, capacity, at)
+		for i := range candidates {
+			j := all[candidates[i].Index]
+			for j.waiting > 0 {
+				w := Choose(Requirements{Step: &msjob.Step{Need: j.need}}, workers)
+				if w < 0 {
+					break
+				}
+				workers[w].Free = workers[w].Free.Minus(j.need)
+				shares.Start("p", j.team, j.need, j.estimate, at)
+				j.waiting--
+				j.running++
+				j.started = true
+				stop := n + 1 + int((j.steps[0][j.waiting]+tick)/tick)
+				ends[stop] = append(ends[stop], end{j, w})
+			}
+		}
+	}
+	var o overload
+	for _, j := range all {
+		if !j.covered {
+			continue
+		}
+		o.all.add(j.inTime)
+		if j.team == "hot" {
+			o.hot.add(j.inTime)
+		} else {
+			o.others.add(j.inTime)
+		}
+		if larger := 0; j.work > 0 {
+			for _, k := range all {
+				larger += boolToInt(k.work > j.work)
+			}
+			if larger < len(all)/10 {
+				o.wide.add(j.inTime)
+			}
+		}
+	}
+	return o
+}
+
+// A team that sends six times its usual load must not cost the others their objectives. In a
+// single line by slack every team waits behind it.
+func TestTeamsAreServedBesideOneThatSendsTooMuch(t *testing.T) {
+	t.Parallel()
+	line := func(c []Candidate, _ *Shares, _ map[string]msjob.Resources, _ time.Time) { SortCandidates(c) }
+	for _, hot := range []float64{150, 300} {
+		ours, naive := replayOverload(1, hot, 1.5, 1.9, Rank), replayOverload(1, hot, 1.5, 1.9, line)
+		t.Logf("%.0f jobs a second: in time %.3f, others %.3f, hot %.3f, largest tenth %.3f; by slack %.3f, others %.3f, hot %.3f, largest tenth %.3f", hot,
+			ours.all.part(), ours.others.part(), ours.hot.part(), ours.wide.part(), naive.all.part(), naive.others.part(), naive.hot.part(), naive.wide.part())
+		require.Greater(t, ours.others.part(), 0.9, "jobs of teams below their part of the weights")
+		require.Less(t, naive.others.part(), 0.9, "slack order no longer fails under this load")
+		require.Greater(t, ours.wide.part(), ours.all.part()/2, "largest tenth of the jobs")
+	}
+}
+
+// The order must not cost jobs when the pool has room for the load, whatever the weights.
+func TestSharesCostNothingWithoutOverload(t *testing.T) {
+	t.Parallel()
+	require.Greater(t, replayOverload(1, 50, 1.5, 1.9, Rank).all.part(), 0.99)
+}
+
+// The share counts what runs and what has started lately, by the dominant resource.
+func TestShareOfTeam(t *testing.T) {
+	var s Shares
+	at, capacity := time.Unix(10, 0), msjob.Resources{CPU: 1000, Memory: 100}
+	require.Zero(t, s.Share("p", "a", capacity, at))
+	s.Start("p", "a", msjob.Resources{CPU: 100, Memory: 50}, time.Second, at)
+	require.InDelta(t, (0.5+0.25)/2, s.Share("p", "a", capacity, at), 1e-9)
+	s.End("p", "a", msjob.Resources{CPU: 100, Memory: 50})
+	require.InDelta(t, 0.125/math.E, s.Share("p", "a", capacity, at.Add(shareDecay)), 1e-9)
+	require.Zero(t, s.Share("other", "a", capacity, at))
+	s.Start("p", "b", msjob.Resources{CPU: 100}, time.Second, at)
+	s.Undo("p", "b", msjob.Resources{CPU: 100}, time.Second)
+	require.Zero(t, s.Share("p", "b", capacity, at), "a task that was not started leaves no share")
+}
+
+// Within a priority, teams below their part go by slack, then the team with the least work
+// for its weight; the order in other pools and stages stays.
+func TestRankByShare(t *testing.T) {
+	var s Shares
+	at, capacity := time.Unix(10, 0), map[string]msjob.Resources{"p": {CPU: 100}, "q": {CPU: 100}}
+	s.Start("p", "busy", msjob.Resources{CPU: 80}, 2*time.Second, at)
+	need := msjob.Resources{CPU: 20}
+	candidates := []Candidate{
+		{ID: "busy-1", Pool: "p", Team: "busy", Weight: 1, Slack: 1, Wanted: need},
+		{ID: "busy-2", Pool: "p", Team: "busy", Weight: 1, Slack: 2, Wanted: need},
+		{ID: "calm-1", Pool: "p", Team: "calm", Weight: 1, Slack: 9, Wanted: need},
+		{ID: "calm-2", Pool: "p", Team: "calm", Weight: 1, Slack: 8, Wanted: need},
+		{ID: "calm-3", Pool: "p", Team: "calm", Weight: 1, Slack: 10, Wanted: need},
+		{ID: "calm-4", Pool: "p", Team: "calm", Weight: 1, Slack: 11, Wanted: need},
+		{ID: "late", Pool: "p", Team: "calm", Weight: 1, Slack: -1},
+		{ID: "started", Pool: "p", Team: "busy", Weight: 1, Slack: 5, Started: true},
+		{ID: "alone", Pool: "q", Team: "busy", Weight: 1, Slack: 7, Wanted: need},
+	}
+	Rank(candidates, &s, capacity, at)
+	var got []string
+	for _, c := range candidates {
+		got = append(got, c.ID)
+	}
+	require.Equal(t, []string{"started", "alone", "calm-2", "calm-1", "calm-3", "calm-4", "busy-1", "busy-2", "late"}, got)
+}
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -106,7 +106,7 @@
 	fields := []zap.Field{zap.String("pool", pool), zap.Int("in-time", inTime), zap.Int("late", late), zap.Int("useless", useless)}
 	if first != nil {
 		fields = append(fields, zap.String("next", first.ID), zap.String("team", first.Team), zap.Float64("weight", first.Weight),
-			zap.Float64("share", e.shares.Share(pool, first.Team, e.poolCapacities(now)[pool], now)), zap.Duration("slack", first.Slack))
+			zap.Float64("share", first.Share), zap.Duration("slack", first.Slack))
 	}
 	e.Logger.Info("pool full", fields...)
 }
