msruntime: learned run times of queues and images

The slack of a job came from the uncorrected estimate, while jobs take 1.5 times as long (median) when they start at once. A job's length is the longest chain of its tasks' runs, so the time for which it waits teaches nothing.

Both sides of the slack are corrected: the objective by the median, because callers judge it by the real run times, the remaining path by the 80th percentile.

The load record carries the factors by queue (optional field "ratio"), rounded and changed in steps of 0.1, and a new leader starts from them.

--- a/msjob/table.go
+++ b/msjob/table.go
@@ -38,6 +38,8 @@
 	Pools map[string]PoolLoad `json:"pools"`
 	// OverShare holds the teams that submit more than their share.
 	OverShare map[string]bool `json:"over,omitempty"`
+	// Ratios holds the learned factor on the estimated critical path of a job, by queue.
+	Ratios map[string]float64 `json:"ratio,omitempty"`
 }
 
 // PoolLoad is the load of one pool.
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -21,6 +21,7 @@
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
 	"marjoramspan/msplace"
+	"marjoramspan/msruntime"
 	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 )
@@ -122,6 +123,8 @@
 	// shares has the work of the teams by pool. It counts the same attempts as runs, apart
 	// from those of long-running and backfill steps.
 	shares msplace.Shares
+	// runtimes has the learned run times of queues and images.
+	runtimes msruntime.Table
 	// fullPools has when the order in each pool was last logged.
 	fullPools map[string]time.Time
 	// teamLimiter decides which jobs are within their team's share.
@@ -143,6 +146,11 @@
 	retryAt map[msjob.TaskID]time.Time
 	// overShare jobs exceed their team's share.
 	overShare bool
+	// criticalPath is the estimated length of the critical path.
+	criticalPath time.Duration
+	// runtimes has the learned run times, longestRuns the longest run of each step's tasks.
+	runtimes    *msruntime.Table
+	longestRuns []time.Duration
 	// useless is set if the latest pass expected the job to end after callers have a use
 	// for its result.
 	useless bool
@@ -214,7 +222,9 @@
 	}
 	// Jobs that were added before the journal was read to its end would lack the
 	// progress that earlier leaders have stored.
+	load := e.Jobs.Load()
 	e.mu.Lock()
+	e.runtimes.Restore(load.Ratios, e.Clock.Now())
 	e.jobs, e.active, e.dirty = map[string]*job{}, map[string]*job{}, map[string]*job{}
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
@@ -422,7 +432,10 @@
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
 	}
-	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State}
+	j := &job{
+		def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State,
+		criticalPath: entry.Job.CriticalPath(), runtimes: &e.runtimes,
+	}
 	e.jobs[j.def.ID] = j
 	switch s := entry.Status; {
 	case s.State.Final():
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -166,8 +166,10 @@
 func (j *job) candidate(now time.Time) (msplace.Candidate, bool) {
 	t := msplace.Candidate{
 		ID: j.def.ID, Team: j.def.Team, LongRunning: j.def.LongRunning(), Priority: j.def.Priority,
-		OverShare: j.overShare, Started: j.p.Started, Objective: j.def.LatencyObjective(),
+		OverShare: j.overShare, Started: j.p.Started,
 	}
+	ratio := j.ratio()
+	t.Objective = ratio.Objective(j.def, j.criticalPath)
 	waiting := false
 	for k, occurrence := range j.p.Occurrences {
 		for s := range occurrence.Steps {
@@ -188,8 +190,8 @@
 				t.Wanted = t.Wanted.Plus(j.def.Steps[s].Reserved().Times(n))
 			}
 		}
-		left := occurrence.RemainingPath(j.def)
-		slack := j.def.Due(k).Add(j.def.LatencyObjective()).Sub(now) - left
+		left := ratio.RemainingTime(occurrence.RemainingPath(j.def))
+		slack := j.def.Due(k).Add(t.Objective).Sub(now) - left
 		if t.Slack == 0 || slack < t.Slack {
 			t.Slack, t.RemainingPath = slack, left
 		}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -195,6 +195,7 @@
 	if r != nil && r.w == w {
 		if s := r.step(); end.Reason == msworker.EndDone && s != nil && !r.answeredAt.IsZero() {
 			w.recordRuntime(now.Sub(r.answeredAt), s.Estimate)
+			e.recordRuntime(r, now.Sub(r.answeredAt), now)
 		}
 		e.dropRun(r)
 	}
@@ -270,6 +271,7 @@
 		e.stopOthers(j, end.Task, end.Attempt)
 	}
 	if occurrence.Done() {
+		e.recordJobRuntime(j)
 		j.p.MarkFinished(end.Task.Occurrence)
 		if e.unfinishedOccurrences(j) == 0 {
 			e.endJob(j, msjob.Completed, "")
