msscheduler: shares are visible, cancelled jobs free what was not sent

A task whose start was ordered and not yet sent stayed counted after its job was cancelled, until a stop had been answered and a report had come. It is dropped at once now, as its start is not sent any more (TestCancelFreesCapacityAtOnce fails without it). Planned tasks were freed at once before; tasks that run are still counted until their worker has ended them, as it could not run others earlier.

A full pool writes one line a second that says which job is next and its team's share; two gauges by team show the cores that run and the largest share.

--- a/msplace/shares.go
+++ b/msplace/shares.go
@@ -118,6 +118,13 @@
 	) / 2
 }
 
+// Each calls fn with the running tasks of each team in each pool, in no particular order.
+func (s *Shares) Each(fn func(pool, team string, running msjob.Resources)) {
+	for k, w := range s.teams {
+		fn(k.pool, k.team, w.running)
+	}
+}
+
 func (w *teamWork) decay(now time.Time) float64 {
 	return math.Exp(-max(0, now.Sub(w.updated)).Seconds() / shareDecay.Seconds())
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -128,6 +128,8 @@
 	// waitingJobs, candidates and orderedJobs are used by queue, and kept to save allocations.
 	waitingJobs, orderedJobs []*job
 	candidates               []*msplace.Candidate
+	// sharesReportedAt is when the metrics of the shares were last set.
+	sharesReportedAt time.Time
 	// fullPools has when the order in each pool was last logged.
 	fullPools map[string]time.Time
 	// teamLimiter decides which jobs are within their team's share.
@@ -178,6 +180,7 @@
 // error.
 func (e *Engine) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer e.Metrics.resetShares()
 	defer e.group.Wait()
 	defer cancel()
 	e.ctx = ctx
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"marjoramspan/msjob"
 	"marjoramspan/mssite"
@@ -507,3 +510,118 @@
 		return false
 	}, eventually, 5*time.Millisecond)
 }
+
+// A cancelled job must free what its planned, unsent and running tasks hold: while a pool is
+// full, others wait for it.
+func TestCancelFreesCapacityAtOnce(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 2, 1, 1)
+	e.othersWait = map[string]bool{}
+	e.Term = validTerm(t)
+	e.mu.Lock()
+	starts := e.pass(e.Clock.Now()).starts
+	require.Len(t, starts, 16, "two of three jobs take both workers")
+	j := starts[0].job
+	planned, unsent := starts[0], starts[1]
+	unsent.state, unsent.orderedAt = runOrdered, e.Clock.Now()
+	running := e.shares.Running("pool-0", j.def.Team)
+	e.mu.Unlock()
+	e.Cancel(j.def.ID)
+	_, _, ok := e.prepareStart(unsent)
+	require.False(t, ok, "the start must not be sent any more")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.NotContains(t, e.runs, planned.runKey, "planned")
+	require.NotContains(t, e.runs, unsent.runKey, "ordered, but not sent")
+	require.Len(t, e.runs, 8)
+	require.Equal(t, running.CPU/2, e.shares.Running("pool-0", j.def.Team).CPU)
+	next := e.pass(e.Clock.Now()).starts
+	require.Len(t, next, 8, "the next pass gives the capacity to the third job")
+	require.NotSame(t, j, next[0].job)
+}
+
+// The ratios of run times must come from the runs alone: a job that waits for capacity is not
+// slow. A new leader must start from the published ones.
+func TestLearnedRunTimes(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	second := step(1)
+	second.After = []int{0}
+	for i := range 12 {
+		// 12 jobs of 8 tasks on 8 cores run one after the other.
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=150ms", Steps: []msjob.Step{step(8), second}})
+	}
+	for i := range 12 {
+		w.await(e, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+	require.Eventually(t, func() bool { return e.jobs.Load().Ratios["plan"] > 0 }, eventually, 5*time.Millisecond)
+	g := e.current()
+	g.mu.Lock()
+	got := g.runtimes.Queue("plan")
+	g.mu.Unlock()
+	require.GreaterOrEqual(t, got.Samples, 10)
+	require.Greater(t, got.Median, 2.5, "runs take three times their estimate")
+	require.Less(t, got.Median, 9.0, "half of the jobs wait for more than nine times their estimate")
+	published := e.jobs.Load().Ratios["plan"]
+	e.stop()
+	b := w.entry("b")
+	require.Eventually(t, func() bool {
+		g := b.current()
+		if g == nil {
+			return false
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.runtimes.Queue("plan").Factor() == published
+	}, eventually, 5*time.Millisecond, "the new leader has other ratios")
+}
+
+// Jobs of a team that has sent little must start before those of one that fills the pool,
+// and operators must see that in one line a second.
+func TestFullPoolIsDividedByTeams(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 8, 1, 1)
+	e.othersWait = map[string]bool{}
+	e.Term = validTerm(t)
+	reg := prometheus.NewRegistry()
+	e.Metrics = NewMetrics(reg)
+	core, lines := observer.New(zap.InfoLevel)
+	e.Logger = zap.New(core)
+	e.mu.Lock()
+	starts := e.pass(e.Clock.Now()).starts
+	e.mu.Unlock()
+	require.Len(t, starts, 64, "team-0 fills the pool")
+	first := starts[0].job.def
+	calm := *first
+	calm.ID, calm.Team, calm.Accepted = "calm", "other", first.Accepted.Add(time.Second)
+	e.AddJob(msjob.TableEntry{Job: &calm})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range starts {
+		if r.job.def == first {
+			e.dropRun(r)
+			r.job.p.Task(r.task).MarkDone()
+		}
+	}
+	delete(e.active, first.ID)
+	starts = e.pass(e.Clock.Now().Add(time.Second)).starts
+	require.Len(t, starts, 8)
+	for _, r := range starts {
+		require.Equal(t, "calm", r.job.def.ID)
+	}
+	require.GreaterOrEqual(t, lines.FilterMessage("pool full").Len(), 1)
+	require.LessOrEqual(t, lines.FilterMessage("pool full").Len(), 2, "passes within a second write one line")
+	families, err := reg.Gather()
+	require.NoError(t, err)
+	values := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if l := m.GetLabel(); len(l) == 1 && l[0].GetValue() == "team-0" {
+				values[f.GetName()] = m.GetGauge().GetValue()
+			}
+		}
+	}
+	require.InDelta(t, 224, values["marjoramspan_team_running_cores"], 1e-9)
+	require.Greater(t, values["marjoramspan_team_share"], 0.5)
+}
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -18,6 +18,8 @@
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
+	// teamCores and teamShare have what the running tasks of each team take.
+	teamCores, teamShare *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -47,7 +49,13 @@
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
 	})
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp)
+	m.teamCores = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_team_running_cores", Help: "Cores that the running tasks of a team reserve, apart from long-running and backfill ones.",
+	}, []string{"team"})
+	m.teamShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_team_share", Help: "Largest part of a pool that a team's running and recently started tasks take.",
+	}, []string{"team"})
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare)
 	return m
 }
 
@@ -97,3 +105,18 @@
 		m.givenUp.Inc()
 	}
 }
+
+func (m *Metrics) setShare(team string, cores, share float64) {
+	if m != nil {
+		m.teamCores.WithLabelValues(team).Set(cores)
+		m.teamShare.WithLabelValues(team).Set(share)
+	}
+}
+
+// resetShares removes the shares, which only a leader knows.
+func (m *Metrics) resetShares() {
+	if m != nil {
+		m.teamCores.Reset()
+		m.teamShare.Reset()
+	}
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -182,13 +182,14 @@
 	return true
 }
 
-// stop ends an attempt. It stays counted until its worker has listed its end or no
-// longer lists it. The caller holds mu.
+// stop ends an attempt. If its start may have been sent, it stays counted until its worker
+// has listed its end or no longer lists it. The caller holds mu.
 func (e *Engine) stop(r *run) {
 	if e.runs[r.runKey] != r || r.state == runStopping {
 		return
 	}
-	if r.state == runPlanned {
+	if r.state == runPlanned || r.state == runOrdered && r.unanswered == 0 && !r.uncertain {
+		// No start was sent that its worker may still carry out, and none will be.
 		e.markLost(r, notEnded, "no longer wanted")
 		return
 	}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -82,6 +82,7 @@
 // place assigns waiting tasks to workers and returns the new attempts. Their starts may
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
+	e.reportShares(now)
 	if !e.Term.Valid() || !e.initialReportsReceived(now) {
 		return nil
 	}
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -109,3 +109,26 @@
 	}
 	e.Logger.Info("pool full", fields...)
 }
+
+// shareReportInterval is the minimum time between two updates of the teams' metrics.
+const shareReportInterval = time.Second
+
+// reportShares sets the metrics of the teams if they are due.
+func (e *Engine) reportShares(now time.Time) {
+	if e.Metrics == nil || now.Sub(e.sharesReportedAt) < shareReportInterval {
+		return
+	}
+	e.sharesReportedAt = now
+	capacity := e.poolCapacities(now)
+	cores, shares := map[string]float64{}, map[string]float64{}
+	e.shares.Each(func(pool, team string, running msjob.Resources) {
+		cores[team] += float64(running.CPU) / milliCoresPerCore
+		shares[team] = max(shares[team], e.shares.Share(pool, team, capacity[pool], now))
+	})
+	for team := range cores {
+		e.Metrics.setShare(team, cores[team], shares[team])
+	}
+}
+
+// milliCoresPerCore is the number of CPU units in a core.
+const milliCoresPerCore = 1000
