msplace: the largest tenth of a queue's jobs is not starved

In a full pool a small task takes the room of each task that ends, and a large one behind it never finds any. WideJobs watches how often the largest tenth of each queue's jobs is in time. Below half of the queue's own part, wide jobs in time go first among those not started, and one worker of the pool is kept free for the first of them that finds no room, pass by pass.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -123,6 +123,8 @@
 	// shares has the work of the teams by pool. It counts the same attempts as runs, apart
 	// from those of long-running and backfill steps.
 	shares msplace.Shares
+	// wideJobs has which jobs are the largest of their queue, and how often they are in time.
+	wideJobs msplace.WideJobs
 	// runtimes has the learned run times of queues and images.
 	runtimes msruntime.Table
 	// waitingJobs, candidates and orderedJobs are used by queue, and kept to save allocations.
@@ -158,6 +160,9 @@
 	longestRuns []time.Duration
 	// order is what the latest pass ordered the job by.
 	order msplace.Candidate
+	// wide jobs are among the largest tenth of their queue. outcomeKnown is set once the job
+	// is counted as in time or late in Engine.wideJobs.
+	wide, outcomeKnown bool
 	// useless is set if the latest pass expected the job to end after callers have a use
 	// for its result.
 	useless bool
@@ -470,6 +475,7 @@
 		return
 	}
 	e.active[j.def.ID] = j
+	j.wide = !j.def.LongRunning() && e.wideJobs.Add(j.def.Queue, j.def.Work())
 	e.adoptRuns(j)
 	if !j.p.Started {
 		e.pools.arrivals.Add(poolOf(j.def, e.Sites.Site()), j.def.Work(), e.Clock.Now())
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -625,3 +625,47 @@
 	require.InDelta(t, 224, values["marjoramspan_team_running_cores"], 1e-9)
 	require.Greater(t, values["marjoramspan_team_share"], 0.5)
 }
+
+// While wide jobs of a queue are starved, small tasks must leave the room that a wide job
+// waits for. The worker is free for all again in the pass in which it has started.
+func TestWideJobGetsRoom(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1)
+	e.othersWait = map[string]bool{}
+	e.Term = validTerm(t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	small := e.pass(e.Clock.Now()).starts
+	require.Len(t, small, 8, "small tasks of 4 cores fill the worker")
+	for range 10 {
+		e.wideJobs.End("queue-0", true, false)
+		e.wideJobs.End("queue-0", false, true)
+	}
+	add := func(id string, cpu int64, accepted time.Time) *job {
+		def := *small[0].job.def
+		def.ID, def.Accepted, def.Steps = id, accepted, []msjob.Step{{Count: 1, Need: msjob.Resources{CPU: cpu}, Estimate: time.Second}}
+		e.addJob(msjob.TableEntry{Job: &def})
+		return e.jobs[id]
+	}
+	wide := add("wide", 16_000, time.Now())
+	wide.wide = true
+	urgent := add("urgent", 4000, time.Now().Add(-100*time.Millisecond))
+	for n := range 4 {
+		r := small[n]
+		e.dropRun(r)
+		r.job.p.Task(r.task).MarkDone()
+		starts := e.pass(e.Clock.Now()).starts
+		if n < 3 {
+			require.Empty(t, starts, "after %d tasks", n+1)
+			require.False(t, urgent.p.Started)
+		} else {
+			require.Len(t, starts, 1)
+			require.Same(t, wide, starts[0].job)
+		}
+	}
+	r := small[4]
+	e.dropRun(r)
+	r.job.p.Task(r.task).MarkDone()
+	require.Len(t, e.pass(e.Clock.Now()).starts, 1, "the urgent job")
+	require.True(t, urgent.p.Started)
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -24,6 +24,8 @@
 	// usefulWait is set once a task has found no worker whose job serves callers only for
 	// some time and can still be of use to them.
 	usefulWait bool
+	// held is the worker that is kept free for a wide job in this pass, or nil.
+	held *worker
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
 }
@@ -109,8 +111,9 @@
 			pool.releaseIsolated()
 		}
 		if pool.usefulWait {
-			e.logFullPool(name, candidates, now)
+			e.logFullPool(name, pool.held, candidates, now)
 		}
+		pool.releaseHeld()
 	}
 	return placed
 }
@@ -145,8 +148,12 @@
 		if !ok {
 			continue
 		}
+		t.Starved = j.wide && e.wideJobs.Starved(j.def.Queue)
 		t.Index, t.Pool, t.Weight = len(jobs), poolOf(j.def, site), teamWeight(j.def.Team, site, defaultWeight)
 		j.order, j.useless = t, t.Useless()
+		if t.Late() {
+			e.recordOutcome(j, false)
+		}
 		jobs = append(jobs, j)
 		candidates = append(candidates, &j.order)
 	}
@@ -308,7 +315,10 @@
 		for _, r := range placed {
 			e.unreserve(r, pool)
 		}
-		return nil
+		placed = nil
+	}
+	if len(placed) < len(waiting) {
+		e.holdForWide(j, want, whole)
 	}
 	for _, r := range placed {
 		e.assign(r, occurrence)
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -78,7 +78,7 @@
 const fullPoolLogInterval = time.Second
 
 // logFullPool logs which job went first in a pool in which tasks found no worker, and why.
-func (e *Engine) logFullPool(pool string, ranked []*msplace.Candidate, now time.Time) {
+func (e *Engine) logFullPool(pool string, held *worker, ranked []*msplace.Candidate, now time.Time) {
 	if last, ok := e.fullPools[pool]; ok && now.Sub(last) < fullPoolLogInterval {
 		return
 	}
@@ -103,6 +103,9 @@
 		}
 	}
 	fields := []zap.Field{zap.String("pool", pool), zap.Int("in-time", inTime), zap.Int("late", late), zap.Int("useless", useless)}
+	if held != nil {
+		fields = append(fields, zap.String("held", held.ID))
+	}
 	if first != nil {
 		fields = append(fields, zap.String("next", first.ID), zap.String("team", first.Team), zap.Float64("weight", first.Weight),
 			zap.Float64("share", first.Share), zap.Duration("slack", first.Slack))
@@ -132,3 +135,34 @@
 
 // milliCoresPerCore is the number of CPU units in a core.
 const milliCoresPerCore = 1000
+
+// recordOutcome counts a job as in time or late, once.
+func (e *Engine) recordOutcome(j *job, inTime bool) {
+	if !j.outcomeKnown && !j.def.LongRunning() {
+		j.outcomeKnown = true
+		e.wideJobs.End(j.def.Queue, j.wide, inTime)
+	}
+}
+
+// holdForWide keeps a worker free for tasks that found none, if they are of a wide job that
+// can be in time and such jobs of its queue are in time too seldom. It is the first such job
+// in the order of the pass, and the next pass decides anew: the time is bounded by the
+// job's slack.
+func (e *Engine) holdForWide(j *job, want msplace.Requirements, pool *poolSnapshot) {
+	if pool.held != nil || !j.order.Starved || j.order.Late() || want.Group != "" {
+		return
+	}
+	if n := msplace.Hold(want, pool.placement); n >= 0 {
+		pool.held = pool.workers[n]
+	}
+}
+
+// releaseHeld allows tasks on the worker that was held in this pass.
+func (p *poolSnapshot) releaseHeld() {
+	for i, w := range p.workers {
+		if w == p.held {
+			p.placement[i].Free = w.free()
+		}
+	}
+	p.held = nil
+}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -320,6 +320,9 @@
 	j.p.State, j.p.Reason = state, reason
 	j.p.Ended = e.Wall.Now().UnixMilli()
 	j.p.Occurrences = nil
+	if state == msjob.Completed {
+		e.recordOutcome(j, e.Wall.Now().Sub(j.def.Due(j.def.OccurrenceCount()-1)) <= j.ratio().Objective(j.def, j.criticalPath))
+	}
 	e.markDirty(j)
 	delete(e.active, j.def.ID)
 	for _, r := range j.runs {
