--- a/msplace/shares_test.go
+++ b/msplace/shares_test.go
@@ -153,13 +153,18 @@
 			candidates = append(candidates, c)
 		}
 		rank(&shares, candidates, capacity, at)
-		held := false
+		// Once a task has found no room in a pass, larger ones find none either.
+		held, tooLarge := false, int64(math.MaxInt64)
 		for _, c := range candidates {
 			j := all[c.Index]
 			want := Requirements{Step: &msjob.Step{Need: j.need}}
 			for j.waiting > 0 {
-				w := Choose(want, workers)
+				w := -1
+				if j.need.CPU < tooLarge {
+					w = Choose(want, workers)
+				}
 				if w < 0 {
+					tooLarge = min(tooLarge, j.need.CPU)
 					if o.hold && !held && j.wide && !c.Late() && wide.Starved("q") {
 						held = Hold(want, workers) >= 0
 					}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -205,6 +205,10 @@
 			t.Slack, t.RemainingPath = slack, left
 		}
 	}
+	if j.def.OccurrenceCount() > 1 {
+		// One occurrence that is late beyond use must not hold back those that are due now.
+		t.Objective = 0
+	}
 	return t, waiting
 }
 
