--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -22,6 +22,8 @@
 	// evacuatedTasks the tasks that were stopped there.
 	evacuatedZones, evacuatedLeft prometheus.Gauge
 	evacuatedTasks                *prometheus.CounterVec
+	// teamCores and teamShare have what the running tasks of each team take.
+	teamCores, teamShare *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -61,7 +63,13 @@
 		Name: "marjoramspan_tasks_evacuated_total", Help: "Tasks stopped in evacuated data centres to start elsewhere, by kind.",
 	}, []string{"kind"})
 	reg.MustRegister(m.evacuatedZones, m.evacuatedLeft, m.evacuatedTasks)
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp)
+	m.teamCores = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_team_running_cores", Help: "Cores that the running tasks of a team reserve, apart from long-running and backfill ones.",
+	}, []string{"team"})
+	m.teamShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_team_share", Help: "Largest part of a pool that a team's running and recently started tasks take.",
+	}, []string{"team"})
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare)
 	return m
 }
 
@@ -129,3 +137,18 @@
 	}
 	m.evacuatedTasks.WithLabelValues(kind).Inc()
 }
+
+func (m *Metrics) setShare(team string, cores, share float64) {
+	if m != nil {
+		m.teamCores.WithLabelValues(team).Set(cores)
+		m.teamShare.WithLabelValues(team).Set(share)
+	}
+}
+
+// resetShares removes the shares, which only a leader knows.
+func (m *Metrics) resetShares() {
+	if m != nil {
+		m.teamCores.Reset()
+		m.teamShare.Reset()
+	}
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -22,6 +22,11 @@
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
+	// usefulWait is set once a task has found no worker whose job serves callers only for
+	// some time and can still be of use to them.
+	usefulWait bool
+	// held is the worker that is kept free for a wide job in this pass, or nil.
+	held *worker
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
 	// full has what no worker of the pool has room for.
@@ -86,10 +91,11 @@
 // place assigns waiting tasks to workers and returns the new attempts. Their starts may
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
+	e.reportShares(now)
 	if !e.Term.Valid() || !e.initialReportsReceived(now) || !e.operatorsCurrent(now) {
 		return nil
 	}
-	jobs := e.queue()
+	jobs, candidates := e.queue(now)
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -111,6 +117,10 @@
 		if !pool.suspectsWait {
 			pool.releaseIsolated()
 		}
+		if pool.usefulWait {
+			e.logFullPool(name, pool.held, candidates, now)
+		}
+		pool.releaseHeld()
 	}
 	return placed
 }
@@ -133,41 +143,62 @@
 	return len(e.workers) > 0
 }
 
-// queue returns the jobs with tasks that may be placed, in the order of placement. The
-// result is valid until the next call.
-func (e *Engine) queue() []*job {
+// queue returns the jobs with tasks that may be placed, in the order of placement, and
+// what they were ordered by. The results are valid until the next call.
+func (e *Engine) queue(now time.Time) ([]*job, []*msplace.Candidate) {
 	wall := e.Wall.Now()
+	site := e.Sites.Site()
+	defaultWeight := meanWeight(site)
 	jobs, candidates := e.queued[:0], e.candidates[:0]
 	for _, j := range e.activeJobs() {
 		t, ok := j.candidate(wall)
 		if !ok {
 			continue
 		}
-		t.Index = len(jobs)
+		t.Starved = j.wide && e.wideJobs.Starved(j.def.Queue)
+		t.Index, t.Pool, t.Weight = len(jobs), poolOf(j.def, site), teamWeight(j.def.Team, site, defaultWeight)
+		j.order, j.useless = t, t.Useless()
+		if t.Late() {
+			e.recordOutcome(j, false)
+		}
 		jobs = append(jobs, j)
-		candidates = append(candidates, t)
+		candidates = append(candidates, &j.order)
+	}
+	e.queued, e.candidates = jobs, candidates
+	if len(jobs) == 0 {
+		return nil, nil
 	}
-	msplace.SortCandidates(candidates)
+	e.shares.Rank(candidates, e.poolCapacities(now), now)
 	ordered := e.ordered[:0]
-	for i := range candidates {
-		ordered = append(ordered, jobs[candidates[i].Index])
+	for _, c := range candidates {
+		ordered = append(ordered, jobs[c.Index])
 	}
-	e.queued, e.candidates, e.ordered = jobs, candidates, ordered
+	e.ordered = ordered
 	e.keepOrder(ordered)
-	return ordered
+	return ordered, candidates
 }
 
 // candidate describes a job for the placement order and reports whether any of its tasks
 // waits to be placed.
 func (j *job) candidate(now time.Time) (msplace.Candidate, bool) {
 	tasks := j.tasks()
-	t := msplace.Candidate{ID: j.def.ID, LongRunning: tasks.longRunning, Priority: j.def.Priority, OverShare: j.overShare, Started: j.p.Started}
+	t := msplace.Candidate{
+		ID: j.def.ID, Team: j.def.Team, LongRunning: tasks.longRunning, Priority: j.def.Priority,
+		OverShare: j.overShare, Started: j.p.Started, Wanted: tasks.wanted,
+	}
+	ratio := j.ratio()
+	t.Objective = ratio.Objective(j.def, j.criticalPath)
 	for _, p := range tasks.paths {
-		slack := p.deadline.Sub(now) - p.left
+		left := ratio.RemainingTime(p.left)
+		slack := p.due.Add(t.Objective).Sub(now) - left
 		if t.Slack == 0 || slack < t.Slack {
-			t.Slack, t.RemainingPath = slack, p.left
+			t.Slack, t.RemainingPath = slack, left
 		}
 	}
+	if j.def.OccurrenceCount() > 1 {
+		// One occurrence that is late beyond use must not hold back those that are due now.
+		t.Objective = 0
+	}
 	return t, tasks.waiting
 }
 
@@ -198,7 +229,7 @@
 
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
 	pool := snapshots[j.poolIn(site)]
-	if pool == nil {
+	if pool == nil || j.useless && pool.usefulWait {
 		return nil
 	}
 	var placed []*run
@@ -274,6 +305,7 @@
 		if n < 0 {
 			whole.othersWait = true
 			pool.noteFull(step)
+			whole.usefulWait = whole.usefulWait || !j.useless && !j.def.LongRunning()
 			break
 		}
 		if tasks[i].Phase == msjob.Assigned {
@@ -287,7 +319,10 @@
 		for _, r := range placed {
 			e.unreserve(r, pool)
 		}
-		return nil
+		placed = nil
+	}
+	if len(placed) < len(waiting) {
+		e.holdForWide(j, want, whole)
 	}
 	for _, r := range placed {
 		e.assign(r, occurrence)
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -23,7 +23,7 @@
 	// jobs and lack new ones.
 	order, nextOrder []*job
 	queued, ordered  []*job
-	candidates       []msplace.Candidate
+	candidates       []*msplace.Candidate
 	waitingTasks     []int
 	onWorker, onRack map[string]int
 	// stallsCheckedAt is when attempts without progress were last looked for.
@@ -111,11 +111,13 @@
 	// work is the estimated work that isn't done, in core-seconds, without long-running and
 	// backfill steps.
 	work float64
+	// wanted is what the tasks that wait to be placed reserve.
+	wanted msjob.Resources
 }
 
 type occurrencePath struct {
-	deadline time.Time
-	left     time.Duration
+	due  time.Time
+	left time.Duration
 }
 
 type readyStep struct {
@@ -140,9 +142,8 @@
 	}
 	j.tasksKnown = true
 	*v = taskView{longRunning: j.def.LongRunning(), paths: v.paths[:0], ready: v.ready[:0]}
-	objective := j.def.LatencyObjective()
 	for k, occurrence := range j.p.Occurrences {
-		v.paths = append(v.paths, occurrencePath{deadline: j.def.Due(k).Add(objective), left: occurrence.RemainingPath(j.def)})
+		v.paths = append(v.paths, occurrencePath{due: j.def.Due(k), left: occurrence.RemainingPath(j.def)})
 		for s := range occurrence.Steps {
 			v.addStep(j.def, occurrence, k, s)
 		}
@@ -180,6 +181,7 @@
 	}
 	v.ready = append(v.ready, r)
 	v.waiting = v.waiting || r.waiting > 0 || step.Duplicates
+	v.wanted = v.wanted.Plus(step.Reserved().Times(int64(r.waiting)))
 }
 
 // poolIn returns the pool that runs the job now.
