msjob, msintake, msscheduler: several streams for accepted jobs

The log carries out the appends of a stream one at a time, 4 ms each, so at 400 jobs a second submitting took 160 to 260 ms. Entries now append jobs and cancels to one of four additional streams while the appends to ms-jobs take much longer than usual. The leader reads all streams in use, keeps its own records in ms-jobs, and deletes jobs that have ended from their streams after their final status is stored. Streams that were never used aren't read.

--- a/cmd/marjoramspan/jobs.go
+++ b/cmd/marjoramspan/jobs.go
@@ -26,15 +26,23 @@
 	defer cancel()
 	l := (&platform.LogClient{Client: platform.NewClient(1), Address: func() string { return f.Log }}).Log()
 	t := &msjob.Table{}
-	for _, stream := range []string{streamJobs, streamProgress} {
-		if err := readNewest(ctx, l, stream, t); err != nil {
-			return nil, err
+	if err := readNewest(ctx, l, streamJobs, t.Apply); err != nil {
+		return nil, err
+	}
+	var failed error
+	t.StreamsInUse().Each(func(n int) {
+		apply := func(r msjob.Record) error { return t.ApplyFrom(n, r) }
+		if err := readNewest(ctx, l, jobStream(n), apply); err != nil {
+			failed = err
 		}
+	})
+	if failed != nil {
+		return nil, failed
 	}
-	return t, nil
+	return t, readNewest(ctx, l, streamProgress, t.Apply)
 }
 
-func readNewest(ctx context.Context, l msjournal.Log, stream string, t *msjob.Table) error {
+func readNewest(ctx context.Context, l msjournal.Log, stream string, apply func(r msjob.Record) error) error {
 	after := ""
 	for {
 		p, err := l.Newest(ctx, stream, after)
@@ -43,7 +51,7 @@
 		}
 		for _, r := range p.Records {
 			// A record that can't be read names no job; the others hold.
-			if err := t.Apply(msjob.Record{Key: r.Key, Value: r.Value}); err != nil {
+			if err := apply(msjob.Record{Key: r.Key, Value: r.Value}); err != nil {
 				fmt.Println("left aside:", err)
 			}
 		}
--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -54,6 +54,16 @@
 	readerPause = 200 * time.Millisecond
 	// leaderPause is the same for the entry that schedules.
 	leaderPause = 10 * time.Millisecond
+	// streamPause is the pause of an entry that doesn't schedule between two reads of an
+	// additional job stream. It needs their jobs only for answers about jobs that another
+	// entry has accepted, and looks up jobs that it doesn't know.
+	streamPause = 600 * time.Millisecond
+	// streamWait is how long such a read waits for a record, near the 30 s that the log
+	// allows: an idle stream then costs an entry a call in 25 s.
+	streamWait = 25 * time.Second
+	// leaderStreamWait is the same for the entry that schedules. A dead connection hides
+	// accepted jobs from it for as long.
+	leaderStreamWait = time.Second
 	// keyLeaseShare is the share of the time for withdrawing a key for which an
 	// entry goes on without knowing that its keys are in force.
 	keyLeaseShare = 0.7
@@ -138,12 +148,17 @@
 
 	operators, workers, records *msjournal.Follower
 	writer                      *msjournal.Writer
-	leader                      *msleader.Elector
-	intake                      *msintake.Intake
-	metrics                     *msscheduler.Metrics
-	orders                      msworker.Orders
-	vms                         msworker.VMs
-	advise                      msworker.Advisor
+	// streams follow the additional job streams and streamWriters append to them, both
+	// numbered from 1. An element of streamInUse is closed once its stream is in use.
+	streams       []*msjournal.Follower
+	streamWriters []*msjournal.Writer
+	streamInUse   []chan struct{}
+	leader        *msleader.Elector
+	intake        *msintake.Intake
+	metrics       *msscheduler.Metrics
+	orders        msworker.Orders
+	vms           msworker.VMs
+	advise        msworker.Advisor
 
 	begun    time.Time
 	draining atomic.Bool
@@ -175,6 +190,7 @@
 		return readerPause
 	}
 	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
+	n.buildStreams(name)
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
@@ -185,6 +201,10 @@
 		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf,
 		Metrics: msintake.NewMetrics(n.reg),
 	}
+	n.intake.Streams = &msintake.Streams{
+		Clock: n.clock, Logger: n.log, Jobs: &n.jobs, Shared: n.writer, Writers: n.streamWriters,
+		Journals: n.streams, Metrics: msintake.NewStreamMetrics(n.reg),
+	}
 	if b := set.Bounds; b.StrictKeyWithdrawal {
 		n.intake.SiteLease = time.Duration(float64(b.KeyWithdrawal) * keyLeaseShare)
 	}
@@ -193,6 +213,11 @@
 			e.AddJob(j)
 		}
 	}
+	n.jobs.OnCopy = func(id string, stream int) {
+		if e := n.scheduler(); e != nil {
+			e.AddCopy(id, stream)
+		}
+	}
 	n.jobs.OnCancel = func(id string) {
 		if e := n.scheduler(); e != nil {
 			e.Cancel(id)
@@ -203,6 +228,52 @@
 	}
 }
 
+// jobStream returns the name of a stream of jobs and cancels.
+func jobStream(number int) string {
+	if number == 0 {
+		return streamJobs
+	}
+	return streamJobs + "-" + strconv.Itoa(number)
+}
+
+// buildStreams creates what reads the additional job streams and writes to them.
+func (n *node) buildStreams(producer string) {
+	for i := 1; i <= msjob.AdditionalStreams; i++ {
+		f := n.follower(jobStream(i), func(r msjournal.Record) error {
+			return n.jobs.ApplyFrom(i, msjob.Record{Key: r.Key, Value: r.Value})
+		}, func() { n.jobs.ResetStream(i) })
+		f.Pause = func() time.Duration {
+			if n.scheduler() != nil {
+				return leaderPause
+			}
+			return streamPause
+		}
+		f.Wait = func() time.Duration {
+			if n.scheduler() != nil {
+				return leaderStreamWait
+			}
+			return streamWait
+		}
+		n.streams = append(n.streams, f)
+		n.streamInUse = append(n.streamInUse, make(chan struct{}))
+		n.streamWriters = append(n.streamWriters, &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: jobStream(i), Producer: producer})
+	}
+	n.jobs.OnStream = func(stream int) {
+		n.log.Info("job stream in use", zap.String("stream", jobStream(stream)))
+		close(n.streamInUse[stream-1])
+	}
+}
+
+// followStream follows an additional job stream once it is in use.
+func (n *node) followStream(ctx context.Context, number int) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.streamInUse[number-1]:
+	}
+	return n.streams[number-1].Run(ctx)
+}
+
 func (n *node) follower(stream string, apply func(r msjournal.Record) error, reset func()) *msjournal.Follower {
 	return &msjournal.Follower{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: stream, Reset: reset,
@@ -246,7 +317,7 @@
 	set := n.set.Load()
 	b := set.Bounds
 	e := &msscheduler.Engine{
-		Term: t, Holder: set.Name, Log: n.journal, PublicStream: streamJobs, ProgressStream: streamProgress, VMOrderStream: streamVMOrders, Jobs: &n.jobs, Journal: n.records,
+		Term: t, Holder: set.Name, Log: n.journal, PublicStream: streamJobs, ProgressStream: streamProgress, VMOrderStream: streamVMOrders, Jobs: &n.jobs, Journal: n.records, JobJournals: n.streams,
 		Registry: &n.registry, Orders: n.orders, VMs: n.vms, Advise: n.advise, Sites: &n.sites, Operators: n.operators, Report: n.report,
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
@@ -275,6 +346,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.engine = e
+	if e == nil {
+		return
+	}
+	for _, f := range n.streams {
+		f.Interrupt()
+	}
 }
 
 // report tells operators how a wave stands.
@@ -312,6 +389,10 @@
 	add("operators", n.operators.Run)
 	add("jobs", n.records.Run)
 	add("writer", n.writer.Run)
+	for i := range n.streams {
+		add("writer of "+n.streams[i].Stream, n.streamWriters[i].Run)
+		add(n.streams[i].Stream, func(ctx context.Context) error { return n.followStream(ctx, i+1) })
+	}
 	// The leader gives up its term with ctx, while the entry goes on answering.
 	add("leader", func(pctx context.Context) error {
 		lctx, cancel := context.WithCancel(ctx)
--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -102,6 +102,9 @@
 	// Journal follows the stream of job records, Writer appends to it.
 	Journal *msjournal.Follower
 	Writer  *msjournal.Writer
+	// Streams, if set, has the additional streams for jobs and cancels. The Writer and the
+	// Jobs are the same.
+	Streams *Streams
 	// SiteCurrent returns when the site was last confirmed to be the newest.
 	SiteCurrent func() time.Time
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
@@ -156,10 +159,8 @@
 	j.Accepted = in.Clock.Now().UTC()
 	if wait, ok := admit(j, in.Jobs.Load(), in.RecentWork.Work(j.Pool, in.Clock.Now())); !ok {
 		// The job may have been accepted before, through another entry.
-		if err := in.Journal.Sync(ctx); err == nil {
-			if _, known := in.Jobs.Job(j.ID); known {
-				return nil
-			}
+		if _, known, err := in.lookUp(ctx, j.ID); err == nil && known {
+			return nil
 		}
 		return &Error{Kind: Overloaded, Reason: "the pool's backlog leaves no time for the job", RetryAfter: wait}
 	}
@@ -183,7 +184,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	err = in.Writer.Append(ctx, []msjournal.Record{{Key: r.Key, Value: r.Value}})
+	err = in.append(ctx, j.ID, []msjournal.Record{{Key: r.Key, Value: r.Value}})
 	if err == nil {
 		in.RecentWork.Add(j, in.Clock.Now())
 		return nil
@@ -209,10 +210,10 @@
 func (in *Intake) findJob(ctx context.Context, g Grant, id string) (msjob.TableEntry, error) {
 	e, ok := in.Jobs.Job(id)
 	if !ok {
-		if err := in.Journal.Sync(ctx); err != nil {
+		var err error
+		if e, ok, err = in.lookUp(ctx, id); err != nil {
 			return e, &Error{Kind: NotReady, Reason: "the log can't be read", RetryAfter: storeRetryAfter, Err: err}
 		}
-		e, ok = in.Jobs.Job(id)
 	}
 	if !ok || e.Job.Queue != g.Queue.Name || (e.Job.Team != "" && g.Team != "" && e.Job.Team != g.Team) {
 		return e, &Error{Kind: NoJob, Reason: "no such job in the queue"}
@@ -242,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	r := msjob.CancelRecord(id)
-	if err := in.Writer.Append(ctx, []msjournal.Record{{Key: r.Key, Value: r.Value}}); err != nil {
+	if err := in.append(ctx, id, []msjournal.Record{{Key: r.Key, Value: r.Value}}); err != nil {
 		if msjournal.KindOf(err) == msjournal.Rejected {
 			return &Error{Kind: NotReady, Reason: "the log does not take records", RetryAfter: storeRetryAfter, Err: err}
 		}
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -62,6 +62,13 @@
 	return []Record{{Key: prefixJob + id}, {Key: prefixCancel + id}, {Key: prefixStatus + id}}
 }
 
+// DeleteCopyRecords returns the records that delete what an additional stream has of a job.
+// Append them after the job's final status: a reader that sees the deletion first would
+// take the job for unknown.
+func DeleteCopyRecords(id string) []Record {
+	return []Record{{Key: prefixJob + id}, {Key: prefixCancel + id}}
+}
+
 // DeleteProgressRecord returns the record that deletes the progress of a job. Append
 // it after the DeleteRecords: a job that is stored without progress would run again.
 func DeleteProgressRecord(id string) Record {
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -15,6 +15,13 @@
 	Progress *Progress
 	// Canceled is set if a caller canceled the job.
 	Canceled bool
+
+	// copies has the records of the job by stream; Job is the first of them unless the
+	// job has ended. cancels has the streams with a cancel record.
+	copies  []jobCopy
+	cancels StreamSet
+	// unconfirmed is set while Status was read before stream 0 was last reset.
+	unconfirmed bool
 }
 
 // State returns the state of the job as callers see it.
@@ -38,6 +45,9 @@
 	Pools map[string]PoolLoad `json:"pools"`
 	// OverShare holds the teams that submit more than their share.
 	OverShare map[string]bool `json:"over,omitempty"`
+	// Streams is the number of additional streams from which the scheduler takes jobs and
+	// cancels. It is absent in the records of versions that read stream 0 only.
+	Streams int `json:"streams,omitempty"`
 }
 
 // PoolLoad is the load of one pool.
@@ -56,6 +66,11 @@
 	// without locks held.
 	OnJob    func(e TableEntry)
 	OnCancel func(id string)
+	// OnCopy, if set, is called without locks held for each further record of a known job
+	// that another stream has. OnStream, if set, is called for each additional stream that
+	// is now in use.
+	OnCopy   func(id string, stream int)
+	OnStream func(stream int)
 
 	mu      sync.Mutex
 	jobs    map[string]*TableEntry
@@ -63,21 +78,33 @@
 	load    Load
 	waves   map[int64]Wave
 	fleet   *Fleet
+	inUse   StreamSet
 }
 
-// Apply applies a record. It returns an error and leaves the table unchanged if the
-// record is malformed or doesn't match its job.
+// Apply applies a record of stream 0. It returns an error and leaves the table unchanged if
+// the record is malformed or doesn't match its job.
 func (t *Table) Apply(r Record) error {
+	return t.ApplyFrom(0, r)
+}
+
+// ApplyFrom applies a record of a stream. Additional streams have only job and cancel
+// records.
+func (t *Table) ApplyFrom(stream int, r Record) error {
 	kind, id := splitKey(r.Key)
+	if stream != 0 && kind != prefixJob && kind != prefixCancel {
+		return &Error{Job: id, Reason: "record kind " + kind + " in an additional stream"}
+	}
 	switch kind {
 	case prefixJob:
-		return t.applyJob(id, r.Value)
+		return t.applyJob(stream, id, r.Value)
+	case prefixStream:
+		return t.applyStream(id)
 	case prefixProgress:
 		return t.applyProgress(id, r.Value)
 	case prefixStatus:
 		return t.applyStatus(id, r.Value)
 	case prefixCancel:
-		t.applyCancel(id, len(r.Value) == 0)
+		t.applyCancel(stream, id, len(r.Value) == 0)
 		return nil
 	case prefixWave:
 		return t.applyWave(id, r.Value)
@@ -89,9 +116,9 @@
 	return &Error{Job: id, Reason: "unknown record kind " + kind}
 }
 
-func (t *Table) applyJob(id string, value []byte) error {
+func (t *Table) applyJob(stream int, id string, value []byte) error {
 	if len(value) == 0 {
-		t.dropJob(id)
+		t.dropJob(stream, id)
 		return nil
 	}
 	j := &Job{}
@@ -102,9 +129,14 @@
 		return err
 	}
 	t.mu.Lock()
-	if t.jobs[id] != nil {
+	if known := t.jobs[id]; known != nil {
 		// Another entry accepted the same job again. The first record wins.
+		isNew := known.addCopy(jobCopy{stream: stream, job: j})
+		fn := t.OnCopy
 		t.mu.Unlock()
+		if isNew && fn != nil {
+			fn(id, stream)
+		}
 		return nil
 	}
 	if t.jobs == nil {
@@ -112,7 +144,7 @@
 	}
 	e := t.orphans[id]
 	delete(t.orphans, id)
-	e.Job = j
+	e.Job, e.copies = j, []jobCopy{{stream: stream, job: j}}
 	if e.Progress != nil && !e.Progress.Matches(j) {
 		e.Progress = nil
 	}
@@ -126,18 +158,32 @@
 	return nil
 }
 
-// dropJob removes a job. Of a job that has ended it keeps what callers may still
-// query.
-func (t *Table) dropJob(id string) {
+// dropJob removes the record of a job in a stream. Of a job that has ended it keeps what
+// callers may still query.
+func (t *Table) dropJob(stream int, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[id]
-	if e != nil && e.Status.State.Final() {
-		e.Job = e.Status.endedJob(id)
+	if e == nil {
+		if stream == 0 {
+			delete(t.orphans, id)
+		}
 		return
 	}
-	delete(t.jobs, id)
-	delete(t.orphans, id)
+	e.copies = withoutCopy(e.copies, stream)
+	switch {
+	case e.Status.State.Final() && (!e.unconfirmed || len(e.copies) > 0):
+		e.Job = e.Status.endedJob(id)
+	case len(e.copies) > 0:
+		e.Job = e.copies[0].job
+	default:
+		delete(t.jobs, id)
+		if e.cancels != 0 {
+			// The job's final status may not have been read yet. The streams of its cancel
+			// records are needed to delete them.
+			t.storeOrphan(id, TableEntry{Canceled: true, cancels: e.cancels})
+		}
+	}
 }
 
 func (t *Table) applyProgress(id string, value []byte) error {
@@ -181,7 +227,7 @@
 		delete(t.jobs, id)
 		delete(t.orphans, id)
 	case e != nil:
-		e.Status = s
+		e.Status, e.unconfirmed = s, false
 	case s.State.Final():
 		o := t.orphans[id]
 		delete(t.orphans, id)
@@ -198,21 +244,25 @@
 	return nil
 }
 
-func (t *Table) applyCancel(id string, deleted bool) {
+func (t *Table) applyCancel(stream int, id string, deleted bool) {
+	t.mu.Lock()
 	if deleted {
+		t.dropCancel(stream, id)
+		t.mu.Unlock()
 		return
 	}
-	t.mu.Lock()
 	e := t.jobs[id]
 	if e == nil {
 		o := t.orphans[id]
 		o.Canceled = true
+		o.cancels.Add(stream)
 		t.storeOrphan(id, o)
 		t.mu.Unlock()
 		return
 	}
 	isNew := !e.Canceled
 	e.Canceled = true
+	e.cancels.Add(stream)
 	fn := t.OnCancel
 	t.mu.Unlock()
 	if isNew && fn != nil {
@@ -220,6 +270,24 @@
 	}
 }
 
+// dropCancel removes the cancel record of a job in a stream. The caller holds mu.
+func (t *Table) dropCancel(stream int, id string) {
+	if e := t.jobs[id]; e != nil {
+		e.cancels.Remove(stream)
+		return
+	}
+	o, ok := t.orphans[id]
+	if !ok {
+		return
+	}
+	o.cancels.Remove(stream)
+	o.Canceled = o.cancels != 0
+	t.orphans[id] = o
+	if o.empty() {
+		delete(t.orphans, id)
+	}
+}
+
 // maxOrphans limits the records that are kept for jobs that haven't been seen yet.
 const maxOrphans = 10_000
 
@@ -294,11 +362,9 @@
 	return w, ok
 }
 
-// Reset clears the table, before all newest records are read again.
+// Reset forgets what came from stream 0, before all its newest records are read again.
 func (t *Table) Reset() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.jobs, t.orphans, t.load, t.waves, t.fleet = nil, nil, Load{}, nil, nil
+	t.ResetStream(0)
 }
 
 // Job returns the state of a job, and whether the job is known.
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -39,8 +39,8 @@
 	Loaded func()
 	// Pause, if set, returns the delay between a successful read and the next one.
 	Pause func() time.Duration
-	// Wait is how long a read waits for a record. 0 means one second.
-	Wait time.Duration
+	// Wait, if set, returns how long a read waits for a record. It is one second otherwise.
+	Wait func() time.Duration
 
 	mu          sync.Mutex
 	nextOffset  int64
@@ -51,6 +51,10 @@
 	loadedOffsets    map[string]int64
 	lastLoadedOffset int64
 	failing          bool
+	// cancelRead, if set, ends the read that Run waits for. interrupted is set once it was
+	// called.
+	cancelRead  context.CancelFunc
+	interrupted bool
 	// loadMu allows one load at a time.
 	loadMu sync.Mutex
 	// inFlight is the catch-up that concurrent calls of Sync share, nil if there is
@@ -105,11 +109,34 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	wait := f.Wait
-	if wait == 0 {
-		wait = defaultReadWait
+	wait := defaultReadWait
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.cancelRead, f.interrupted = cancel, false
+	f.mu.Unlock()
+	err := f.read(ctx, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelRead = nil
+	if f.interrupted {
+		return nil
+	}
+	return err
+}
+
+// Interrupt ends the read that Run waits for, so that the next one begins with the current
+// values of Pause and Wait. A read that waits long may do so on a dead connection.
+func (f *Follower) Interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancelRead != nil {
+		f.interrupted = true
+		f.cancelRead()
 	}
-	return f.read(ctx, wait)
 }
 
 // read reads once from the next offset and applies the records. If the records there
--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -30,6 +30,9 @@
 
 	mu             sync.Mutex
 	appends, reads answerTimes
+	// appendsTo has the answer times of the appends by stream: those of a contended stream
+	// are much longer than those of others, and repeats would add to the contention.
+	appendsTo map[string]*answerTimes
 }
 
 // RepeatMetrics has the Prometheus metrics of a Repeater.
@@ -73,7 +76,7 @@
 	for _, rec := range a.Records {
 		bytes += len(rec.Key) + len(rec.Value)
 	}
-	c := repeatedCall{r: r, name: "append", times: &r.appends, bytes: bytes, send: func(ctx context.Context, _ int) answer {
+	c := repeatedCall{r: r, name: "append", times: &r.appends, ofStream: r.timesOf(a.Stream), bytes: bytes, send: func(ctx context.Context, _ int) answer {
 		off, err := r.Log.Append(ctx, a)
 		return answer{offset: off, err: err}
 	}}
@@ -81,6 +84,19 @@
 	return got.offset, got.err
 }
 
+// timesOf returns the answer times of the appends to a stream.
+func (r *Repeater) timesOf(stream string) *answerTimes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.appendsTo == nil {
+		r.appendsTo = map[string]*answerTimes{}
+	}
+	if r.appendsTo[stream] == nil {
+		r.appendsTo[stream] = &answerTimes{}
+	}
+	return r.appendsTo[stream]
+}
+
 func (r *Repeater) read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
 	r.mu.Lock()
 	if r.reads.missing(r.Clock.Now()) || r.appends.missing(r.Clock.Now()) {
@@ -105,6 +121,9 @@
 	r     *Repeater
 	name  string
 	times *answerTimes
+	// ofStream, if set, has the answer times of the call's stream. They decide once enough
+	// of them are known.
+	ofStream *answerTimes
 	// bytes is the size of the call. wait is how long the log may wait before it answers
 	// the first copy.
 	bytes int
@@ -135,6 +154,9 @@
 	}
 	c.r.mu.Lock()
 	delay := c.times.repeatDelay(c.bytes)
+	if c.ofStream != nil && c.ofStream.n >= minAnswers {
+		delay = c.ofStream.repeatDelay(c.bytes)
+	}
 	c.r.mu.Unlock()
 	sendCopy()
 	timer := clock.After(c.wait + delay)
@@ -221,6 +243,9 @@
 	c.r.mu.Lock()
 	defer c.r.mu.Unlock()
 	c.times.observe(took)
+	if c.ofStream != nil {
+		c.ofStream.observe(took)
+	}
 }
 
 // awaitLateAnswers gives the copies that are still open until delay has passed, then
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -67,9 +67,11 @@
 	PublicStream, ProgressStream, VMOrderStream string
 	Jobs                                        *msjob.Table
 	Journal                                     *msjournal.Follower
-	Registry                                    *msworker.Registry
-	Orders                                      msworker.Orders
-	VMs                                         msworker.VMs
+	// JobJournals follow the additional streams of jobs and cancels, numbered from 1.
+	JobJournals []*msjournal.Follower
+	Registry    *msworker.Registry
+	Orders      msworker.Orders
+	VMs         msworker.VMs
 	// Advise returns the workers that may run a step, for queues that need it.
 	Advise msworker.Advisor
 	Sites  *mssite.Store
@@ -95,6 +97,9 @@
 	// unknown.
 	unsettledVMOrders []msjournal.Record
 	publishWake       chan struct{}
+	// jobStreams are the additional streams of JobJournals. After takeOver only
+	// deleteCopies writes to them.
+	jobStreams []appender
 
 	// mu guards all fields below and all state of jobs, workers and runs. While it is
 	// held, no call is made to a package that takes a lock of its own, except to read
@@ -115,6 +120,8 @@
 	teams map[string]msjob.Resources
 	// unpublished has what publish stores next.
 	unpublished publication
+	// copyDeletions has what deleteCopies deletes next.
+	copyDeletions copyDeletions
 	// orphanedProgress has the deleted jobs whose progress is still stored.
 	orphanedProgress []string
 	group            sync.WaitGroup
@@ -141,8 +148,10 @@
 
 // job is a job that has not ended, or whose status is still kept.
 type job struct {
-	def      *msjob.Job
-	p        *msjob.Progress
+	def *msjob.Job
+	p   *msjob.Progress
+	// stream is the stream that def is from.
+	stream   int
 	canceled bool
 	// publishedState is the latest state that was enqueued for publish.
 	publishedState msjob.State
@@ -191,6 +200,10 @@
 	e.termEnded = make(chan error, 1)
 	e.publishWake = make(chan struct{}, 1)
 	e.progress, e.public, e.vmOrderLog = appender{stream: e.ProgressStream}, appender{stream: e.PublicStream}, appender{stream: e.VMOrderStream}
+	e.jobStreams = nil
+	for _, f := range e.JobJournals {
+		e.jobStreams = append(e.jobStreams, appender{stream: f.Stream})
+	}
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
@@ -200,7 +213,7 @@
 	if err := e.takeOver(ctx); err != nil {
 		return err
 	}
-	for _, part := range []func(ctx context.Context){e.manageVMs, e.publish} {
+	for _, part := range []func(ctx context.Context){e.manageVMs, e.publish, e.deleteCopies} {
 		e.group.Add(1)
 		go func() {
 			defer e.group.Done()
@@ -213,9 +226,11 @@
 // takeOver fences earlier leaders off the streams, then reads the streams to their ends.
 func (e *Engine) takeOver(ctx context.Context) error {
 	var progress map[string]*msjob.Progress
-	var streams errgroup.Group
+	streams, sctx := errgroup.WithContext(ctx)
+	progressFenced := make(chan struct{})
 	streams.Go(func() (err error) {
 		if err = e.store(ctx, &e.progress, nil); err == nil {
+			close(progressFenced)
 			progress, err = e.readProgress(ctx)
 		}
 		return err
@@ -224,7 +239,16 @@
 		if err := e.store(ctx, &e.public, nil); err != nil {
 			return err
 		}
-		return e.sync(ctx, e.Journal)
+		// An earlier leader may store the progress of further jobs until then.
+		select {
+		case <-progressFenced:
+		case <-sctx.Done():
+			return sctx.Err()
+		}
+		if err := e.sync(ctx, e.Journal); err != nil {
+			return err
+		}
+		return e.takeOverJobStreams(ctx)
 	})
 	streams.Go(func() error { return e.takeOverVMOrders(ctx) })
 	streams.Go(func() error { return e.syncOperators(ctx) })
@@ -245,6 +269,9 @@
 		e.AddJob(entry)
 	}
 	e.mu.Lock()
+	for _, entry := range entries {
+		e.deleteLeftCopies(entry)
+	}
 	for id := range progress {
 		e.orphanedProgress = append(e.orphanedProgress, id)
 	}
@@ -367,6 +394,9 @@
 			j.publishedState = status.State
 			all, err := msjob.StatusRecords(j.def, status)
 			e.enqueue(err, all...)
+			if status.State.Final() {
+				e.unpublished.ended = append(e.unpublished.ended, id)
+			}
 		}
 	}
 	e.collectExpired(b, now)
@@ -397,8 +427,8 @@
 		if !j.p.State.Final() || wall.Sub(time.UnixMilli(j.p.Ended)) < e.Settings.StatusRetention+retentionMargin || len(j.runs) > 0 {
 			continue
 		}
-		e.enqueue(nil, msjob.DeleteRecords(id)...)
 		e.unpublished.expired = append(e.unpublished.expired, id)
+		e.enqueue(nil)
 		delete(e.jobs, id)
 		e.deleteAdvice(id)
 	}
@@ -447,7 +477,7 @@
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
 	}
-	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State}
+	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State, stream: entry.Stream()}
 	e.jobs[j.def.ID] = j
 	switch s := entry.Status; {
 	case s.State.Final():
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -27,7 +27,7 @@
 
 // measureLoad computes the load of every pool.
 func (e *Engine) measureLoad(now time.Time) msjob.Load {
-	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}}
+	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}, Streams: len(e.JobJournals)}
 	for _, w := range e.workers {
 		if w.usable(now) {
 			p := l.Pools[w.Pool]
--- a/msscheduler/store.go
+++ b/msscheduler/store.go
@@ -24,6 +24,8 @@
 type appender struct {
 	stream   string
 	sequence int64
+	// fenced is set once earlier leaders are known to be fenced off an additional stream.
+	fenced bool
 }
 
 // publication has the records that publish stores in the stream that every entry reads.
@@ -31,7 +33,9 @@
 // links.
 type publication struct {
 	records []msjournal.Record
-	// expired has the jobs whose progress is deleted once the records are stored.
+	// ended has the jobs whose final status is in records.
+	ended []string
+	// expired has the jobs to delete. Their progress is deleted once that is stored.
 	expired []string
 }
 
@@ -64,13 +68,18 @@
 		a := e.unpublished
 		e.unpublished = publication{}
 		e.mu.Unlock()
+		deletions := e.expire(&a)
 		if err := e.storeAll(ctx, &e.public, a.records); err != nil {
 			if ctx.Err() == nil {
 				e.endTerm(err)
 			}
 			return
 		}
+		for _, id := range a.ended {
+			deletions.addJob(id, e.Jobs.JobStreams(id))
+		}
 		e.mu.Lock()
+		e.copyDeletions.merge(deletions)
 		e.orphanedProgress = append(e.orphanedProgress, a.expired...)
 		e.mu.Unlock()
 	}
