--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -277,3 +277,26 @@
 	}
 	return out
 }
+
+// An entry that begins to lead must not go on waiting 25 s for the answer to a read that it
+// has sent before, on a connection that may be dead.
+func TestInterruptBeginsANewRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		v := &view{}
+		wait := 25 * time.Second
+		f := &msjournal.Follower{
+			Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset,
+			Wait: func() time.Duration { return wait },
+		}
+		runInBackground(t, f.Run)
+		time.Sleep(60 * time.Second)
+		require.LessOrEqual(t, log.Reads(), 3, "an idle stream costs a call in 25 s")
+		before := log.Reads()
+		wait = time.Second
+		f.Interrupt()
+		time.Sleep(10 * time.Second)
+		require.InDelta(t, 10, log.Reads()-before, 1)
+	})
+}
--- a/msjournal/repeat_test.go
+++ b/msjournal/repeat_test.go
@@ -112,6 +112,42 @@
 	})
 }
 
+// A contended stream answers late while another is quick, as for a leader that also stores
+// progress. Its appends are repeated only until its own pace is known, as each repeat adds
+// to the contention.
+func TestContendedStreamGetsNoRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		slow := log.Log()
+		appends := 0
+		plain := slow.Append
+		slow.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+			if a.Stream == "slow" {
+				appends++
+				time.Sleep(160 * time.Millisecond)
+			}
+			return plain(ctx, a)
+		}
+		r := repeated(slow)
+		put := func(stream string, i int64) {
+			_, err := r.Append(t.Context(), msjournal.AppendRequest{Stream: stream, Producer: "p", Epoch: 1, Sequence: i, Records: []msjournal.Record{{Key: "k"}}})
+			require.NoError(t, err)
+		}
+		for i := range int64(60) {
+			for q := range int64(20) {
+				put("quick", 20*i+q)
+			}
+			put("slow", i)
+			if i == 10 {
+				time.Sleep(time.Second)
+				appends = 0
+			}
+		}
+		require.Equal(t, 49, appends)
+	})
+}
+
 // countingLog counts appends.
 type countingLog struct {
 	log msjournal.Log
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -45,6 +45,10 @@
 	crashes atomic.Int64
 	// vmOrders has the orders to VMs as they arrived.
 	vmOrders []arrivedVMOrder
+	// jobStreams is the number of additional job streams. Entries read them only while
+	// they take over unless followStreams is set.
+	jobStreams    int
+	followStreams bool
 	// configure, if set, changes the engines of entries before they run.
 	configure func(g *Engine)
 }
@@ -190,6 +194,8 @@
 	mu      sync.Mutex
 	engine  *Engine
 	stop    func()
+	// streams follow additional job streams.
+	streams []*msjournal.Follower
 	// pause is the delay between two reads of the journal.
 	pause atomic.Int64
 }
@@ -202,6 +208,17 @@
 		Pause: func() time.Duration { return time.Duration(e.pause.Load()) },
 		Apply: func(r msjournal.Record, _ int64) { _ = e.jobs.Apply(msjob.Record{Key: r.Key, Value: r.Value}) },
 	}
+	for i := 1; i <= w.jobStreams; i++ {
+		e.streams = append(e.streams, &msjournal.Follower{
+			Log: log, Clock: clock, Logger: logger, Stream: "jobs-" + strconv.Itoa(i), Reset: func() { e.jobs.ResetStream(i) },
+			Apply: func(r msjournal.Record, _ int64) { _ = e.jobs.ApplyFrom(i, msjob.Record{Key: r.Key, Value: r.Value}) },
+		})
+	}
+	e.jobs.OnCopy = func(id string, stream int) {
+		if g := e.current(); g != nil {
+			g.AddCopy(id, stream)
+		}
+	}
 	e.jobs.OnJob = func(j msjob.TableEntry) {
 		if g := e.current(); g != nil {
 			g.AddJob(j)
@@ -217,7 +234,7 @@
 		Jitter: func() float64 { return 0.5 },
 		Lead: func(ctx context.Context, t msleader.Term) error {
 			g := &Engine{
-				Term: t, Holder: name, Log: log, PublicStream: "jobs", ProgressStream: "progress", VMOrderStream: "vm-orders", Jobs: &e.jobs, Journal: e.records,
+				Term: t, Holder: name, Log: log, PublicStream: "jobs", ProgressStream: "progress", VMOrderStream: "vm-orders", Jobs: &e.jobs, Journal: e.records, JobJournals: e.streams,
 				Registry: &w.reg, Orders: w.orders(), VMs: w.vmCalls(), Sites: &w.sites,
 				Report: func(context.Context, int64, bool) error { return nil },
 				Clock:  clock, Wall: msclock.System{}, Logger: logger,
@@ -238,6 +255,11 @@
 	var wg sync.WaitGroup
 	wg.Add(2)
 	go func() { defer wg.Done(); _ = e.records.Run(ctx) }()
+	for _, f := range e.streams {
+		if w.followStreams {
+			wg.Go(func() { _ = f.Run(ctx) })
+		}
+	}
 	lctx, lcancel := context.WithCancel(ctx)
 	go func() { defer wg.Done(); _ = e.leader.Run(lctx) }()
 	var once sync.Once
@@ -260,6 +282,12 @@
 
 // submit stores a job with defaults for its queue and limits.
 func (w *testCluster) submit(j *msjob.Job) {
+	w.t.Helper()
+	w.submitTo("jobs", j)
+}
+
+// submitTo stores a job in a stream.
+func (w *testCluster) submitTo(stream string, j *msjob.Job) {
 	w.t.Helper()
 	if j.Queue == "" {
 		j.Queue, j.Pool = "plan", "booth"
@@ -271,7 +299,7 @@
 	require.NoError(w.t, j.Check())
 	r, err := msjob.JobRecord(j)
 	require.NoError(w.t, err)
-	w.log.Put("jobs", r.Key, r.Value)
+	w.log.Put(stream, r.Key, r.Value)
 }
 
 func (w *testCluster) cancel(id string) {
