msjournal, cmd/marjoramspan: idle job streams are read rarely

An additional stream that was used once cost each entry a read in 25 s and the leader one a second, 10 calls a second with 38 entries. Entries now pause for a minute after 30 s without a record, until they use the streams or lead.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -59,11 +59,14 @@
 	// entry has accepted, and looks up jobs that it doesn't know.
 	streamPause = 600 * time.Millisecond
 	// streamWait is how long such a read waits for a record, near the 30 s that the log
-	// allows: an idle stream then costs an entry a call in 25 s.
+	// allows.
 	streamWait = 25 * time.Second
-	// leaderStreamWait is the same for the entry that schedules. A dead connection hides
-	// accepted jobs from it for as long.
-	leaderStreamWait = time.Second
+	// idleStreamPause is the pause once a stream had no record for streamIdle.
+	idleStreamPause = time.Minute
+	streamIdle      = 30 * time.Second
+	// leaderStreamWait is how long reads of the entry that schedules wait. A dead connection
+	// hides the jobs of a stream that was idle for as long.
+	leaderStreamWait = 2 * time.Second
 	// keyLeaseShare is the share of the time for withdrawing a key for which an
 	// entry goes on without knowing that its keys are in force.
 	keyLeaseShare = 0.7
@@ -239,13 +242,18 @@
 // buildStreams creates what reads the additional job streams and writes to them.
 func (n *node) buildStreams(producer string) {
 	for i := 1; i <= msjob.AdditionalStreams; i++ {
+		var lastRecord atomic.Int64
 		f := n.follower(jobStream(i), func(r msjournal.Record) error {
+			lastRecord.Store(int64(n.clock.Now().Sub(n.begun)))
 			return n.jobs.ApplyFrom(i, msjob.Record{Key: r.Key, Value: r.Value})
 		}, func() { n.jobs.ResetStream(i) })
 		f.Pause = func() time.Duration {
 			if n.scheduler() != nil {
 				return leaderPause
 			}
+			if idle := n.clock.Now().Sub(n.begun) - time.Duration(lastRecord.Load()); idle > streamIdle && !n.intake.Streams.Using() {
+				return idleStreamPause
+			}
 			return streamPause
 		}
 		f.Wait = func() time.Duration {
--- a/msintake/streams.go
+++ b/msintake/streams.go
@@ -77,11 +77,21 @@
 	case s.contention.until.IsZero():
 		s.Logger.Info("jobs go to the shared stream", zap.Duration("answer", took), zap.Error(err))
 	default:
+		for _, f := range s.Journals {
+			f.Interrupt()
+		}
 		s.Logger.Info("jobs go to additional streams", zap.Duration("answer", s.contention.before), zap.Duration("hold", s.contention.hold))
 	}
 	return err
 }
 
+// Using reports whether the entry's jobs go to the additional streams.
+func (s *Streams) Using() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.contention.until.IsZero()
+}
+
 // choose reports whether the next append goes to an additional stream. That needs a leader
 // that reads them, and readers that know that they are in use.
 func (s *Streams) choose(ctx context.Context, now time.Time) bool {
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -51,9 +51,9 @@
 	loadedOffsets    map[string]int64
 	lastLoadedOffset int64
 	failing          bool
-	// cancelRead, if set, ends the read that Run waits for. interrupted is set once it was
-	// called.
-	cancelRead  context.CancelFunc
+	// cancel, if set, ends the read or the pause that Run waits for. interrupted is set once
+	// it was called.
+	cancel      context.CancelFunc
 	interrupted bool
 	// loadMu allows one load at a time.
 	loadMu sync.Mutex
@@ -78,9 +78,12 @@
 		}
 		delay = minRetryDelay
 		if f.Pause != nil {
-			if d := f.Pause(); d > 0 {
-				_ = msclock.Sleep(ctx, f.Clock, d)
-			}
+			_ = f.interruptible(ctx, func(ctx context.Context) error {
+				if d := f.Pause(); d > 0 {
+					return msclock.Sleep(ctx, f.Clock, d)
+				}
+				return nil
+			})
 		}
 	}
 	return nil
@@ -109,33 +112,42 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	wait := defaultReadWait
-	if f.Wait != nil {
-		wait = f.Wait()
-	}
+	return f.interruptible(ctx, func(ctx context.Context) error {
+		wait := defaultReadWait
+		if f.Wait != nil {
+			wait = f.Wait()
+		}
+		return f.read(ctx, wait)
+	})
+}
+
+// interruptible calls fn with a context that Interrupt cancels, and returns no error then.
+// Pause and Wait are called within it, so that none decides on what held before an
+// Interrupt.
+func (f *Follower) interruptible(ctx context.Context, fn func(ctx context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	f.cancelRead, f.interrupted = cancel, false
+	f.cancel, f.interrupted = cancel, false
 	f.mu.Unlock()
-	err := f.read(ctx, wait)
+	err := fn(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancelRead = nil
+	f.cancel = nil
 	if f.interrupted {
 		return nil
 	}
 	return err
 }
 
-// Interrupt ends the read that Run waits for, so that the next one begins with the current
-// values of Pause and Wait. A read that waits long may do so on a dead connection.
+// Interrupt ends the read or the pause that Run waits for, so that the next read begins at
+// once. A read that waits long may do so on a dead connection.
 func (f *Follower) Interrupt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelRead != nil {
+	if f.cancel != nil {
 		f.interrupted = true
-		f.cancelRead()
+		f.cancel()
 	}
 }
 
--- a/msscheduler/copies.go
+++ b/msscheduler/copies.go
@@ -90,9 +90,9 @@
 // own. A cancel there stays until the job has ended. The caller holds mu.
 func (e *Engine) deleteCopy(j *job, stream int) {
 	r := msjob.DeleteCopyRecords(j.def.ID)[:1]
-	switch {
-	case stream == j.stream:
-	case stream == 0:
+	switch stream {
+	case j.stream:
+	case 0:
 		e.enqueue(nil, r...)
 	default:
 		e.copyDeletions.add(stream, r...)
