--- a/msjob/progress.go
+++ b/msjob/progress.go
@@ -72,8 +72,8 @@
 	UnconfirmedCrashes int `json:"u,omitempty"`
 	// CrashRuntime is the longest time for which an attempt had run before a crash.
 	CrashRuntime time.Duration `json:"t,omitempty"`
-	// Worker is the worker that the newest attempt was assigned to. Tasks that are
-	// done or waiting keep it.
+	// Worker is the worker that the newest attempt was assigned to. Tasks that are waiting
+	// keep it; those that are done don't need it, and it is half of their record.
 	Worker string `json:"w,omitempty"`
 	// Checkpoint is the newest checkpoint; empty is none.
 	Checkpoint string `json:"c,omitempty"`
@@ -95,9 +95,9 @@
 	return true
 }
 
-// MarkDone marks the task as done and clears its checkpoint.
+// MarkDone marks the task as done and clears its checkpoint and worker.
 func (t *Task) MarkDone() {
-	t.Phase, t.Checkpoint = Done, ""
+	t.Phase, t.Checkpoint, t.Worker = Done, "", ""
 }
 
 // OccurrenceProgress is the progress of one occurrence: its tasks by step and index.
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -34,9 +34,18 @@
 
 // ProgressRecord returns the record of a job's progress.
 func ProgressRecord(id string, p *Progress) (Record, error) {
-	return encode(prefixProgress+id, id, p)
+	size := 64
+	for _, r := range p.Occurrences {
+		for s := 0; r != nil && s < len(r.Steps); s++ {
+			size += len(r.Steps[s]) * taskBytes
+		}
+	}
+	return Record{Key: prefixProgress + id, Value: appendProgress(make([]byte, 0, size), p)}, nil
 }
 
+// taskBytes is the usual size of an encoded task.
+const taskBytes = 40
+
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record {
 	return Record{Key: prefixCancel + id, Value: []byte("{}")}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -384,7 +384,7 @@
 		}
 	}
 	e.collectExpired(b, now)
-	for _, w := range e.workers {
+	for _, w := range e.workersByID() {
 		if w.processed > w.acked {
 			b.acked[w] = w.processed
 		}
--- a/msscheduler/evacuate.go
+++ b/msscheduler/evacuate.go
@@ -14,7 +14,7 @@
 // all its long-running tasks are stopped at once; of the others only those that have
 // checkpoints and can't end in the time left.
 func (e *Engine) evacuate(now time.Time) {
-	for _, w := range e.workers {
+	for _, w := range e.workersByID() {
 		if !w.reachable || len(w.runs) == 0 {
 			continue
 		}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -440,7 +440,7 @@
 // expireLeases gives up the attempts on unreachable workers whose lease has certainly
 // ended.
 func (e *Engine) expireLeases(now time.Time) {
-	for _, w := range e.workers {
+	for _, w := range e.workersByID() {
 		if w.reachable || len(w.runs) == 0 {
 			continue
 		}
