mshealth: speed and reliability of workers, as a table

Workers that fail tasks, lose contact, refuse starts or take much longer than usual become slow or suspect and then get only tasks that no other worker can take, one at a time. After more evidence they are out of use for a time that grows, and return after some tasks have succeeded. Failures count against what is usual for the pool, the image and the job. A rack that fails is told from single workers. The table is kept by VM, so a restart doesn't clear it.

It replaces three failures in a row (6 s) and the moving average of run times.

--- a/msplace/place.go
+++ b/msplace/place.go
@@ -19,6 +19,12 @@
 	// FailureRisk rates, from 0 to 1, how likely tasks on the worker are to fail or to be
 	// slow.
 	FailureRisk float64
+	// LastResort workers are slow or have failed lately: they get only tasks that no other
+	// worker can take. Limited ones run one task at a time; Tasks counts those that run.
+	LastResort, Limited bool
+	Tasks               int
+	// Proven rates, from 0 to 1, how lately the worker has run a task well.
+	Proven float64
 	// Recent counts the attempts that started on the worker shortly before, Suspects those
 	// of tasks under which a worker has crashed.
 	Recent, Suspects int
@@ -35,6 +41,8 @@
 	Avoid map[string]bool
 	// OnWorker counts the step's tasks in this occurrence by worker, OnRack by rack.
 	OnWorker, OnRack map[string]int
+	// Failures counts the attempts of the task that have failed.
+	Failures int
 	// Suspect is set if a worker may have crashed because of the task.
 	Suspect bool
 	// Group, if set, has the task start on a worker where only tasks of the same group have
@@ -52,6 +60,12 @@
 	scoreSameRack     = 4.0
 	scoreFailedBefore = -16.0
 	scoreUnreliable   = -8.0
+	// scoreLastResort outweighs the data's rack and the step's together, and is less than
+	// an earlier failure of the task.
+	scoreLastResort = -12.0
+	// scoreProven sends a task that has failed to a worker that works, also away from its
+	// data: another failure may use up its attempts.
+	scoreProven = 6.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
 	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
@@ -82,10 +96,11 @@
 // the task.
 func Choose(want Requirements, workers []Worker) int {
 	mayIsolate := want.Group == "" || mayIsolate(want, workers)
+	onlyProven := want.Failures > 0 && provenExists(want, workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !CanRun(want, w) || !mayIsolate && !w.Isolated {
+		if !CanRun(want, w) || !mayIsolate && !w.Isolated || onlyProven && w.Limited {
 			continue
 		}
 		if s := scoreOf(want, w); best < 0 || s > bestScore {
@@ -95,6 +110,18 @@
 	return best
 }
 
+// provenExists reports whether a worker that isn't limited could run the task once it has
+// room. A task that has failed waits for it: each failure uses up one of its attempts.
+func provenExists(want Requirements, workers []Worker) bool {
+	for i := range workers {
+		w := &workers[i]
+		if !w.Limited && !want.Avoid[w.ID] && want.Step.Reserved().Fits(w.Capacity) && (want.Step.Label == "" || hasLabel(w.Labels, want.Step.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayIsolate reports whether another worker may be kept for tasks that start apart.
 func mayIsolate(want Requirements, workers []Worker) bool {
 	n := 0
@@ -114,7 +141,7 @@
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
-	if !s.Reserved().Fits(w.Free) {
+	if !s.Reserved().Fits(w.Free) || w.Limited && w.Tasks > 0 {
 		return false
 	}
 	if want.Group != "" {
@@ -147,6 +174,12 @@
 func scoreOf(want Requirements, w *Worker) float64 {
 	s := want.Step
 	score := scoreUnreliable * w.FailureRisk
+	if w.LastResort {
+		score += scoreLastResort
+	}
+	if want.Failures > 0 {
+		score += scoreProven * w.Proven
+	}
 	if s.LongRunning || s.Backfill {
 		score += scoreFreeCapacity * freeShare(w)
 	} else {
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"marjoramspan/msclock"
+	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
@@ -35,6 +36,9 @@
 	MinHolderInterval time.Duration
 	// MaintenanceDuration is how long the maintenance of a VM takes.
 	MaintenanceDuration time.Duration
+	// RemotePenalty is how many times longer a task takes away from the rack of its data.
+	// The default is 1.5.
+	RemotePenalty float64
 }
 
 const (
@@ -112,6 +116,9 @@
 	fleet      fleet
 	pools      pools
 	vmOrders   vmOrders
+	// health has the speed and reliability of workers.
+	health        mshealth.Table
+	healthCheckAt time.Time
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -142,6 +149,8 @@
 	duplicated map[msjob.TaskID]bool
 	// avoid has the workers on which a task has failed or stalled.
 	avoid map[msjob.TaskID]map[string]bool
+	// failedOn has the workers on which tasks of the job have failed.
+	failedOn map[*worker]bool
 }
 
 type gangKey struct {
@@ -313,6 +322,7 @@
 	e.expireLeases(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
+	e.rateWorkers(now)
 	e.stopStalled(now)
 	e.beginOccurrences()
 	b.starts = e.place(now)
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -31,7 +31,7 @@
 	for _, w := range e.workers {
 		if w.usable(now) {
 			p := l.Pools[w.Pool]
-			p.MilliCores += w.Capacity.CPU
+			p.MilliCores += int64(float64(w.Capacity.CPU) * e.throughput(w, now))
 			l.Pools[w.Pool] = p
 		}
 	}
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
@@ -18,6 +19,7 @@
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
+	health          *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -47,7 +49,10 @@
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
 	})
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp)
+	m.health = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_workers_by_health", Help: "Workers by how far they may be used.",
+	}, []string{"state"})
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.health)
 	return m
 }
 
@@ -97,3 +102,12 @@
 		m.givenUp.Inc()
 	}
 }
+
+func (m *Metrics) workersByHealth(n map[mshealth.State]int) {
+	if m == nil {
+		return
+	}
+	for _, s := range mshealth.States() {
+		m.health.WithLabelValues(s.String()).Set(float64(n[s]))
+	}
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -155,6 +155,7 @@
 		return false
 	case msworker.Unknown:
 		r.uncertain = true
+		e.health.Unanswered(e.healthOf(r.w), now)
 		return false
 	case msworker.NotSent:
 		if now.Sub(r.orderedAt) < maxUnsentTime || r.uncertain {
@@ -164,6 +165,7 @@
 		r.w.blockedUntil = now.Add(noCapacityPause)
 	case msworker.Unhealthy:
 		r.w.blockedUntil = now.Add(unhealthyPause)
+		e.health.Refused(e.healthOf(r.w), now)
 	case msworker.NoTicket:
 		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
 	case msworker.Invalid:
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -9,7 +9,6 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
-	"marjoramspan/msworker"
 )
 
 // poolSnapshot has the usable workers of a pool and their state as the placement sees
@@ -46,11 +45,11 @@
 		}
 		r.workers = append(r.workers, w)
 	}
-	medians := e.medianRuntimeRatios()
 	for _, r := range all {
 		sort.Slice(r.workers, func(i, k int) bool { return r.workers[i].ID < r.workers[k].ID })
 		for _, w := range r.workers {
-			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool])), Isolated: now.Before(w.isolatedUntil)}
+			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), Isolated: now.Before(w.isolatedUntil), Tasks: len(w.runs)}
+			e.rate(w, &v, now)
 			for _, run := range w.runs {
 				v.Recent += boolToInt(run.recent())
 				v.Suspects += boolToInt(run.suspect && run.recent())
@@ -258,6 +257,7 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
+		want.Failures = tasks[i].Failures
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n := msplace.Choose(want, pool.placement)
 		if n < 0 && want.Group != "" {
@@ -350,6 +350,7 @@
 	v := &pool.placement[n]
 	v.Free = w.free()
 	v.Recent++
+	v.Tasks++
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
 		v.Isolated, v.IsolatedFor = true, want.Group
@@ -368,6 +369,7 @@
 	for n, w := range pool.workers {
 		if w == r.w {
 			pool.placement[n].Free = w.free()
+			pool.placement[n].Tasks = len(w.runs)
 		}
 	}
 }
@@ -403,39 +405,3 @@
 	}
 	return int(n)
 }
-
-// failureScore counts the failures on a worker since an attempt last succeeded there.
-type failureScore struct {
-	failures int
-	// lastFailure is when the latest failure was recorded.
-	lastFailure time.Time
-}
-
-const (
-	// suspectFailures consecutive failures make a worker suspect: most tasks fail once
-	// in hundreds of attempts.
-	suspectFailures = 3
-	// suspectDuration is how long a suspect worker gets no new tasks.
-	suspectDuration = 6 * time.Second
-)
-
-func (w *worker) recordEnd(reason msworker.EndReason, now time.Time) {
-	switch reason {
-	case msworker.EndDone:
-		w.score = failureScore{}
-	case msworker.EndFailed:
-		w.score.failures++
-		w.score.lastFailure = now
-		if w.score.failures >= suspectFailures {
-			w.blockedUntil = now.Add(suspectDuration)
-		}
-	}
-}
-
-// risk is the failure risk of the worker, from 0 to 1.
-func (s failureScore) risk(now time.Time) float64 {
-	if s.failures == 0 || now.Sub(s.lastFailure) > 2*suspectDuration {
-		return 0
-	}
-	return min(1, float64(s.failures)/suspectFailures)
-}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msclock"
+	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
@@ -78,11 +79,10 @@
 	// blockedUntil is until when the worker gets no new tasks.
 	blockedUntil time.Time
 	cancel       context.CancelFunc
-	score        failureScore
-	// runtimeRatio is the moving average of its attempts' run times, as a multiple of
-	// their estimates.
-	runtimeRatio float64
 	throttle     msplace.ThrottleController
+	// health is what is known of its VM, healthState how far it may be used by that.
+	health      *mshealth.Worker
+	healthState mshealth.State
 	// reserved says that the worker's VM is about to be maintained.
 	reserved bool
 	// maintenanceSince is when the maintenance of the VM was ordered. Its tasks count as
@@ -130,7 +130,7 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
-		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil)
+		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil) && w.healthState != mshealth.Out
 }
 
 // outdated reports whether the registry still has an earlier life of a worker that has
@@ -276,6 +276,7 @@
 	if w.reachable {
 		w.reachable = false
 		w.unreachableSince = e.Clock.Now()
+		e.noteLoss(w, err)
 		e.Logger.Info("worker lost", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)), zap.Error(err))
 	}
 }
@@ -399,6 +400,7 @@
 // no longer run, and the sequence numbers of its ends start again.
 func (e *Engine) handleRestart(w *worker, processStart int64) {
 	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", processStart), zap.Int("runs", len(w.runs)))
+	e.noteRestart(w)
 	end := restarted
 	if !w.drainingSince.IsZero() {
 		end, w.drainingSince = endedAsPlanned, time.Time{}
@@ -407,7 +409,6 @@
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
-	w.score = failureScore{}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
