msscheduler, msplace: stragglers move, tasks wait for the rack of their data

A task whose progress shows that it would end much sooner elsewhere is stopped and started again, or gets a copy where its step allows that. Where no report shows the progress after two fifths of the usual time, the worker is asked for one, as the pending request is answered only when a task ends. Long-running tasks move off workers that are slow or out of use, as many as their step may miss. A task waits for the rack of its data, or for a worker that isn't slow, if it is expected to end sooner by that, and racks that tasks wait for are kept from other work.

--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -121,6 +121,10 @@
 	ends, failures float64
 	agedAt         time.Time
 	ratios         window
+	// progresses says that the image's tasks report how far they are.
+	progresses bool
+	// asked counts the requests for progress while that is not known.
+	asked int
 }
 
 // Worker is what is known of one worker. It stays with the VM across restarts.
@@ -365,7 +369,7 @@
 
 // State returns how far the worker may be used now.
 func (t *Table) State(w *Worker, now time.Time) State {
-	if w.state != Sound || w.score > 0 || w.bound > 0 {
+	if w.state != Sound || w.score > 0 || w.leastRatio > 0 {
 		t.update(w, now, "time has passed")
 	}
 	return w.state
@@ -380,6 +384,11 @@
 	return max(0, 1-float64(now.Sub(w.goodAt))/float64(provenSpan))
 }
 
+// WorkedSince reports whether a task has succeeded on the worker since the given time.
+func (t *Table) WorkedSince(w *Worker, since time.Time) bool {
+	return w.goodAt.After(since)
+}
+
 // provenSpan is how long after a success a worker counts as proven: workers turn bad for
 // seconds.
 const provenSpan = 2 * time.Second
--- a/mshealth/health_test.go
+++ b/mshealth/health_test.go
@@ -118,7 +118,9 @@
 	now := start
 	table, workers := busyTable(now)
 	w := workers[0]
-	table.Running(w, "i", 300*time.Millisecond, time.Second, 0.04, now)
+	table.Progressed(workers[1], "i", 600*time.Millisecond, time.Second, 0.6, now)
+	require.Equal(t, Sound, table.State(w, now))
+	table.Progressed(w, "i", 600*time.Millisecond, time.Second, 0.07, now)
 	require.Equal(t, Slow, table.State(w, now))
 	now = now.Add(8 * time.Second)
 	table.Ran(w, "i", 8*time.Second, time.Second, now)
--- a/mshealth/replay_test.go
+++ b/mshealth/replay_test.go
@@ -27,6 +27,10 @@
 	flapPeriod = 1400 * time.Millisecond
 	// lossDelay is how long a task stays assigned to a worker that went down.
 	lossDelay = 500 * time.Millisecond
+	// reportEvery is how often a worker says how far its tasks are, reportDelay how long the
+	// answer takes.
+	reportEvery = 250 * time.Millisecond
+	reportDelay = 60 * time.Millisecond
 )
 
 var names = func() (all [replayWorkers]string) {
@@ -128,7 +132,7 @@
 }
 
 func (r *tableRules) running(i int, ran time.Duration, now time.Time) {
-	r.table.Running(r.worker(i, now), "i", ran, taskRuntime, 0, now)
+	r.table.Running(r.worker(i, now), "i", ran, taskRuntime, now)
 }
 
 func (r *tableRules) lost(i int, now time.Time) { r.table.Lost(r.worker(i, now), false, now) }
@@ -136,7 +140,12 @@
 func (r *tableRules) stalled(i int, now time.Time) { r.table.Stalled(r.worker(i, now), now) }
 
 func (r *tableRules) moves(i int, ran time.Duration, done float64, now time.Time) bool {
-	return done == 0 && ran > 1750*time.Millisecond
+	if ran -= reportDelay; ran < 0 || ran%reportEvery != 0 {
+		return false
+	}
+	r.table.Progressed(r.worker(i, now), "i", ran, taskRuntime, done, now)
+	a := Attempt{Ran: ran, Expected: r.table.Expected("i", taskRuntime), Done: done}
+	return r.table.Progresses("i") && a.WorthMoving()
 }
 
 // outcome is what a replay has counted: failed attempts, tasks without an attempt left, tasks
@@ -208,7 +217,7 @@
 					t.done = true
 					o.failed++
 				}
-			case rules.moves(i, ran, max(0.001, float64(ran)/float64(t.takes)), now):
+			case rules.moves(i, ran, max(0.001, float64(ran-reportDelay)/float64(t.takes)), now):
 				release(t)
 				t.avoid[name] = true
 			default:
--- a/mshealth/speed.go
+++ b/mshealth/speed.go
@@ -24,6 +24,9 @@
 	values []float64
 	next   int
 	median float64
+	// spread is the ratio of the 80th percentile to the median. A seventh of the workers
+	// may be slow.
+	spread float64
 }
 
 func (w *window) add(v float64) {
@@ -38,6 +41,7 @@
 		sorted := append([]float64(nil), w.values...)
 		sort.Float64s(sorted)
 		w.median = sorted[len(sorted)/2]
+		w.spread = sorted[len(sorted)*4/5] / w.median
 	}
 }
 
@@ -47,10 +51,10 @@
 	ratios  [samples]float64
 	at      [samples]time.Time
 	nextRun int
-	// bound is a ratio that a task that still runs has reached already, boundAt when it was
+	// leastRatio is a ratio that a task that still runs will reach, leastRatioAt when it was
 	// seen.
-	bound   float64
-	boundAt time.Time
+	leastRatio   float64
+	leastRatioAt time.Time
 }
 
 // Ran counts the run time of a task that has succeeded. estimate is the caller's estimate,
@@ -68,34 +72,75 @@
 	}
 	w.ratios[w.nextRun], w.at[w.nextRun] = ratio/usual, now
 	w.nextRun = (w.nextRun + 1) % samples
-	w.bound = 0
+	w.leastRatio = 0
 	t.update(w, now, "task run times")
 }
 
-// Running tells that a task has been running for the given time and has done the given
-// fraction of its work, or 0 if that is not known. A task that takes much longer than usual
-// shows that its worker is slow before it ends.
-func (t *Table) Running(w *Worker, image string, ran, estimate time.Duration, done float64, now time.Time) {
-	if estimate <= 0 {
+// Running tells that a task has been running for the given time without an end. A task that
+// takes much longer than usual shows that its worker is slow before it ends.
+func (t *Table) Running(w *Worker, image string, ran, estimate time.Duration, now time.Time) {
+	if estimate > 0 {
+		t.atLeast(w, image, float64(ran)/float64(estimate), now)
+	}
+}
+
+// Progressed tells how far a task was when it had been running for the given time.
+func (t *Table) Progressed(w *Worker, image string, ran, estimate time.Duration, done float64, now time.Time) {
+	if g := t.images[image]; g != nil && done > 0 && done < 1 {
+		g.progresses = true
+	}
+	if estimate <= 0 || !t.Progresses(image) || ran < JudgeAfter(t.Expected(image, estimate)) {
 		return
 	}
-	ratio := float64(ran) / float64(estimate) / t.usualRatio(image)
-	if done >= minDone {
-		ratio = max(ratio, ratio/done)
+	t.atLeast(w, image, float64(ran)/float64(estimate)/max(done, leastDone), now)
+}
+
+// Progresses reports whether tasks of the image report how far they are, and how long they
+// usually take is known.
+func (t *Table) Progresses(image string) bool {
+	g := t.images[image]
+	return g != nil && g.progresses && len(g.ratios.values) >= minGroupSamples
+}
+
+// MayAsk reports whether asking a worker for the progress of a task of the image can show
+// anything, and counts that it is asked where that is not known yet.
+func (t *Table) MayAsk(image string) bool {
+	g := t.images[image]
+	if g == nil || len(g.ratios.values) < minGroupSamples {
+		return false
+	}
+	if g.progresses {
+		return true
+	}
+	g.asked++
+	return g.asked <= maxAsked
+}
+
+// maxAsked is how often workers are asked for the progress of an image's tasks before it is
+// taken to report none.
+const maxAsked = 8
+
+// atLeast notes that a task takes at least the given multiple of its estimate.
+func (t *Table) atLeast(w *Worker, image string, ratio float64, now time.Time) {
+	usual, spread := t.usualRatio(image), 1.0
+	if g := t.images[image]; g != nil && len(g.ratios.values) >= minGroupSamples {
+		spread = g.ratios.spread
 	}
-	if ratio < boundRatio || ratio < w.bound && now.Sub(w.boundAt) < sampleAge {
+	ratio /= usual
+	if ratio < max(boundRatio, boundSpread*spread) || ratio < w.leastRatio && now.Sub(w.leastRatioAt) < sampleAge {
 		return
 	}
-	w.bound, w.boundAt = ratio, now
+	w.leastRatio, w.leastRatioAt = ratio, now
 	t.update(w, now, "a task takes long")
 }
 
 const (
-	// minDone is the least progress from which a task's speed is judged.
-	minDone = 0.03
 	// boundRatio is how many times longer than usual a task must take before it counts
 	// against its worker: the slowest tenth of tasks takes 1.4 to 2.1 times as long.
 	boundRatio = 2.2
+	// boundSpread is the same as a multiple of what the slower fifth of the image's tasks
+	// takes.
+	boundSpread = 1.5
 )
 
 // Expected is how long a task of the image with the given estimate usually takes.
@@ -139,8 +184,8 @@
 			ratio = (1 + ratio) / 2
 		}
 	}
-	if w.bound > ratio && now.Sub(w.boundAt) < sampleAge {
-		ratio = w.bound
+	if w.leastRatio > ratio && now.Sub(w.leastRatioAt) < sampleAge {
+		ratio = w.leastRatio
 	}
 	return ratio
 }
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -2,7 +2,11 @@
 // task and the speed of backfill tasks. It does no I/O and starts no goroutines.
 package msplace
 
-import "marjoramspan/msjob"
+import (
+	"time"
+
+	"marjoramspan/msjob"
+)
 
 // Worker is a candidate worker for a task.
 type Worker struct {
@@ -25,6 +29,10 @@
 	Tasks               int
 	// Proven rates, from 0 to 1, how lately the worker has run a task well.
 	Proven float64
+	// Slowdown is how many times longer than usual tasks take on the worker, if it is slow.
+	Slowdown float64
+	// Wanted workers are on a rack that tasks wait for, as it holds their data.
+	Wanted bool
 	// Recent counts the attempts that started on the worker shortly before, Suspects those
 	// of tasks under which a worker has crashed.
 	Recent, Suspects int
@@ -50,6 +58,13 @@
 	Group string
 	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
 	MaxIsolated int
+	// RunTime is how long the task is expected to run near its data, RemotePenalty how many
+	// times longer it takes elsewhere. They are used by ChooseOrWait only, and so are the
+	// room on the rack of its data and on all workers that are not slow, either of which
+	// may be nil.
+	RunTime            time.Duration
+	RemotePenalty      float64
+	RackRoom, PoolRoom *Room
 }
 
 const (
@@ -66,6 +81,9 @@
 	// scoreProven sends a task that has failed to a worker that works, also away from its
 	// data: another failure may use up its attempts.
 	scoreProven = 6.0
+	// scoreWanted keeps tasks off the rack that others wait for, as it holds their data. It
+	// outweighs packing.
+	scoreWanted = -3.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
 	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
@@ -180,6 +198,9 @@
 	if want.Failures > 0 {
 		score += scoreProven * w.Proven
 	}
+	if w.Wanted && s.DataRack != w.Rack {
+		score += scoreWanted
+	}
 	if s.LongRunning || s.Backfill {
 		score += scoreFreeCapacity * freeShare(w)
 	} else {
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -119,6 +119,11 @@
 	// health has the speed and reliability of workers.
 	health        mshealth.Table
 	healthCheckAt time.Time
+	stragglersAt  time.Time
+	// contacts has the latest reports by data centre.
+	contacts map[string]contact
+	// wantedRacks has until when racks are kept for tasks whose data they hold.
+	wantedRacks map[string]time.Time
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -151,6 +156,8 @@
 	avoid map[msjob.TaskID]map[string]bool
 	// failedOn has the workers on which tasks of the job have failed.
 	failedOn map[*worker]bool
+	// roomWaits has the steps that wait for a better worker.
+	roomWaits roomWait
 }
 
 type gangKey struct {
@@ -324,6 +331,7 @@
 	e.evacuate(now)
 	e.rateWorkers(now)
 	e.stopStalled(now)
+	e.moveStragglers(now)
 	e.beginOccurrences()
 	b.starts = e.place(now)
 	e.collect(&b, now)
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -35,15 +35,20 @@
 	if full {
 		e.healthCheckAt = now
 		e.health.RackSize = map[string]int{}
+		for name, c := range e.contacts {
+			c.workers = 0
+			e.contacts[name] = c
+		}
 	}
 	for _, w := range e.workers {
 		if full && w.registered && !w.terminated {
 			e.health.RackSize[w.Rack]++
+			if c, ok := e.contacts[w.DataCentre]; ok {
+				c.workers++
+				e.contacts[w.DataCentre] = c
+			}
 			e.healthOf(w)
 		}
-		if w.reachable {
-			e.rateRunning(w, now)
-		}
 		if w.health != nil {
 			w.healthState = e.health.State(w.health, now)
 		}
@@ -59,12 +64,48 @@
 	}
 }
 
-// rateRunning tells how long the attempts on a worker have been running.
-func (e *Engine) rateRunning(w *worker, now time.Time) {
-	for _, r := range w.runs {
-		if estimate := e.usualRuntime(r); estimate > 0 && r.state == runStarted && now.Sub(r.answeredAt) > estimate {
-			e.health.Running(e.healthOf(w), imageOf(r.job, r.step()), now.Sub(r.answeredAt), estimate, 0, now)
-		}
+// rateRunning tells how long an attempt has been running.
+func (e *Engine) rateRunning(r *run, now time.Time) {
+	if estimate := e.usualRuntime(r); estimate > 0 && now.Sub(r.answeredAt) > estimate {
+		e.health.Running(e.healthOf(r.w), imageOf(r.job, r.step()), now.Sub(r.answeredAt), estimate, now)
+	}
+}
+
+// contact is the latest report of a data centre's workers.
+type contact struct {
+	at      time.Time
+	workers int
+}
+
+const (
+	// contactGap is the time without a report from a data centre after which its workers are
+	// not blamed: this leader is cut off from them.
+	contactGap = 500 * time.Millisecond
+	// contactWorkers is how many workers a data centre must have for that. Each of them
+	// reports at least every two seconds.
+	contactWorkers = 20
+)
+
+// noteContact notes that a worker has reported.
+func (e *Engine) noteContact(w *worker, now time.Time) {
+	if e.contacts == nil {
+		e.contacts = map[string]contact{}
+	}
+	c := e.contacts[w.DataCentre]
+	c.at = now
+	e.contacts[w.DataCentre] = c
+}
+
+// cutOffFrom reports whether the leader is cut off from the worker's data centre.
+func (e *Engine) cutOffFrom(w *worker, now time.Time) bool {
+	c := e.contacts[w.DataCentre]
+	return c.workers >= contactWorkers && now.Sub(c.at) > contactGap
+}
+
+// noteUnanswered counts an order or request that the worker did not answer.
+func (e *Engine) noteUnanswered(w *worker) {
+	if now := e.Clock.Now(); !w.expectedToLeave() && !e.cutOffFrom(w, now) {
+		e.health.Unanswered(e.healthOf(w), now)
 	}
 }
 
@@ -130,7 +171,7 @@
 // noteLoss counts a loss of contact, unless the worker is expected to leave or another one
 // has its address.
 func (e *Engine) noteLoss(w *worker, err error) {
-	if w.expectedToLeave() || !w.reported || msworker.ReasonOf(err) == msworker.OtherInstance {
+	if w.expectedToLeave() || !w.reported || e.cutOffFrom(w, e.Clock.Now()) || msworker.ReasonOf(err) == msworker.OtherInstance {
 		return
 	}
 	e.health.Lost(e.healthOf(w), w.startedTasks(), e.Clock.Now())
@@ -165,9 +206,10 @@
 	if w.health != nil {
 		v.Proven = e.health.Proven(w.health, now)
 	}
+	v.Wanted = now.Before(e.wantedRacks[w.Rack])
 	switch w.healthState {
 	case mshealth.Slow:
-		v.LastResort = true
+		v.LastResort, v.Slowdown = true, w.health.Ratio(now)
 	case mshealth.Suspect, mshealth.Probation:
 		v.LastResort, v.Limited = true, true
 	case mshealth.Sound, mshealth.Out:
--- /dev/null
+++ b/msscheduler/health_test.go
@@ -0,0 +1,69 @@
+package msscheduler
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/mshealth"
+	"marjoramspan/msjob"
+)
+
+// Workers that look healthy and have turned much slower made every job late that had a task
+// there. Its tasks must start again elsewhere, after they have ended on the slow worker.
+func TestTasksMoveOffWorkersThatTurnSlow(t *testing.T) {
+	t.Parallel()
+	const slowdown = 60
+	w := newTestCluster(t, 4)
+	e := w.entry("a")
+	s := step(6)
+	s.Estimate, s.Need.CPU = 300*time.Millisecond, 2000
+	for i := range 4 {
+		id := "000000000000000" + strconv.Itoa(i)
+		w.submit(&msjob.Job{ID: id, Spec: "run=300ms", Steps: []msjob.Step{s}})
+		w.await(e, id, msjob.Completed)
+	}
+	w.worker("w-1").SetSlowdown(slowdown)
+	began := time.Now()
+	s.Count = 4
+	w.submit(&msjob.Job{ID: "00000000000000ff", Spec: "run=300ms", Steps: []msjob.Step{s}})
+	w.await(e, "00000000000000ff", msjob.Completed)
+	require.Less(t, time.Since(began), slowdown*s.Estimate/2)
+	stopped := 0
+	for _, r := range w.journal.Runs() {
+		if r.Worker == "w-1" && r.How == "stopped" {
+			stopped++
+		}
+	}
+	require.Positive(t, stopped)
+	w.requireNoDuplicates()
+}
+
+// A worker that fails all tasks at once is always free. It must be out of use after a few,
+// also for the next leader.
+func TestWorkerThatFailsAllTasksIsTakenOut(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 4)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=30ms", Steps: []msjob.Step{step(8)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	g := e.current()
+	g.mu.Lock()
+	now := g.Clock.Now()
+	bad := g.workers["w-1"]
+	for i := range 2 {
+		g.health.Failed(g.healthOf(bad), mshealth.Failure{Job: strconv.Itoa(i)}, now)
+	}
+	g.rateWorkers(now)
+	require.False(t, bad.usable(now))
+	require.Zero(t, g.throughput(bad, now))
+	g.mu.Unlock()
+	before := len(w.journal.Runs())
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=30ms", Steps: []msjob.Step{step(8)}})
+	w.await(e, "0000000000000002", msjob.Completed)
+	for _, r := range w.journal.Runs()[before:] {
+		require.NotEqual(t, "w-1", r.Worker)
+	}
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -155,7 +155,7 @@
 		return false
 	case msworker.Unknown:
 		r.uncertain = true
-		e.health.Unanswered(e.healthOf(r.w), now)
+		e.noteUnanswered(r.w)
 		return false
 	case msworker.NotSent:
 		if now.Sub(r.orderedAt) < maxUnsentTime || r.uncertain {
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -22,6 +22,9 @@
 	othersWait bool
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
+	// hasSlow says that a worker of the pool is slow.
+	hasSlow bool
+	rooms   rooms
 }
 
 // releaseIsolated allows other tasks on the workers that were kept free for suspect tasks.
@@ -50,6 +53,7 @@
 		for _, w := range r.workers {
 			v := msplace.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), Isolated: now.Before(w.isolatedUntil), Tasks: len(w.runs)}
 			e.rate(w, &v, now)
+			r.hasSlow = r.hasSlow || v.Slowdown > 1
 			for _, run := range w.runs {
 				v.Recent += boolToInt(run.recent())
 				v.Suspects += boolToInt(run.suspect && run.recent())
@@ -259,7 +263,13 @@
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 		want.Failures = tasks[i].Failures
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
-		n := msplace.Choose(want, pool.placement)
+		e.considerWaiting(&want, j, id, pool, now)
+		n, room := msplace.ChooseOrWait(want, pool.placement)
+		e.noteWanted(step, pool, n, now)
+		if room != nil {
+			j.roomWaits = j.roomWaits.begin(j, k, s, now)
+			break
+		}
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
 			isolateWorker(want, pool, now)
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -83,6 +83,11 @@
 	// health is what is known of its VM, healthState how far it may be used by that.
 	health      *mshealth.Worker
 	healthState mshealth.State
+	// probedAt is when an extra report was requested last, probing says that one is.
+	probedAt time.Time
+	probing  bool
+	// reportClock is the worker's clock at the latest report.
+	reportClock time.Duration
 	// reserved says that the worker's VM is about to be maintained.
 	reserved bool
 	// maintenanceSince is when the maintenance of the VM was ordered. Its tasks count as
@@ -289,7 +294,7 @@
 		e.handleRestart(w, rep.ProcessStart)
 	}
 	if rep.ProcessStart != w.processStart {
-		w.processStart, w.processSeenAt = rep.ProcessStart, now
+		w.processStart, w.processSeenAt, w.reportClock = rep.ProcessStart, now, 0
 	}
 	w.lease.Observe(rep.Clock, now)
 	if !w.reported {
@@ -301,6 +306,7 @@
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
+	e.noteContact(w, now)
 	if !w.reported {
 		w.firstReportAt = now
 	}
@@ -312,6 +318,10 @@
 			e.wakeLoop()
 		}
 	}
+	if w.overtaken(rep.Clock, now) {
+		return
+	}
+	w.reportClock = rep.Clock
 	e.reconcile(w, sent, now, rep)
 	e.throttleWorker(w, now)
 }
@@ -329,6 +339,7 @@
 		}
 		e.updateRun(r, row, now)
 		r.reportedAt = now
+		e.noteProgress(r, now)
 		e.exonerate(r)
 	}
 	if len(rep.Ended) >= msworker.MaxEnds {
