mshealth: flapping workers return after a pause, the fleet record keeps bad workers

A worker whose contact was lost gets tasks only after it has answered for 1.5 s, longer after each further loss, unless tasks that had just started may be the cause. Losses of half of a rack, or of half of all racks with trouble, are not blamed on workers, and at most half of a pool is out of use.

--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -72,6 +72,8 @@
 	// too early costs a caller its objective.
 	firstPause = 4 * time.Second
 	maxPause   = 30 * time.Second
+	// maxLevel is the level from which a pause is as long as it may be.
+	maxLevel = 4
 	// levelDecay is after how long in use a worker's next pause is halved again.
 	levelDecay = 30 * time.Second
 	// probationSuccesses is how many tasks must succeed to end a probation.
@@ -100,10 +102,12 @@
 	pools   map[string]*group
 	images  map[string]*group
 	racks   map[string]*rack
-	// RackSize is the number of workers per rack, which the caller keeps up to date.
-	RackSize map[string]int
-	changes  []Change
-	version  int
+	// RackSize and PoolSize are the numbers of workers, which the caller keeps up to date.
+	RackSize, PoolSize map[string]int
+	changes            []Change
+	// outChanges and slowChanges count the changes since the latest record.
+	outChanges, slowChanges int
+	recordedAt              time.Time
 }
 
 // Change is a change of a worker's state.
@@ -145,10 +149,14 @@
 	failedJobs map[string]bool
 	goodAt     time.Time
 	usedAt     time.Time
+	// losses counts the losses of contact lately, lostAt is the latest. unsteady says that
+	// the worker has to be in contact for a time before it gets tasks.
+	losses   int
+	lostAt   time.Time
+	unsteady bool
 	// rackFault says that the latest pause is due to the whole rack.
 	rackFault bool
 	state     State
-	reason    string
 	speed
 }
 
@@ -281,7 +289,13 @@
 // Lost counts a loss of contact, a crash or a restart that nobody has ordered. explained is
 // set if tasks had just started there.
 func (t *Table) Lost(w *Worker, explained bool, now time.Time) {
+	if now.Sub(w.lostAt) > lossMemory {
+		w.losses = 0
+	}
+	w.losses++
+	w.lostAt, w.unsteady = now, !explained || w.losses > 1
 	if t.rackFails(w, now) {
+		w.unsteady = false
 		return
 	}
 	weight := lossWeight
@@ -291,6 +305,28 @@
 	t.add(w, weight, now, "contact is lost")
 }
 
+const (
+	// steadyPause is how long a worker that was lost must be in contact before it gets tasks.
+	// It doubles with each loss up to eight times. Workers that flap are down again within
+	// 1.4 s.
+	steadyPause    = 1500 * time.Millisecond
+	maxSteadyShift = 3
+	// lossMemory is how long after a loss the next one counts as another of the same cause.
+	lossMemory = 10 * time.Second
+)
+
+// Found tells that the worker answers again.
+func (t *Table) Found(w *Worker, now time.Time) {
+	if !w.unsteady {
+		return
+	}
+	w.unsteady = false
+	if until := now.Add(steadyPause << min(w.losses-1, maxSteadyShift)); until.After(w.outUntil) {
+		w.outUntil = until
+	}
+	t.update(w, now, "contact was lost")
+}
+
 // add adds evidence that the worker is bad.
 func (t *Table) add(w *Worker, weight float64, now time.Time, reason string) {
 	w.ageScore(now)
@@ -306,16 +342,21 @@
 	t.update(w, now, reason)
 }
 
-// takeOut takes a worker out of use, each time for longer.
+// takeOut takes a worker out of use, each time for longer. At most half of a pool is out: if
+// more workers fail, something else is the cause.
 func (t *Table) takeOut(w *Worker, now time.Time, reason string) {
+	if t.halfIsOut(w, now) {
+		t.update(w, now, reason)
+		return
+	}
 	if w.levelAt.IsZero() {
 		w.levelAt = now
 	}
 	w.level = max(0, w.level-int(now.Sub(w.levelAt)/levelDecay))
-	pause := min(maxPause, firstPause<<min(w.level, 8))
+	pause := min(maxPause, firstPause<<w.level)
 	w.rackFault = t.rackFails(w, now)
 	if !w.rackFault {
-		w.level++
+		w.level = min(w.level+1, maxLevel)
 	}
 	w.outUntil = now.Add(pause)
 	w.levelAt = w.outUntil
@@ -327,7 +368,21 @@
 		delete(w.charged, g)
 	}
 	t.update(w, now, reason)
-	t.version++
+}
+
+// halfIsOut reports whether more than half of the worker's pool would be out of use with it.
+func (t *Table) halfIsOut(w *Worker, now time.Time) bool {
+	size := t.PoolSize[w.pool]
+	if size == 0 {
+		return false
+	}
+	out := 1
+	for _, o := range t.workers {
+		if o != w && o.pool == w.pool && now.Before(o.outUntil) {
+			out++
+		}
+	}
+	return 2*out > size
 }
 
 // update sets the state that follows from the evidence, and notes a change.
@@ -355,7 +410,13 @@
 		clear(w.charged)
 		clear(w.failedJobs)
 	}
-	w.state, w.reason = s, reason
+	switch {
+	case s == Out || w.state == Probation:
+		t.outChanges++
+	case s == Slow || w.state == Slow:
+		t.slowChanges++
+	}
+	w.state = s
 	t.changes = append(t.changes, c)
 }
 
--- a/mshealth/rack.go
+++ b/mshealth/rack.go
@@ -14,8 +14,9 @@
 	minRackTrouble = 3
 )
 
-// rackFails notes trouble of a worker and reports whether at least half of the rack's
-// workers are in trouble at the same time. Its workers are not to blame then.
+// rackFails notes trouble of a worker and reports whether at least half of the rack's workers
+// are in trouble at the same time, or half of those of the racks with trouble. They are not to
+// blame then: the rack fails, or this leader's link.
 func (t *Table) rackFails(w *Worker, now time.Time) bool {
 	if w.rack == "" {
 		return false
@@ -29,6 +30,27 @@
 		t.racks[w.rack] = r
 	}
 	r.troubleAt[w.key] = now
+	n := r.inTrouble(now)
+	if size := t.RackSize[w.rack]; n >= minRackTrouble && size > 0 && 2*n >= size {
+		t.excuseAll(r, now)
+		return true
+	}
+	all, size := 0, 0
+	for name, o := range t.racks {
+		all += o.inTrouble(now)
+		size += t.RackSize[name]
+	}
+	if all < 2 || 2*all < size || size == 0 {
+		return false
+	}
+	for _, o := range t.racks {
+		t.excuseAll(o, now)
+	}
+	return true
+}
+
+// inTrouble counts the workers that have got into trouble just now.
+func (r *rack) inTrouble(now time.Time) int {
 	n := 0
 	for key, at := range r.troubleAt {
 		if now.Sub(at) < rackSpan {
@@ -37,19 +59,20 @@
 			delete(r.troubleAt, key)
 		}
 	}
-	if n < minRackTrouble || 2*n < t.RackSize[w.rack] {
-		return false
-	}
+	return n
+}
+
+func (t *Table) excuseAll(r *rack, now time.Time) {
 	for key, at := range r.troubleAt {
 		if o := t.workers[key]; o != nil && now.Sub(at) < rackSpan {
 			t.excuse(o, now)
 		}
 	}
-	return true
 }
 
 // excuse marks a worker as in trouble with its rack: its pauses don't grow.
 func (t *Table) excuse(w *Worker, now time.Time) {
+	w.unsteady = false
 	if w.rackFault {
 		return
 	}
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -326,11 +326,11 @@
 // publishPools publishes the sizes of the pools if they have changed. The caller holds
 // mu.
 func (e *Engine) publishPools() {
-	if !e.pools.dirty {
+	if !e.pools.dirty && !e.healthRecordDue() {
 		return
 	}
 	e.pools.dirty = false
-	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst}
+	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst, Workers: e.health.Record(e.Clock.Now(), e.Wall.Now())}
 	r, err := msjob.FleetRecord(&f)
 	e.enqueue(err, r)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -224,6 +224,7 @@
 	// progress that earlier leaders have stored.
 	e.mu.Lock()
 	e.jobs, e.active, e.dirty = map[string]*job{}, map[string]*job{}, map[string]*job{}
+	e.restoreHealth()
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
 	e.Jobs.Each(func(entry msjob.TableEntry) { entries = append(entries, entry) })
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -34,7 +34,7 @@
 	full := now.Sub(e.healthCheckAt) >= healthCheckInterval
 	if full {
 		e.healthCheckAt = now
-		e.health.RackSize = map[string]int{}
+		e.health.RackSize, e.health.PoolSize = map[string]int{}, map[string]int{}
 		for name, c := range e.contacts {
 			c.workers = 0
 			e.contacts[name] = c
@@ -43,6 +43,7 @@
 	for _, w := range e.workers {
 		if full && w.registered && !w.terminated {
 			e.health.RackSize[w.Rack]++
+			e.health.PoolSize[w.Pool]++
 			if c, ok := e.contacts[w.DataCentre]; ok {
 				c.workers++
 				e.contacts[w.DataCentre] = c
@@ -216,6 +217,35 @@
 	}
 }
 
+// liftLimits lets the workers of a pool run any number of tasks if more than half of them are
+// limited to one at a time. Something else is the cause then, and their capacity is needed.
+func (p *poolSnapshot) liftLimits() {
+	n := 0
+	for i := range p.placement {
+		n += boolToInt(p.placement[i].Limited)
+	}
+	if 2*n <= len(p.placement) {
+		return
+	}
+	for i := range p.placement {
+		p.placement[i].Limited = false
+	}
+}
+
+// healthRecordDue reports whether the fleet record has to be stored as workers have changed.
+// The pools' sizes in it must be known first.
+func (e *Engine) healthRecordDue() bool {
+	return e.pools.baseSizes != nil && e.health.RecordDue(e.Clock.Now())
+}
+
+// restoreHealth takes over what the earlier leader has recorded of workers. The caller holds
+// mu.
+func (e *Engine) restoreHealth() {
+	if f, ok := e.Jobs.Fleet(); ok {
+		e.health.Restore(f.Workers, e.Clock.Now(), e.Wall.Now())
+	}
+}
+
 // throughput is the fraction of a sound worker's work that a worker does. The size of pools
 // and the load count its capacity by it. The caller holds mu.
 func (e *Engine) throughput(w *worker, now time.Time) float64 {
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -68,6 +68,7 @@
 			}
 			r.placement = append(r.placement, v)
 		}
+		r.liftLimits()
 	}
 	return all
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -307,6 +307,7 @@
 		e.wakeLoop()
 	}
 	e.noteContact(w, now)
+	e.health.Found(e.healthOf(w), now)
 	if !w.reported {
 		w.firstReportAt = now
 	}
