mshealth: probation ends by time, tasks that vanish count

A worker on probation in a pool with room gets no tasks and stayed on probation. It is in use again after 8 s. A task that a worker has taken and neither runs nor has ended counts against it. Workers whose next report is due soon are not asked for another.

--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -78,6 +78,9 @@
 	levelDecay = 30 * time.Second
 	// probationSuccesses is how many tasks must succeed to end a probation.
 	probationSuccesses = 2
+	// maxProbation is how long a probation lasts if the worker gets no tasks, as others have
+	// room. It is suspect for a short time then, and one more failure takes it out again.
+	maxProbation = 8 * time.Second
 	// lossWeight is the evidence of a loss of contact or a crash: the second within three
 	// seconds takes the worker out of use. explainedLossWeight applies while tasks that
 	// have just started may be the cause; the worker then gets no more tasks that others
@@ -286,6 +289,11 @@
 	t.add(w, unansweredWeight, now, "starts are not answered")
 }
 
+// Dropped counts a task that the worker has taken and neither runs nor has ended.
+func (t *Table) Dropped(w *Worker, now time.Time) {
+	t.add(w, unansweredWeight, now, "tasks vanish")
+}
+
 // Lost counts a loss of contact, a crash or a restart that nobody has ordered. explained is
 // set if tasks had just started there.
 func (t *Table) Lost(w *Worker, explained bool, now time.Time) {
@@ -293,6 +301,7 @@
 		w.losses = 0
 	}
 	w.losses++
+	w.rackFault = w.rackFault && w.onTrial
 	w.lostAt, w.unsteady = now, !explained || w.losses > 1
 	if t.rackFails(w, now) {
 		w.unsteady = false
@@ -388,6 +397,9 @@
 // update sets the state that follows from the evidence, and notes a change.
 func (t *Table) update(w *Worker, now time.Time, reason string) {
 	s := Sound
+	if w.onTrial && now.Sub(w.outUntil) > maxProbation {
+		w.onTrial, w.scoreAt = false, w.outUntil.Add(maxProbation)
+	}
 	w.ageScore(now)
 	switch {
 	case now.Before(w.outUntil):
--- a/mshealth/health_test.go
+++ b/mshealth/health_test.go
@@ -47,6 +47,9 @@
 		table.Succeeded(w, "i", now)
 	}
 	require.Equal(t, Sound, table.State(w, now))
+	table.Stalled(w, now)
+	now = now.Add(maxPause + maxProbation + scoreHalfLife)
+	require.Equal(t, Sound, table.State(w, now), "also if it gets no tasks, as others have room")
 }
 
 // A job that fails on every worker, or an image whose tasks fail everywhere, must not take
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -114,7 +114,7 @@
 // the task.
 func Choose(want Requirements, workers []Worker) int {
 	mayIsolate := want.Group == "" || mayIsolate(want, workers)
-	onlyProven := want.Failures > 0 && provenExists(want, workers)
+	onlyProven := want.Failures > 0 && !want.Step.Gang && provenExists(want, workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
--- a/msscheduler/straggler.go
+++ b/msscheduler/straggler.go
@@ -50,7 +50,7 @@
 				continue
 			}
 			if r.reportedAt.Sub(r.answeredAt) < mshealth.JudgeAfter(usual) {
-				e.probe(w, r, now)
+				e.probe(w, r, usual, now)
 				continue
 			}
 			if !r.step().Duplicates && e.straggles(r, now) && e.roomElsewhere(r, now) {
@@ -144,6 +144,9 @@
 const (
 	// probeInterval is the minimum time between two extra reports of a worker.
 	probeInterval = 300 * time.Millisecond
+	// probeShare is the same as a fraction of the task's usual time: workers with long tasks
+	// report often enough without being asked.
+	probeShare = 0.3
 	// probeTimeout bounds such a request.
 	probeTimeout = 600 * time.Millisecond
 )
@@ -151,7 +154,15 @@
 // probe requests a report at once, as the pending request is answered only when a task ends
 // or after up to two seconds. Workers on which a task has succeeded since the attempt started
 // are not asked: they work. The caller holds mu.
-func (e *Engine) probe(w *worker, r *run, now time.Time) {
+func (e *Engine) probe(w *worker, r *run, usual time.Duration, now time.Time) {
+	latest := r.answeredAt
+	if r.reportedAt.After(latest) {
+		latest = r.reportedAt
+	}
+	if now.Sub(latest) < max(probeInterval, time.Duration(probeShare*float64(usual))) {
+		// A report is due soon enough.
+		return
+	}
 	if now.Sub(w.probedAt) < probeInterval || w.probing || w.health != nil && e.health.WorkedSince(w.health, r.answeredAt) {
 		return
 	}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -361,6 +361,7 @@
 			if r.uncertain {
 				e.stop(r)
 			} else {
+				e.health.Dropped(e.healthOf(w), now)
 				e.markLost(r, notEnded, "not running on its worker")
 			}
 		case r.state == runStopping && !r.answeredAt.IsZero() && r.answeredAt.Before(sent):
