--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -39,6 +39,12 @@
 	// RemotePenalty is how many times longer a task takes away from the rack of its data.
 	// The default is 1.5.
 	RemotePenalty float64
+	// EvacuationDeadline is the time within which no task may start any more in a data
+	// centre that operators evacuate. 0 means that there is no such bound.
+	EvacuationDeadline time.Duration
+	// WarmupOverage and WarmupSlack bound the starts on a cold worker; 0 means the
+	// defaults of mszone.
+	WarmupOverage, WarmupSlack float64
 }
 
 const (
@@ -71,6 +77,9 @@
 	// Advise returns the workers that may run a step, for queues that need it.
 	Advise msworker.Advisor
 	Sites  *mssite.Store
+	// Operators, if set, follows the operators' records that Sites holds. They are read
+	// to their end before anything is placed.
+	Operators *msjournal.Follower
 	// Report tells operators that a wave has started or is completed.
 	Report func(ctx context.Context, wave int64, completed bool) error
 	// Clock includes the time that the machine is suspended; Wall is the time of day.
@@ -93,15 +102,21 @@
 
 	// mu guards all fields below and all state of jobs, workers and runs. While it is
 	// held, no call is made to a package that takes a lock of its own, except to read
-	// the term and the site.
+	// the term, the site and how current it is.
 	mu   sync.Mutex
 	jobs map[string]*job
 	// active has the jobs that haven't ended, dirty those whose progress has changed
-	// since it was last stored.
-	active, dirty map[string]*job
-	workers       map[string]*worker
-	runs          map[runKey]*run
-	teams         map[string]msjob.Resources
+	// since it was last stored, recurring the active ones with several occurrences.
+	active, dirty, recurring map[string]*job
+	workers                  map[string]*worker
+	// registryVersion is the version of the registry that workers has, and
+	// registryPending is set while workers has any that the registry lacks or may lack.
+	registryVersion int64
+	registryPending bool
+	// passState has what passes reuse.
+	passState
+	runs  map[runKey]*run
+	teams map[string]msjob.Resources
 	// unpublished has what publish stores next.
 	unpublished publication
 	// orphanedProgress has the deleted jobs whose progress is still stored.
@@ -124,6 +139,7 @@
 	contacts map[string]contact
 	// wantedRacks has until when racks are kept for tasks whose data they hold.
 	wantedRacks map[string]time.Time
+	zones       zones
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -158,6 +174,16 @@
 	failedOn map[*worker]bool
 	// roomWaits has the steps that wait for a better worker.
 	roomWaits roomWait
+	// taskView sums up the tasks while tasksKnown is set. Whatever changes the phase, the
+	// crashes or the occurrences of tasks calls tasksChanged or markDirty.
+	taskView   taskView
+	tasksKnown bool
+	// queue and pool are those of the job in queueSite.
+	queue     *mssite.Queue
+	pool      string
+	queueSite *mssite.Site
+	// inOrder is set once the job is in Engine.order.
+	inOrder bool
 }
 
 type gangKey struct {
@@ -217,13 +243,14 @@
 		return e.sync(ctx, e.Journal)
 	})
 	streams.Go(func() error { return e.takeOverVMOrders(ctx) })
+	streams.Go(func() error { return e.syncOperators(ctx) })
 	if err := streams.Wait(); err != nil {
 		return err
 	}
 	// Jobs that were added before the journal was read to its end would lack the
 	// progress that earlier leaders have stored.
 	e.mu.Lock()
-	e.jobs, e.active, e.dirty = map[string]*job{}, map[string]*job{}, map[string]*job{}
+	e.jobs, e.active, e.dirty, e.recurring = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*job{}
 	e.restoreHealth()
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
@@ -327,11 +354,16 @@
 func (e *Engine) pass(now time.Time) batch {
 	begun := e.Clock.Now()
 	e.syncWorkers(now)
+	e.syncZones(now)
 	e.expireLeases(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
 	e.rateWorkers(now)
-	e.stopStalled(now)
+	e.evacuateZones(now)
+	if now.Sub(e.stallsCheckedAt) >= stallCheckInterval {
+		e.stallsCheckedAt = now
+		e.stopStalled(now)
+	}
 	e.moveStragglers(now)
 	e.beginOccurrences()
 	b.starts = e.place(now)
@@ -412,6 +444,7 @@
 // markDirty marks the progress of a job to be stored.
 func (e *Engine) markDirty(j *job) {
 	e.dirty[j.def.ID] = j
+	j.tasksChanged()
 }
 
 // AddJob adds an accepted job. It does nothing until the journal is taken over.
@@ -460,6 +493,11 @@
 		return
 	}
 	e.active[j.def.ID] = j
+	if j.def.Occurrences == 0 {
+		j.p.Occurrence(j.def, 0)
+	} else {
+		e.recurring[j.def.ID] = j
+	}
 	e.adoptRuns(j)
 	if !j.p.Started {
 		e.pools.arrivals.Add(poolOf(j.def, e.Sites.Site()), j.def.Work(), e.Clock.Now())
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -111,10 +111,10 @@
 }
 
 // usualRuntime is the estimate of an attempt's run time at its place, or 0 if its run time
-// shows nothing of its worker.
+// shows nothing of its worker, such as on a cold one.
 func (e *Engine) usualRuntime(r *run) time.Duration {
 	s := r.step()
-	if s == nil || s.LongRunning || s.Backfill || s.Gang || r.adopted || r.answeredAt.IsZero() || r.resumed {
+	if s == nil || s.LongRunning || s.Backfill || s.Gang || r.adopted || r.answeredAt.IsZero() || r.resumed || !r.answeredAt.After(r.w.coldUntil) {
 		return 0
 	}
 	if s.DataRack != "" && s.DataRack != r.w.Rack {
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -20,6 +20,10 @@
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
 	health          *prometheus.GaugeVec
+	// evacuatedZones has the evacuated data centres, evacuatedLeft the attempts there, and
+	// evacuatedTasks the tasks that were stopped there.
+	evacuatedZones, evacuatedLeft prometheus.Gauge
+	evacuatedTasks                *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -52,6 +56,16 @@
 	m.health = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "marjoramspan_workers_by_health", Help: "Workers by how far they may be used.",
 	}, []string{"state"})
+	m.evacuatedZones = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marjoramspan_evacuated_data_centres", Help: "Data centres that operators evacuate, by this leader's view.",
+	})
+	m.evacuatedLeft = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marjoramspan_evacuated_attempts", Help: "Attempts that may still run in evacuated data centres.",
+	})
+	m.evacuatedTasks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_tasks_evacuated_total", Help: "Tasks stopped in evacuated data centres to start elsewhere, by kind.",
+	}, []string{"kind"})
+	reg.MustRegister(m.evacuatedZones, m.evacuatedLeft, m.evacuatedTasks)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.health)
 	return m
 }
@@ -111,3 +125,21 @@
 		m.health.WithLabelValues(s.String()).Set(float64(n[s]))
 	}
 }
+
+func (m *Metrics) evacuation(zones, attempts int) {
+	if m != nil {
+		m.evacuatedZones.Set(float64(zones))
+		m.evacuatedLeft.Set(float64(attempts))
+	}
+}
+
+func (m *Metrics) evacuatedTask(longRunning bool) {
+	if m == nil {
+		return
+	}
+	kind := "checkpoints"
+	if longRunning {
+		kind = "long-running"
+	}
+	m.evacuatedTasks.WithLabelValues(kind).Inc()
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -11,6 +11,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
+	"marjoramspan/mszone"
 )
 
 const (
@@ -97,6 +98,17 @@
 	moving bool
 	// scalingDown keeps new tasks away, as the pool needs fewer VMs.
 	scalingDown bool
+	// attempts sums up runs while attemptsKnown is set. Whatever changes runs or what
+	// attemptCounts derives from them calls attemptsChanged.
+	attempts      attemptCounts
+	attemptsKnown bool
+	// evacuated says that operators evacuate the worker's data centre. vmDataCentre is the
+	// data centre of its VM, once a VM list has shown it.
+	evacuated    bool
+	vmDataCentre string
+	// coldUntil is until when the worker runs tasks slowly. starts counts its recent starts.
+	coldUntil time.Time
+	starts    mszone.Starts
 }
 
 // mixesServingAndBackfill reports whether backfill tasks run beside tasks with a latency
@@ -134,7 +146,7 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown &&
+	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated &&
 		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil) && w.healthState != mshealth.Out
 }
 
@@ -154,15 +166,24 @@
 	if w == nil {
 		w = &worker{Worker: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
 		e.workers[id] = w
+		e.registryPending = true
 	}
 	return w
 }
 
-// syncWorkers applies the registry to the known workers. The caller holds mu.
+// syncWorkers applies the registry to the known workers, if it has changed or workers
+// are left that it does not have. The caller holds mu.
 func (e *Engine) syncWorkers(now time.Time) {
+	version := e.Registry.Version()
+	if version == e.registryVersion && !e.registryPending {
+		return
+	}
+	e.registryVersion, e.registryPending = version, false
+	e.sortedWorkers = nil
 	all := e.Registry.All()
 	for id, entry := range all {
 		w := e.workerFor(id)
+		w.noteWarmup(entry, now)
 		if w.cancel == nil || (w.Address != entry.Address && !w.terminated) {
 			if w.cancel != nil {
 				w.cancel()
@@ -175,6 +196,7 @@
 		}
 		w.Worker, w.registered = entry, true
 	}
+	e.registryPending = false
 	for id, w := range e.workers {
 		if _, ok := all[id]; ok {
 			continue
@@ -189,7 +211,9 @@
 				w.cancel()
 			}
 			delete(e.workers, id)
+			continue
 		}
+		e.registryPending = true
 	}
 }
 
@@ -312,6 +336,7 @@
 		w.firstReportAt = now
 	}
 	w.reported, w.reportRequestedAt = true, sent
+	w.attemptsChanged()
 	for _, end := range rep.Ended {
 		if end.Seq > w.processed {
 			w.processed = end.Seq
@@ -324,6 +349,7 @@
 	}
 	w.reportClock = rep.Clock
 	e.reconcile(w, sent, now, rep)
+	w.attemptsChanged()
 	e.throttleWorker(w, now)
 }
 
