--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -134,6 +134,7 @@
 	// health has the speed and reliability of workers.
 	health        mshealth.Table
 	healthCheckAt time.Time
+	ratedAt       time.Time
 	stragglersAt  time.Time
 	// contacts has the latest reports by data centre.
 	contacts map[string]contact
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -15,6 +15,10 @@
 // where the platform doesn't say.
 const defaultRemotePenalty = 1.5
 
+// ratingInterval is the minimum time between two updates of all workers' states. The end of a
+// task updates that of its worker at once.
+const ratingInterval = 50 * time.Millisecond
+
 // healthCheckInterval is the minimum time between two counts of workers by state.
 const healthCheckInterval = time.Second
 
@@ -31,6 +35,10 @@
 // rateWorkers updates the states of all workers and logs those that have changed. The
 // caller holds mu.
 func (e *Engine) rateWorkers(now time.Time) {
+	if now.Sub(e.ratedAt) < ratingInterval {
+		return
+	}
+	e.ratedAt = now
 	full := now.Sub(e.healthCheckAt) >= healthCheckInterval
 	if full {
 		e.healthCheckAt = now
--- a/msscheduler/health_test.go
+++ b/msscheduler/health_test.go
@@ -56,6 +56,7 @@
 	for i := range 2 {
 		g.health.Failed(g.healthOf(bad), mshealth.Failure{Job: strconv.Itoa(i)}, now)
 	}
+	g.ratedAt = time.Time{}
 	g.rateWorkers(now)
 	require.False(t, bad.usable(now))
 	require.Zero(t, g.throughput(bad, now))
