msscheduler, msplace: rooms are estimated only where a task would be hampered

The rack of the data weighs more where the penalty is above 1.5, so that a task with a penalty of 3 runs on a cold worker near its data.

--- a/msplace/place.go
+++ b/msplace/place.go
@@ -58,12 +58,12 @@
 	Group string
 	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
 	MaxIsolated int
-	// RunTime is how long the task is expected to run near its data, RemotePenalty how many
-	// times longer it takes elsewhere. They are used by ChooseOrWait only, and so are the
-	// room on the rack of its data and on all workers that are not slow, either of which
-	// may be nil.
+	// RemotePenalty is how many times longer the task takes away from its data.
+	RemotePenalty float64
+	// RunTime is how long the task is expected to run near its data. RackRoom is the room on
+	// the rack of its data, PoolRoom that on all workers that are not slow; either may be
+	// nil. They are used by BetterRoom only.
 	RunTime            time.Duration
-	RemotePenalty      float64
 	RackRoom, PoolRoom *Room
 }
 
@@ -84,6 +84,12 @@
 	// scoreWanted keeps tasks off the rack that others wait for, as it holds their data. It
 	// outweighs packing.
 	scoreWanted = -3.0
+	// A task that takes longer than usualPenalty times away from its data prefers the rack by
+	// scorePenalty for each time more: with a penalty of 3 also to a worker there that is
+	// cold, but not to one that is the last resort.
+	usualPenalty    = 1.5
+	scorePenalty    = 4.0
+	maxScorePenalty = 6.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
 	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
@@ -216,7 +222,7 @@
 		score += scoreSuspectFreeCapacity * freeShare(w)
 	}
 	if s.DataRack != "" && s.DataRack == w.Rack {
-		score += scoreDataRack
+		score += scoreDataRack + min(maxScorePenalty, scorePenalty*max(0, want.RemotePenalty-usualPenalty))
 	}
 	if s.SameRack && want.OnRack[w.Rack] > 0 {
 		score += scoreSameRack
--- a/msplace/wait.go
+++ b/msplace/wait.go
@@ -78,15 +78,32 @@
 // running tasks are estimates, and reports of them take some tens of milliseconds.
 const waitMargin = 100 * time.Millisecond
 
-// ChooseOrWait is Choose, except that it returns -1 and the room to wait for if the task is
-// expected to end sooner after waiting for it: room on the rack of its data, or on a worker
-// that is not slow.
+// ChooseOrWait is Choose, except that it returns -1 and the room to wait for if BetterRoom
+// returns one for the worker.
 func ChooseOrWait(want Requirements, workers []Worker) (int, *Room) {
 	n := Choose(want, workers)
-	if n < 0 || want.RunTime <= 0 || want.Group != "" || want.Step.LongRunning || want.Step.Backfill || want.Step.Gang {
+	if n < 0 {
 		return n, nil
 	}
-	w := &workers[n]
+	if room := BetterRoom(want, &workers[n]); room != nil {
+		return -1, room
+	}
+	return n, nil
+}
+
+// Hampers reports whether the task takes longer on the worker than near its data on one that
+// is not slow.
+func Hampers(s *msjob.Step, w *Worker) bool {
+	return w.Slowdown > 1 || s.DataRack != "" && s.DataRack != w.Rack
+}
+
+// BetterRoom returns the room to wait for if a task ends sooner by that than on the worker
+// now: room on the rack of its data, or on a worker that is not slow. It counts the task among
+// those that wait there.
+func BetterRoom(want Requirements, w *Worker) *Room {
+	if want.RunTime <= 0 || want.Group != "" || want.Step.LongRunning || want.Step.Backfill || want.Step.Gang || !Hampers(want.Step, w) {
+		return nil
+	}
 	factor := max(1, w.Slowdown)
 	remote := 1.0
 	if want.Step.DataRack != "" {
@@ -95,9 +112,6 @@
 			factor *= remote
 		}
 	}
-	if factor <= 1 {
-		return n, nil
-	}
 	end := time.Duration(factor * float64(want.RunTime))
 	need := want.Step.Reserved()
 	var room *Room
@@ -115,7 +129,6 @@
 	}
 	if room != nil {
 		room.Claim(need)
-		return -1, room
 	}
-	return n, nil
+	return room
 }
--- a/msplace/wait_test.go
+++ b/msplace/wait_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// A task that takes three times as long away from its data runs on a cold worker near it, but
+// not on a slow one.
+func TestHighPenaltyPrefersTheRack(t *testing.T) {
+	want := newWant(msjob.Step{Count: 1, Need: msjob.Resources{CPU: 4000, Memory: 100}, DataRack: "r1"})
+	workers := []Worker{newWorker("a", "r1", 32000), newWorker("b", "r2", 32000)}
+	workers[0].FailureRisk, want.RemotePenalty = 1, 1.5
+	require.Equal(t, 1, Choose(want, workers))
+	want.RemotePenalty = 3
+	require.Equal(t, 0, Choose(want, workers))
+	workers[0].FailureRisk, workers[0].LastResort = 0, true
+	require.Equal(t, 1, Choose(want, workers))
+}
+
 // Work that does not need the data took the rack's last room while tasks waited for it.
 func TestWantedRackIsKeptForItsData(t *testing.T) {
 	s := msjob.Step{Count: 1, Need: msjob.Resources{CPU: 4000, Memory: 100}}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -175,6 +175,10 @@
 		r.w.blockedUntil = now.Add(noCapacityPause)
 	case msworker.Unhealthy:
 		r.w.blockedUntil = now.Add(unhealthyPause)
+		if e.health.WorkedSince(e.healthOf(r.w), now.Add(-unhealthyPause)) {
+			// It says that it is unhealthy, and tasks end well there.
+			r.w.blockedUntil = now.Add(noCapacityPause)
+		}
 		e.health.Refused(e.healthOf(r.w), now)
 	case msworker.NoTicket:
 		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -23,9 +23,7 @@
 	othersWait bool
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
-	// hasSlow says that a worker of the pool is slow.
-	hasSlow bool
-	rooms   rooms
+	rooms        rooms
 	// full has what no worker of the pool has room for.
 	full []roomRequest
 }
@@ -57,7 +55,6 @@
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
 		}
 		e.rate(w, &v, now)
-		r.hasSlow = r.hasSlow || v.Slowdown > 1
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
 	}
@@ -252,7 +249,7 @@
 	}
 	clear(e.onWorker)
 	clear(e.onRack)
-	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated}
+	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated, RemotePenalty: e.remotePenalty()}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -266,8 +263,8 @@
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n, room := -1, (*msplace.Room)(nil)
 		if want.Group != "" || !pool.isFull(step) {
-			e.considerWaiting(&want, j, id, pool, now)
-			n, room = msplace.ChooseOrWait(want, pool.placement)
+			n = msplace.Choose(want, pool.placement)
+			room = e.betterRoom(want, j, id, pool, n, now)
 			e.noteWanted(step, pool, n, now)
 		}
 		if room != nil {
--- a/msscheduler/room.go
+++ b/msscheduler/room.go
@@ -24,53 +24,53 @@
 // to take longer.
 const overdueShare = 0.3
 
-// considerWaiting sets what ChooseOrWait needs to weigh waiting for a better worker. The
-// caller holds mu.
-func (e *Engine) considerWaiting(want *msplace.Requirements, j *job, id msjob.TaskID, pool *poolSnapshot, now time.Time) {
+// betterRoom returns the room that a task should wait for instead of starting on the n-th worker
+// of the pool, or nil. The caller holds mu.
+func (e *Engine) betterRoom(want msplace.Requirements, j *job, id msjob.TaskID, pool *poolSnapshot, n int, now time.Time) *msplace.Room {
 	s := want.Step
-	if s.Estimate <= 0 || s.LongRunning || s.Backfill || s.Gang || s.DataRack == "" && !pool.hasSlow {
-		return
+	if n < 0 || s.Estimate <= 0 || !msplace.Hampers(s, &pool.placement[n]) {
+		return nil
 	}
-	want.RunTime, want.RemotePenalty = e.health.Expected(imageOf(j, s), s.Estimate), e.remotePenalty()
-	gain := slowWaitRuns
-	if s.DataRack != "" && !pool.hasSlow {
-		gain = want.RemotePenalty - 1
+	want.RunTime = e.health.Expected(imageOf(j, s), s.Estimate)
+	gain := want.RemotePenalty - 1
+	if pool.placement[n].Slowdown > 1 {
+		gain = slowWaitRuns
 	}
 	if j.roomWaits.over(id, time.Duration(gain*float64(want.RunTime)), now) {
-		want.RunTime = 0
-		return
+		return nil
 	}
-	if pool.rooms == nil {
-		pool.rooms = e.measureRoom(pool, now)
-	}
-	want.PoolRoom, want.RackRoom = pool.rooms[""], nil
 	if s.DataRack != "" {
-		want.RackRoom = pool.rooms[s.DataRack]
+		want.RackRoom = e.roomOn(pool, s.DataRack, now)
+	}
+	if pool.placement[n].Slowdown > 1 {
+		want.PoolRoom = e.roomOn(pool, "", now)
 	}
+	return msplace.BetterRoom(want, &pool.placement[n])
 }
 
-// measureRoom estimates when the sound workers of a pool have room.
-func (e *Engine) measureRoom(pool *poolSnapshot, now time.Time) rooms {
-	all := rooms{"": {}}
+// roomOn estimates when the sound workers of a pool on a rack, or all of them if that is empty,
+// have room.
+func (e *Engine) roomOn(pool *poolSnapshot, rack string, now time.Time) *msplace.Room {
+	if room := pool.rooms[rack]; room != nil {
+		return room
+	}
+	room := &msplace.Room{}
 	for _, w := range pool.workers {
-		if w.healthState != mshealth.Sound {
+		if w.healthState != mshealth.Sound || rack != "" && w.Rack != rack {
 			continue
 		}
-		rack := all[w.Rack]
-		if rack == nil {
-			rack = &msplace.Room{}
-			all[w.Rack] = rack
-		}
-		for _, room := range []*msplace.Room{rack, all[""]} {
-			room.AddWorker(w.Capacity)
-			for _, r := range w.runs {
-				if s := r.step(); s != nil && !s.LongRunning && s.Estimate > 0 {
-					room.AddEnd(e.expectedRemaining(r, now), r.need)
-				}
+		room.AddWorker(w.Capacity)
+		for _, r := range w.runs {
+			if s := r.step(); s != nil && !s.LongRunning && s.Estimate > 0 {
+				room.AddEnd(e.expectedRemaining(r, now), r.need)
 			}
 		}
 	}
-	return all
+	if pool.rooms == nil {
+		pool.rooms = rooms{}
+	}
+	pool.rooms[rack] = room
+	return room
 }
 
 // expectedRemaining estimates how much longer an attempt runs.
