--- a/mshealth/replay_test.go
+++ b/mshealth/replay_test.go
@@ -53,13 +53,9 @@
 // replayRules are the rules under test.
 type replayRules interface {
 	rate(i int, v *msplace.Worker, now time.Time) bool
-	ended(i int, failed bool, took time.Duration, job string, elsewhere bool, now time.Time)
-	running(i int, ran time.Duration, now time.Time)
-	stalled(i int, now time.Time)
+	ended(i int, failed bool, took time.Duration, job string, now time.Time)
 	lost(i int, explained bool, now time.Time)
 	found(i int, now time.Time)
-	// waits says that a task may wait for a worker that isn't slow.
-	waits() bool
 	// moves says that an attempt is stopped and started elsewhere.
 	moves(i int, ran time.Duration, done float64, now time.Time) bool
 }
@@ -80,7 +76,7 @@
 	return !now.Before(r.blocked[i])
 }
 
-func (r *formerRules) ended(i int, failed bool, took time.Duration, _ string, _ bool, now time.Time) {
+func (r *formerRules) ended(i int, failed bool, took time.Duration, _ string, now time.Time) {
 	if !failed {
 		r.failures[i] = 0
 		ratio := float64(took) / float64(taskRuntime)
@@ -97,19 +93,15 @@
 	}
 }
 
-func (r *formerRules) running(int, time.Duration, time.Time) {}
-func (r *formerRules) lost(int, bool, time.Time)             {}
-func (r *formerRules) found(int, time.Time)                  {}
+func (r *formerRules) lost(int, bool, time.Time) {}
+func (r *formerRules) found(int, time.Time)      {}
 
-func (r *formerRules) stalled(i int, now time.Time) {
+func (r *formerRules) moves(i int, ran time.Duration, done float64, now time.Time) bool {
+	if done > 0 || ran < 1750*time.Millisecond {
+		return false
+	}
 	r.blocked[i] = now.Add(5 * time.Second)
-}
-
-func (r *formerRules) waits() bool { return false }
-func (r *tableRules) waits() bool  { return true }
-
-func (r *formerRules) moves(_ int, ran time.Duration, done float64, _ time.Time) bool {
-	return done == 0 && ran > 1750*time.Millisecond
+	return true
 }
 
 // tableRules are those of this package.
@@ -138,33 +130,35 @@
 	return s != Out
 }
 
-func (r *tableRules) ended(i int, failed bool, took time.Duration, job string, elsewhere bool, now time.Time) {
+func (r *tableRules) ended(i int, failed bool, took time.Duration, job string, now time.Time) {
 	if failed {
-		r.table.Failed(r.worker(i, now), Failure{Job: job, Image: "i", Elsewhere: elsewhere}, now)
+		r.table.Failed(r.worker(i, now), Failure{Job: job, Image: "i"}, now)
 		return
 	}
 	r.table.Ran(r.worker(i, now), "i", took, taskRuntime, now)
 	r.table.Succeeded(r.worker(i, now), "i", now)
 }
 
-func (r *tableRules) running(i int, ran time.Duration, now time.Time) {
-	r.table.Running(r.worker(i, now), "i", ran, taskRuntime, now)
-}
-
 func (r *tableRules) lost(i int, explained bool, now time.Time) {
 	r.table.Lost(r.worker(i, now), explained, now)
 }
 func (r *tableRules) found(i int, now time.Time) { r.table.Found(r.worker(i, now), now) }
 
-func (r *tableRules) stalled(i int, now time.Time) { r.table.Stalled(r.worker(i, now), now) }
-
 func (r *tableRules) moves(i int, ran time.Duration, done float64, now time.Time) bool {
+	w := r.worker(i, now)
+	r.table.Running(w, "i", ran, taskRuntime, now)
 	if ran -= reportDelay; ran < 0 || ran%reportEvery != 0 {
 		return false
 	}
-	r.table.Progressed(r.worker(i, now), "i", ran, taskRuntime, done, now)
+	r.table.Progressed(w, "i", ran, taskRuntime, done, now)
 	a := Attempt{Ran: ran, Expected: r.table.Expected("i", taskRuntime), Done: done}
-	return r.table.Progresses("i") && a.WorthMoving()
+	if !r.table.Progresses("i") || !a.WorthMoving() {
+		return false
+	}
+	if a.StandsStill() {
+		r.table.Stalled(w, now)
+	}
+	return true
 }
 
 // outcome is what a replay has counted: failed attempts, tasks without an attempt left, tasks
@@ -213,21 +207,17 @@
 			if t.done || !t.runs {
 				continue
 			}
-			ran, i := at-t.begun, t.worker
-			name := names[i]
+			ran, i, done := at-t.begun, t.worker, 0.0
+			if !t.hangs {
+				done = max(0.001, float64(ran-reportDelay)/float64(t.takes))
+			}
 			switch {
 			case isDown(i):
 				release(t)
 				t.waitsFrom = at + lossDelay
-			case t.hangs:
-				if rules.moves(i, ran, 0, now) {
-					rules.stalled(i, now)
-					release(t)
-					t.avoid[name] = true
-				}
-			case ran >= t.takes:
+			case !t.hangs && ran >= t.takes:
 				release(t)
-				rules.ended(i, t.fails, ran, "j"+strconv.Itoa(n), false, now)
+				rules.ended(i, t.fails, ran, "j"+strconv.Itoa(n), now)
 				if !t.fails {
 					t.done = true
 					if at-t.arrived > objective {
@@ -235,7 +225,7 @@
 					}
 					continue
 				}
-				t.avoid[name] = true
+				t.avoid[names[i]] = true
 				t.failures++
 				o.failures++
 				perWorker[i]++
@@ -244,11 +234,9 @@
 					t.done = true
 					o.failed++
 				}
-			case rules.moves(i, ran, max(0.001, float64(ran-reportDelay)/float64(t.takes)), now):
+			case rules.moves(i, ran, done, now):
 				release(t)
-				t.avoid[name] = true
-			default:
-				rules.running(i, ran, now)
+				t.avoid[names[i]] = true
 			}
 		}
 		var views []msplace.Worker
@@ -262,11 +250,9 @@
 		}
 		room := &msplace.Room{}
 		for k, i := range index {
-			if !views[k].LastResort {
+			onSound[i] = !views[k].LastResort
+			if onSound[i] {
 				room.AddWorker(views[k].Capacity)
-				onSound[i] = true
-			} else {
-				onSound[i] = false
 			}
 		}
 		for _, t := range tasks {
@@ -278,10 +264,7 @@
 			if t.done || t.runs || at < t.waitsFrom {
 				continue
 			}
-			want := msplace.Requirements{Step: &step, Avoid: t.avoid, Failures: t.failures}
-			if rules.waits() {
-				want.RunTime, want.PoolRoom = taskRuntime, room
-			}
+			want := msplace.Requirements{Step: &step, Avoid: t.avoid, Failures: t.failures, RunTime: taskRuntime, PoolRoom: room}
 			c, _ := msplace.ChooseOrWait(want, views)
 			if c < 0 {
 				continue
--- a/mshealth/straggler.go
+++ b/mshealth/straggler.go
@@ -51,3 +51,8 @@
 	}
 	return float64(a.Remaining()) > moveGain*float64(elsewhere+moveOverhead)
 }
+
+// StandsStill reports whether the attempt has done nothing, as on a worker that hangs.
+func (a Attempt) StandsStill() bool {
+	return a.Done < leastDone
+}
--- a/msscheduler/progress.go
+++ b/msscheduler/progress.go
@@ -82,5 +82,8 @@
 		return false
 	}
 	ran := now.Sub(since)
-	return !r.w.reachable && ran > stallTimeout/2 || e.straggles(r, now) || ran > time.Duration(duplicateAfter*float64(s.Estimate))+stallTimeout/4
+	if _, ok := e.straggles(r, now); ok {
+		return true
+	}
+	return !r.w.reachable && ran > stallTimeout/2 || ran > time.Duration(duplicateAfter*float64(s.Estimate))+stallTimeout/4
 }
--- a/msscheduler/straggler.go
+++ b/msscheduler/straggler.go
@@ -53,7 +53,10 @@
 				e.probe(w, r, usual, now)
 				continue
 			}
-			if !r.step().Duplicates && e.straggles(r, now) && e.roomElsewhere(r, now) {
+			if a, ok := e.straggles(r, now); ok && !r.step().Duplicates && e.roomElsewhere(r, now) {
+				if a.StandsStill() {
+					e.health.Stalled(e.healthOf(w), now)
+				}
 				e.Logger.Info("straggler stopped", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
 					zap.String("worker", w.ID), zap.Int("percent", r.percent), zap.Duration("ran", now.Sub(r.answeredAt)), zap.Duration("usual", usual))
 				r.job.avoidWorker(r.task, w.ID)
@@ -64,24 +67,18 @@
 }
 
 // straggles reports whether an attempt would end much sooner elsewhere, by its latest report.
-func (e *Engine) straggles(r *run, now time.Time) bool {
+func (e *Engine) straggles(r *run, now time.Time) (mshealth.Attempt, bool) {
 	s := r.step()
 	usual := e.usualRuntime(r)
 	image := imageOf(r.job, s)
-	if usual <= 0 || r.reportedAt.IsZero() || !e.health.Progresses(image) || now.Sub(r.reportedAt) > stallTimeout || r.job.p.State.Final() {
-		return false
-	}
-	if len(r.job.avoid[r.task]) >= maxStalls {
-		return false
+	if usual <= 0 || r.reportedAt.IsZero() || !e.health.Progresses(image) || now.Sub(r.reportedAt) > stallTimeout || r.job.p.State.Final() || len(r.job.avoid[r.task]) >= maxStalls {
+		return mshealth.Attempt{}, false
 	}
 	a := mshealth.Attempt{
 		Ran: r.reportedAt.Sub(r.answeredAt), Expected: e.health.Expected(image, usual),
 		Done: float64(r.percent) / fullPercent, Checkpoint: s.Checkpoints && r.checkpoint != "",
 	}
-	if !a.WorthMoving() {
-		return false
-	}
-	return e.peersAreFaster(r, a)
+	return a, a.WorthMoving() && e.peersAreFaster(r, a)
 }
 
 // peersAreFaster reports whether the other attempts of the step on other workers, if any of
