msscheduler: only what workers have reported makes them slow

The age of an attempt alone made busy workers slow when a leader that lacked processor time got their reports late (TestLateReportsMakeNoWorkerSlow).

--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -73,10 +73,12 @@
 	}
 }
 
-// rateRunning tells how long an attempt has been running.
+// rateRunning tells how long an attempt was running when its worker last listed it. Its end may
+// have come since, and wait for a leader that lacks processor time or for the log.
 func (e *Engine) rateRunning(r *run, now time.Time) {
-	if estimate := e.usualRuntime(r); estimate > 0 && now.Sub(r.answeredAt) > estimate {
-		e.health.Running(e.healthOf(r.w), imageOf(r.job, r.step()), now.Sub(r.answeredAt), estimate, now)
+	ran := r.reportedAt.Sub(r.answeredAt)
+	if estimate := e.usualRuntime(r); estimate > 0 && ran > estimate {
+		e.health.Running(e.healthOf(r.w), imageOf(r.job, r.step()), ran, estimate, now)
 	}
 }
 
--- a/msscheduler/health_test.go
+++ b/msscheduler/health_test.go
@@ -68,3 +68,29 @@
 		require.NotEqual(t, "w-1", r.Worker)
 	}
 }
+
+// A leader that lacked processor time got reports late. The age of the attempts alone made all
+// busy workers slow.
+func TestLateReportsMakeNoWorkerSlow(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 2, 1, 1, 1)
+	now := e.Clock.Now()
+	var j *job
+	for _, j = range e.active {
+		break
+	}
+	w := e.workers["w-0000"]
+	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1, w)
+	r.state, r.answeredAt, r.reportedAt = runStarted, now, now.Add(400*time.Millisecond)
+	e.addRun(r)
+	now = now.Add(10 * time.Second)
+	e.moveStragglers(now)
+	e.rateWorkers(now)
+	require.Equal(t, mshealth.Sound, w.healthState)
+	r.reportedAt = now
+	now = now.Add(stragglerInterval)
+	e.moveStragglers(now)
+	e.rateWorkers(now)
+	require.Equal(t, mshealth.Slow, w.healthState, "it still runs ten seconds later")
+	require.Less(t, e.throughput(w, now), 0.2)
+}
--- a/msscheduler/room.go
+++ b/msscheduler/room.go
@@ -17,8 +17,9 @@
 const wantedSpan = 1500 * time.Millisecond
 
 // slowWaitRuns is how many run times a step waits at most for a worker that is not slow. Slow
-// workers have been seen to take eight times as long.
-const slowWaitRuns = 3.0
+// workers are at least twice as slow, and the objective of short jobs allows for about one run
+// time more.
+const slowWaitRuns = 1.5
 
 // overdueShare is the fraction of its usual run time that an attempt beyond it is expected
 // to take longer.
