msscheduler, msplace: tasks of a step wait one by one, long-running ones leave after a second

Each task of a step is weighed behind those that wait before it, so that the last ones run elsewhere.

--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -160,6 +160,7 @@
 	// rackFault says that the latest pause is due to the whole rack.
 	rackFault bool
 	state     State
+	stateAt   time.Time
 	speed
 }
 
@@ -428,7 +429,7 @@
 	case s == Slow || w.state == Slow:
 		t.slowChanges++
 	}
-	w.state = s
+	w.state, w.stateAt = s, now
 	t.changes = append(t.changes, c)
 }
 
@@ -466,6 +467,14 @@
 // seconds.
 const provenSpan = 2 * time.Second
 
+// BadFor returns how long the worker has been slow or out of use, or 0.
+func (w *Worker) BadFor(now time.Time) time.Duration {
+	if w.state != Slow && w.state != Out {
+		return 0
+	}
+	return now.Sub(w.stateAt)
+}
+
 // Throughput is the fraction of a sound worker's work that the worker does, for the size of
 // pools and the load.
 func (t *Table) Throughput(w *Worker, now time.Time) float64 {
--- a/msscheduler/health_test.go
+++ b/msscheduler/health_test.go
@@ -94,3 +94,32 @@
 	require.Equal(t, mshealth.Slow, w.healthState, "it still runs ten seconds later")
 	require.Less(t, e.throughput(w, now), 0.2)
 }
+
+// Long-running tasks stayed on workers that fail or are slow. They leave, but never more at a
+// time than their step may miss.
+func TestLongRunningTasksLeaveBadWorkers(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 4)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "lasting", Steps: []msjob.Step{longRunning(4, 1)}})
+	w.awaitRunning(4)
+	g := e.current()
+	g.mu.Lock()
+	g.health.PoolSize = nil
+	for _, id := range []string{"w-1", "w-2"} {
+		g.health.Stalled(g.healthOf(g.workers[id]), g.Clock.Now())
+	}
+	g.mu.Unlock()
+	require.Eventually(t, func() bool {
+		on, left := 0, 0
+		for _, r := range w.journal.Runs() {
+			if r.End.IsZero() {
+				on++
+				left += boolToInt(r.Worker == "w-1" || r.Worker == "w-2")
+			}
+		}
+		require.GreaterOrEqual(t, on, 3)
+		return on == 4 && left == 0
+	}, eventually, 2*time.Millisecond)
+	w.requireNoDuplicates()
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -268,8 +268,9 @@
 			e.noteWanted(step, pool, n, now)
 		}
 		if room != nil {
+			// The step's further tasks may end sooner elsewhere, as they would wait for longer.
 			j.roomWaits = j.roomWaits.begin(j, k, s, now)
-			break
+			continue
 		}
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
--- a/msscheduler/straggler.go
+++ b/msscheduler/straggler.go
@@ -122,11 +122,15 @@
 	return false
 }
 
+// longRunningPatience is how long a worker must have been slow or out of use before its
+// long-running tasks leave: each of them is unavailable for about a second meanwhile.
+const longRunningPatience = time.Second
+
 // moveLongRunning stops a long-running task whose worker is slow or out of use, if its step
 // may miss one more and a worker has room.
 func (e *Engine) moveLongRunning(r *run, now time.Time) {
 	s := r.step()
-	if s == nil || !s.LongRunning || s.Gang || r.w.healthState != mshealth.Slow && r.w.healthState != mshealth.Out || r.job.p.State.Final() {
+	if s == nil || !s.LongRunning || s.Gang || r.w.health == nil || r.w.health.BadFor(now) < longRunningPatience || r.job.p.State.Final() {
 		return
 	}
 	if e.unavailableTasks(r.job, r.task.Occurrence, r.task.Step) >= s.MaxUnavailable || !e.roomElsewhere(r, now) {
