mshealth: tasks that differ much make no worker slow

The ratio from which a worker is slow rises with the spread of the pool's run times. Attempts keep the name of their image, so that a search for stragglers needs no allocations.

--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -409,7 +409,7 @@
 		s = Probation
 	case w.score >= suspectScore:
 		s = Suspect
-	case w.slow(t.poolRatio(w.pool), now):
+	case w.Ratio(now) >= t.slowFrom(w.pool):
 		s = Slow
 	}
 	if s == w.state {
@@ -486,7 +486,7 @@
 	case Sound, Slow, states:
 	}
 	ratio, usual := w.Ratio(now), t.poolRatio(w.pool)
-	if ratio < minSlowRatio*usual || usual == 0 {
+	if ratio < t.slowFrom(w.pool) {
 		return 1
 	}
 	return usual / ratio
--- a/mshealth/speed.go
+++ b/mshealth/speed.go
@@ -41,7 +41,7 @@
 		sorted := append([]float64(nil), w.values...)
 		sort.Float64s(sorted)
 		w.median = sorted[len(sorted)/2]
-		w.spread = sorted[len(sorted)*4/5] / w.median
+		w.spread = max(1, sorted[len(sorted)*4/5]/w.median)
 	}
 }
 
@@ -166,6 +166,16 @@
 	return 1
 }
 
+// slowFrom is the ratio from which a worker of the pool is slow. Where the tasks differ much
+// from their estimates it is higher.
+func (t *Table) slowFrom(pool string) float64 {
+	spread := 1.0
+	if g := t.pools[pool]; g != nil && len(g.ratios.values) >= minGroupSamples {
+		spread = g.ratios.spread
+	}
+	return max(minSlowRatio, boundSpread*spread) * t.poolRatio(pool)
+}
+
 // Ratio is how many times longer than usual the worker's tasks take, or 1 if nothing recent
 // is known.
 func (w *Worker) Ratio(now time.Time) float64 {
@@ -200,8 +210,3 @@
 	}
 	return n
 }
-
-// slow reports whether the worker is much slower than its pool.
-func (w *Worker) slow(usual float64, now time.Time) bool {
-	return w.Ratio(now) >= minSlowRatio*usual
-}
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -78,7 +78,7 @@
 func (e *Engine) rateRunning(r *run, now time.Time) {
 	ran := r.reportedAt.Sub(r.answeredAt)
 	if estimate := e.usualRuntime(r); estimate > 0 && ran > estimate {
-		e.health.Running(e.healthOf(r.w), imageOf(r.job, r.step()), ran, estimate, now)
+		e.health.Running(e.healthOf(r.w), r.image, ran, estimate, now)
 	}
 }
 
@@ -153,7 +153,7 @@
 // noteRuntime counts the run time of an attempt that has succeeded.
 func (e *Engine) noteRuntime(r *run, end msworker.End, now time.Time) {
 	if estimate := e.usualRuntime(r); end.Reason == msworker.EndDone && estimate > 0 {
-		e.health.Ran(e.healthOf(r.w), imageOf(r.job, r.step()), now.Sub(r.answeredAt), estimate, now)
+		e.health.Ran(e.healthOf(r.w), r.image, now.Sub(r.answeredAt), estimate, now)
 	}
 }
 
--- a/msscheduler/room.go
+++ b/msscheduler/room.go
@@ -81,7 +81,7 @@
 	if s.DataRack != "" && s.DataRack != r.w.Rack {
 		estimate = time.Duration(float64(estimate) * e.remotePenalty())
 	}
-	usual := e.health.Expected(imageOf(r.job, s), estimate)
+	usual := e.health.Expected(r.image, estimate)
 	if r.answeredAt.IsZero() {
 		return usual
 	}
--- a/msscheduler/straggler.go
+++ b/msscheduler/straggler.go
@@ -45,7 +45,7 @@
 			if usual <= 0 {
 				continue
 			}
-			usual = e.health.Expected(imageOf(r.job, r.step()), usual)
+			usual = e.health.Expected(r.image, usual)
 			if now.Sub(r.answeredAt) < mshealth.JudgeAfter(usual) {
 				continue
 			}
@@ -70,12 +70,11 @@
 func (e *Engine) straggles(r *run, now time.Time) (mshealth.Attempt, bool) {
 	s := r.step()
 	usual := e.usualRuntime(r)
-	image := imageOf(r.job, s)
-	if usual <= 0 || r.reportedAt.IsZero() || !e.health.Progresses(image) || now.Sub(r.reportedAt) > stallTimeout || r.job.p.State.Final() || len(r.job.avoid[r.task]) >= maxStalls {
+	if usual <= 0 || r.reportedAt.IsZero() || !e.health.Progresses(r.image) || now.Sub(r.reportedAt) > stallTimeout || r.job.p.State.Final() || len(r.job.avoid[r.task]) >= maxStalls {
 		return mshealth.Attempt{}, false
 	}
 	a := mshealth.Attempt{
-		Ran: r.reportedAt.Sub(r.answeredAt), Expected: e.health.Expected(image, usual),
+		Ran: r.reportedAt.Sub(r.answeredAt), Expected: e.health.Expected(r.image, usual),
 		Done: float64(r.percent) / fullPercent, Checkpoint: s.Checkpoints && r.checkpoint != "",
 	}
 	return a, a.WorthMoving() && e.peersAreFaster(r, a)
@@ -167,7 +166,7 @@
 	if now.Sub(w.probedAt) < probeInterval || w.probing || w.health != nil && e.health.WorkedSince(w.health, r.answeredAt) {
 		return
 	}
-	if !e.health.MayAsk(imageOf(r.job, r.step())) {
+	if !e.health.MayAsk(r.image) {
 		return
 	}
 	w.probedAt, w.probing = now, true
@@ -204,7 +203,7 @@
 // noteProgress tells how far an attempt is by the report that has just been applied.
 func (e *Engine) noteProgress(r *run, now time.Time) {
 	if usual := e.usualRuntime(r); usual > 0 && r.state == runStarted {
-		e.health.Progressed(e.healthOf(r.w), imageOf(r.job, r.step()), now.Sub(r.answeredAt), usual, float64(r.percent)/fullPercent, now)
+		e.health.Progressed(e.healthOf(r.w), r.image, now.Sub(r.answeredAt), usual, float64(r.percent)/fullPercent, now)
 	}
 }
 
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -47,6 +47,8 @@
 	// trialTime is how long the attempt has to run before it is no longer a likely cause of
 	// a crash.
 	trialTime time.Duration
+	// image names what it runs.
+	image string
 	// adopted says that an earlier leader assigned the attempt, resumed that it started from
 	// a checkpoint.
 	adopted, resumed bool
@@ -135,7 +137,7 @@
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
-		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(), resumed: t.Checkpoint != "",
+		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(), resumed: t.Checkpoint != "", image: imageOf(j, s),
 	}
 }
 
