--- a/mshealth/health.go
+++ b/mshealth/health.go
@@ -243,7 +243,7 @@
 	if w.failedJobs[f.Job] {
 		weight = min(weight, sameJobWeight)
 	}
-	if w.failedJobs == nil {
+	if w.failedJobs == nil || len(w.failedJobs) >= maxFailedJobs {
 		w.failedJobs = map[string]bool{}
 	}
 	w.failedJobs[f.Job] = true
@@ -260,6 +260,9 @@
 	t.add(w, weight, now, "tasks fail")
 }
 
+// maxFailedJobs bounds the jobs that are told apart by worker.
+const maxFailedJobs = 64
+
 const (
 	// elsewhereFailureRate is the failure rate assumed for a job that fails elsewhere too.
 	elsewhereFailureRate = 0.3
@@ -492,6 +495,11 @@
 	return usual / ratio
 }
 
+// RiskSlowdown is how many times longer a task takes on average on a suspect worker or one on
+// probation, as it may have to start again: with a failure rate of a half and failures at any
+// time, half a run time is lost. A task waits as long for another worker.
+const RiskSlowdown = 1.5
+
 // limitedThroughput is that of a worker that gets one task at a time: a few of the dozen
 // that fit on a worker, and they may fail.
 const limitedThroughput = 0.1
--- a/mshealth/replay_test.go
+++ b/mshealth/replay_test.go
@@ -125,7 +125,9 @@
 	if s == Slow {
 		v.Slowdown = r.worker(i, now).Ratio(now)
 	}
-	v.Limited = s == Suspect || s == Probation
+	if v.Limited = s == Suspect || s == Probation; v.Limited {
+		v.Slowdown = RiskSlowdown
+	}
 	v.Proven = r.table.Proven(r.worker(i, now), now)
 	return s != Out
 }
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -29,7 +29,8 @@
 	Tasks               int
 	// Proven rates, from 0 to 1, how lately the worker has run a task well.
 	Proven float64
-	// Slowdown is how many times longer than usual tasks take on the worker, if it is slow.
+	// Slowdown is how many times longer than usual tasks take on the worker, if it is slow or
+	// they may have to start again elsewhere.
 	Slowdown float64
 	// Wanted workers are on a rack that tasks wait for, as it holds their data.
 	Wanted bool
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -222,7 +222,7 @@
 	case mshealth.Slow:
 		v.LastResort, v.Slowdown = true, w.health.Ratio(now)
 	case mshealth.Suspect, mshealth.Probation:
-		v.LastResort, v.Limited = true, true
+		v.LastResort, v.Limited, v.Slowdown = true, true, mshealth.RiskSlowdown
 	case mshealth.Sound, mshealth.Out:
 	}
 }
@@ -238,7 +238,9 @@
 		return
 	}
 	for i := range p.placement {
-		p.placement[i].Limited = false
+		if v := &p.placement[i]; v.Limited {
+			v.Limited, v.Slowdown = false, 0
+		}
 	}
 }
 
