msjournal, cmd/marjoramspan: tests of idle job streams

Cover the interrupt of a long read or pause, and that streams which were never used aren't read. A data race of TestContendedStreamGetsNoRepeats is gone.

--- a/cmd/marjoramspan/platform_test.go
+++ b/cmd/marjoramspan/platform_test.go
@@ -82,3 +82,33 @@
 	require.Equal(t, http.StatusGatewayTimeout, w.StatusCode, "its record may be stored")
 	require.NoError(t, <-served)
 }
+
+// Streams that were never used must cost no calls to the log, and one that is in use is
+// read by every entry.
+func TestJobStreamsAreFollowedOnceInUse(t *testing.T) {
+	var log msstandin.JobLog
+	clock := &msclock.Boot{}
+	n := &node{clock: clock, begun: clock.Now(), log: zap.NewNop()}
+	n.set.Store(&platform.Settings{Name: "edge-1"})
+	n.build()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i, f := range n.streams {
+		f.Log = log.Log()
+		wg.Go(func() { _ = n.followStream(ctx, i+1) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	j := &msjob.Job{ID: "a", Steps: []msjob.Step{{Count: 1}}}
+	r, err := msjob.JobRecord(j)
+	require.NoError(t, err)
+	log.Put("ms-jobs-3", r.Key, r.Value)
+	time.Sleep(50 * time.Millisecond)
+	require.Zero(t, log.Reads())
+	for range 2 {
+		for _, r := range msjob.StreamRecords() {
+			require.NoError(t, n.jobs.Apply(r))
+		}
+		n.jobs.Reset()
+	}
+	require.Eventually(t, func() bool { _, ok := n.jobs.Job("a"); return ok }, 10*time.Second, 5*time.Millisecond)
+}
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -279,22 +280,30 @@
 }
 
 // An entry that begins to lead must not go on waiting 25 s for the answer to a read that it
-// has sent before, on a connection that may be dead.
+// has sent before, on a connection that may be dead, nor for the end of a long pause.
 func TestInterruptBeginsANewRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		settle(t)
 		var log msstandin.JobLog
 		v := &view{}
-		wait := 25 * time.Second
+		var wait, pause atomic.Int64
+		wait.Store(int64(25 * time.Second))
 		f := &msjournal.Follower{
 			Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset,
-			Wait: func() time.Duration { return wait },
+			Wait: func() time.Duration { return time.Duration(wait.Load()) }, Pause: func() time.Duration { return time.Duration(pause.Load()) },
 		}
 		runInBackground(t, f.Run)
 		time.Sleep(60 * time.Second)
 		require.LessOrEqual(t, log.Reads(), 3, "an idle stream costs a call in 25 s")
 		before := log.Reads()
-		wait = time.Second
+		wait.Store(int64(time.Second))
+		f.Interrupt()
+		time.Sleep(10 * time.Second)
+		require.InDelta(t, 10, log.Reads()-before, 1)
+		pause.Store(int64(time.Hour))
+		time.Sleep(10 * time.Second)
+		before = log.Reads()
+		pause.Store(0)
 		f.Interrupt()
 		time.Sleep(10 * time.Second)
 		require.InDelta(t, 10, log.Reads()-before, 1)
--- a/msjournal/repeat_test.go
+++ b/msjournal/repeat_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,11 +121,11 @@
 		settle(t)
 		var log msstandin.JobLog
 		slow := log.Log()
-		appends := 0
+		var appends atomic.Int64
 		plain := slow.Append
 		slow.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
 			if a.Stream == "slow" {
-				appends++
+				appends.Add(1)
 				time.Sleep(160 * time.Millisecond)
 			}
 			return plain(ctx, a)
@@ -141,10 +142,10 @@
 			put("slow", i)
 			if i == 10 {
 				time.Sleep(time.Second)
-				appends = 0
+				appends.Store(0)
 			}
 		}
-		require.Equal(t, 49, appends)
+		require.EqualValues(t, 49, appends.Load())
 	})
 }
 
