--- a/msjob/table.go
+++ b/msjob/table.go
@@ -45,6 +45,8 @@
 	Pools map[string]PoolLoad `json:"pools"`
 	// OverShare holds the teams that submit more than their share.
 	OverShare map[string]bool `json:"over,omitempty"`
+	// Ratios holds the learned factor on the estimated critical path of a job, by queue.
+	Ratios map[string]float64 `json:"ratio,omitempty"`
 	// Streams is the number of additional streams from which the scheduler takes jobs and
 	// cancels. It is absent in the records of versions that read stream 0 only.
 	Streams int `json:"streams,omitempty"`
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -21,6 +21,7 @@
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
 	"marjoramspan/msplace"
+	"marjoramspan/msruntime"
 	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 )
@@ -54,6 +55,15 @@
 	renewalGrace = 5 * time.Second
 	// maxPassInterval is the longest time between two passes.
 	maxPassInterval = 200 * time.Millisecond
+	// maxPassDelay is how long events may wait for others that are handled in the same
+	// pass. Callers wait for one pass for each step of a job, and the shortest objectives
+	// are above half a second.
+	maxPassDelay = 5 * time.Millisecond
+	// passIntervalFactor is how many times as long as a pass the time between the begins
+	// of two passes is, up to maxPassDelay, so that passes take a fifth of a core. A delay
+	// below minPassDelay costs more for its timer than it saves.
+	passIntervalFactor = 5
+	minPassDelay       = time.Millisecond
 )
 
 // Engine schedules for one term. Its exported fields are set before Run.
@@ -142,6 +152,17 @@
 	// requests.
 	adviceByStep   map[stepKey]*advice
 	adviceInFlight int
+	// shares has the work of the teams by pool. It counts the same attempts as runs, apart
+	// from those of long-running and backfill steps.
+	shares msplace.Shares
+	// wideJobs has which jobs are the largest of their queue, and how often they are in time.
+	wideJobs msplace.WideJobs
+	// runtimes has the learned run times of queues and images.
+	runtimes msruntime.Table
+	// sharesReportedAt is when the metrics of the shares were last set.
+	sharesReportedAt time.Time
+	// fullPools has when the order in each pool was last logged.
+	fullPools map[string]time.Time
 	// teamLimiter decides which jobs are within their team's share.
 	teamLimiter msplace.TeamLimiter
 }
@@ -163,6 +184,19 @@
 	retryAt map[msjob.TaskID]time.Time
 	// overShare jobs exceed their team's share.
 	overShare bool
+	// criticalPath is the estimated length of the critical path.
+	criticalPath time.Duration
+	// runtimes has the learned run times, longestRuns the longest run of each step's tasks.
+	runtimes    *msruntime.Table
+	longestRuns []time.Duration
+	// order is what the latest pass ordered the job by.
+	order msplace.Candidate
+	// wide jobs are among the largest tenth of their queue. outcomeKnown is set once the job
+	// is counted as in time or late in Engine.wideJobs.
+	wide, outcomeKnown bool
+	// useless is set if the latest pass expected the job to end after callers have a use
+	// for its result.
+	useless bool
 	// duplicated has the tasks of which a duplicate was started.
 	duplicated map[msjob.TaskID]bool
 	// avoid has the workers on which a task has failed or stalled.
@@ -192,8 +226,10 @@
 // error.
 func (e *Engine) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer e.Metrics.resetShares()
 	defer e.group.Wait()
 	defer cancel()
+	defer e.Metrics.evacuation(0, 0)
 	e.ctx = ctx
 	e.startedAt = e.Clock.Now()
 	e.wake = make(chan struct{}, 1)
@@ -257,7 +293,9 @@
 	}
 	// Jobs that were added before the journal was read to its end would lack the
 	// progress that earlier leaders have stored.
+	load := e.Jobs.Load()
 	e.mu.Lock()
+	e.runtimes.Restore(load.Ratios, e.Clock.Now())
 	e.jobs, e.active, e.dirty, e.recurring = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*job{}
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
@@ -317,6 +355,7 @@
 		e.mu.Lock()
 		now := e.Clock.Now()
 		b := e.pass(now)
+		took := e.Clock.Now().Sub(now)
 		e.mu.Unlock()
 		if err := e.commit(ctx, b); err != nil {
 			if ctx.Err() != nil {
@@ -332,9 +371,26 @@
 		case <-e.wake:
 		case <-e.Clock.After(maxPassInterval):
 		}
+		if d := passDelay(took, e.Clock.Now().Sub(now)); d > 0 {
+			_ = msclock.Sleep(ctx, e.Clock, d)
+		}
+		select {
+		case <-e.wake:
+		default:
+		}
 	}
 }
 
+// passDelay returns how long the next pass waits for further events. took is how long the
+// previous pass took, since the time from its begin. It is for bursts in which attempts end
+// every half a millisecond: a pass for each end would take most of a core.
+func passDelay(took, since time.Duration) time.Duration {
+	if d := min(passIntervalFactor*took, maxPassDelay) - since; d >= minPassDelay {
+		return d
+	}
+	return 0
+}
+
 // wakeLoop makes the loop start its next pass without delay.
 func (e *Engine) wakeLoop() {
 	select {
@@ -477,7 +533,11 @@
 	if e.jobs == nil || e.jobs[entry.Job.ID] != nil {
 		return
 	}
-	j := &job{def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State, stream: entry.Stream()}
+	j := &job{
+		def: entry.Job, p: &msjob.Progress{}, canceled: entry.Canceled, publishedState: entry.Status.State,
+		stream:       entry.Stream(),
+		criticalPath: entry.Job.CriticalPath(), runtimes: &e.runtimes,
+	}
 	e.jobs[j.def.ID] = j
 	switch s := entry.Status; {
 	case s.State.Final():
@@ -509,6 +569,7 @@
 	} else {
 		e.recurring[j.def.ID] = j
 	}
+	j.wide = !j.def.LongRunning() && e.wideJobs.Add(j.def.Queue, j.def.Work())
 	e.adoptRuns(j)
 	if !j.p.Started {
 		e.pools.arrivals.Add(poolOf(j.def, e.Sites.Site()), j.def.Work(), e.Clock.Now())
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -30,11 +30,13 @@
 // and the team's limit until it is dropped.
 type run struct {
 	runKey
-	job    *job
-	w      *worker
-	need   msjob.Resources
-	team   string
-	limit  msjob.Resources
+	job   *job
+	w     *worker
+	need  msjob.Resources
+	team  string
+	limit msjob.Resources
+	// pool is the pool whose shares count the attempt, or empty.
+	pool   string
 	state  runState
 	ticket string
 	// answeredAt is when a start or a stop was answered; only a report requested after
@@ -100,6 +102,7 @@
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Plus(r.limit)
 	}
+	e.countShare(r)
 }
 
 // dropRun removes an attempt that certainly doesn't run any more and never will.
@@ -120,6 +123,7 @@
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Minus(r.limit)
 	}
+	e.uncountShare(r)
 	e.wakeLoop()
 }
 
@@ -194,6 +198,7 @@
 	if r != nil && r.w == w {
 		if s := r.step(); end.Reason == msworker.EndDone && s != nil && !r.answeredAt.IsZero() {
 			w.recordRuntime(now.Sub(r.answeredAt), s.Estimate)
+			e.recordRuntime(r, now.Sub(r.answeredAt), now)
 		}
 		e.dropRun(r)
 	}
@@ -270,6 +275,7 @@
 		e.stopOthers(j, end.Task, end.Attempt)
 	}
 	if occurrence.Done() {
+		e.recordJobRuntime(j)
 		j.p.MarkFinished(end.Task.Occurrence)
 		if e.unfinishedOccurrences(j) == 0 {
 			e.endJob(j, msjob.Completed, "")
@@ -318,6 +324,9 @@
 	j.p.State, j.p.Reason = state, reason
 	j.p.Ended = e.Wall.Now().UnixMilli()
 	j.p.Occurrences = nil
+	if state == msjob.Completed {
+		e.recordOutcome(j, e.Wall.Now().Sub(j.def.Due(j.def.OccurrenceCount()-1)) <= j.ratio().Objective(j.def, j.criticalPath))
+	}
 	e.markDirty(j)
 	delete(e.active, j.def.ID)
 	delete(e.recurring, j.def.ID)
