--- a/msjob/record.go
+++ b/msjob/record.go
@@ -34,9 +34,18 @@
 
 // ProgressRecord returns the record of a job's progress.
 func ProgressRecord(id string, p *Progress) (Record, error) {
-	return encode(prefixProgress+id, id, p)
+	size := 64
+	for _, r := range p.Occurrences {
+		for s := 0; r != nil && s < len(r.Steps); s++ {
+			size += len(r.Steps[s]) * taskBytes
+		}
+	}
+	return Record{Key: prefixProgress + id, Value: appendProgress(make([]byte, 0, size), p)}, nil
 }
 
+// taskBytes is the usual size of an encoded task.
+const taskBytes = 40
+
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) Record {
 	return Record{Key: prefixCancel + id, Value: []byte("{}")}
@@ -117,6 +126,21 @@
 	// are in a busy period.
 	BurstEnded map[string]time.Time `json:"ended,omitempty"`
 	InBurst    map[string]bool      `json:"in,omitempty"`
+	// Workers has the workers that are out of use, on probation or slow, by VM. Schedulers of
+	// earlier versions leave it out.
+	Workers map[string]WorkerHealth `json:"workers,omitempty"`
+}
+
+// WorkerHealth is what the next leader has to know of a worker that is not sound.
+type WorkerHealth struct {
+	// OutUntil is until when the worker gets no tasks, in Unix milliseconds. Level counts
+	// the times that it was out of use lately.
+	OutUntil int64 `json:"until,omitempty"`
+	Level    int   `json:"level,omitempty"`
+	// OnTrial is set until tasks have succeeded there again.
+	OnTrial bool `json:"trial,omitempty"`
+	// Ratio is how many times longer than usual tasks take there, if it is slow.
+	Ratio float64 `json:"ratio,omitempty"`
 }
 
 // FleetRecord returns the record of the pools' state.
