msleader, msjob, cmd: a small VM that leads makes room for a larger one

The record of the term names the holder's processor limit; an entry with 0.4 of a core or more that sees a smaller leader stores an offer, at most every 10 s, and the leader resigns in a calm moment. While a larger entry leads no call is made.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -162,8 +162,11 @@
 
 	begun    time.Time
 	draining atomic.Bool
-	mu       sync.Mutex
-	engine   *msscheduler.Engine
+	// resignedAt is when the entry last resigned as the leader, or zero. Only the current
+	// term uses it.
+	resignedAt time.Time
+	mu         sync.Mutex
+	engine     *msscheduler.Engine
 }
 
 func (n *node) build() {
@@ -192,7 +195,7 @@
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
-		CandidacyDelay: n.handicap,
+		CandidacyDelay: n.handicap, MilliCores: n.milliCores(),
 	}
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
@@ -233,9 +236,8 @@
 	// uptimeHandicap what they wait.
 	oldProcess     = 30 * time.Second
 	uptimeHandicap = 60 * time.Millisecond
-	// Scheduling takes a quarter of a core at 350 workers; an entry with less than
-	// leadCores stands later, by up to weakHandicap.
-	leadCores    = 0.4
+	// An entry with less than leadCores stands later, by up to weakHandicap.
+	leadCores    = msleader.LeadMilliCores / 1000.0
 	weakHandicap = 600 * time.Millisecond
 )
 
@@ -281,7 +283,64 @@
 	}()
 	defer wg.Wait()
 	defer cancel()
-	return e.Run(ctx)
+	ectx, resign := context.WithCancel(ctx)
+	defer resign()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		n.watchStanding(wctx, e, resign)
+	}()
+	return e.Run(ectx)
+}
+
+// standingPoll is the time between two looks whether the leader should resign, or whether the
+// entry should offer to lead.
+const standingPoll = time.Second
+
+// watchStanding ends the term once another entry should lead.
+func (n *node) watchStanding(ctx context.Context, e *msscheduler.Engine, resign func()) {
+	began, wall := n.clock.Now(), msclock.System{}
+	beganWall := wall.Now()
+	for msclock.Sleep(ctx, n.clock, standingPoll) == nil {
+		now, offer := n.clock.Now(), n.jobs.Offer()
+		s := msleader.Standing{
+			MilliCores: n.milliCores(), OfferAge: wall.Now().Sub(offer.Made),
+			LedFor: now.Sub(began), SinceResigned: now.Sub(n.resignedAt),
+		}
+		if offer.Made.After(beganWall) {
+			s.Offered = offer.MilliCores
+		}
+		s.Calm = s.Offered > 0 && e.Calm()
+		if s.Resigns() {
+			n.resignedAt = now
+			n.log.Info("term given up for a larger VM", zap.Int64("millicores", s.MilliCores), zap.Int64("offered", s.Offered))
+			resign()
+			return
+		}
+	}
+}
+
+// offerToLead makes offers while an entry with less processor time leads, until ctx is done.
+func (n *node) offerToLead(ctx context.Context) error {
+	offeredAt := n.clock.Now().Add(-msleader.OfferInterval)
+	for msclock.Sleep(ctx, n.clock, standingPoll) == nil {
+		now, own := n.clock.Now(), n.milliCores()
+		if n.draining.Load() || !msleader.Offers(own, n.leader.HolderMilliCores(), now.Sub(offeredAt)) {
+			continue
+		}
+		offeredAt = now
+		r, err := msjob.OfferRecord(n.set.Load().Name, msjob.Offer{MilliCores: own, Made: msclock.System{}.Now().UTC()})
+		if err == nil {
+			err = n.writer.Append(ctx, []msjournal.Record{{Key: r.Key, Value: r.Value}})
+		}
+		n.log.Info("offered to lead", zap.Int64("millicores", own), zap.Error(err))
+	}
+	return nil
+}
+
+// milliCores is the processor limit of the VM, in thousandths of a core, or 0 if unknown.
+func (n *node) milliCores() int64 {
+	return int64(n.set.Load().CPULimit * 1000)
 }
 
 func (n *node) setScheduler(e *msscheduler.Engine) {
@@ -337,6 +396,7 @@
 		return nil
 	})
 	add("settings", n.watchSettings)
+	add("offers", n.offerToLead)
 	n.addServer(g, set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
 	n.addServer(g, net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
 	add("callers", func(pctx context.Context) error { return n.serveCallers(ctx, pctx, callers) })
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -16,6 +16,7 @@
 	prefixProgress = "progress/"
 	prefixCancel   = "cancel/"
 	prefixWave     = "wave/"
+	prefixOffer    = "offer/"
 	// KeyLoad is the key of the Load record, keyFleet the key of the Fleet record.
 	KeyLoad  = "load"
 	keyFleet = "fleet"
@@ -111,6 +112,19 @@
 	return encode(prefixWave+id, id, w)
 }
 
+// Offer says that an entry would lead in place of one with less processor time.
+type Offer struct {
+	// MilliCores is the processor limit of the entry's VM.
+	MilliCores int64 `json:"millicores"`
+	// Made is when the entry made the offer.
+	Made time.Time `json:"made"`
+}
+
+// OfferRecord returns the record of an entry's offer to lead.
+func OfferRecord(entry string, o Offer) (Record, error) {
+	return encode(prefixOffer+entry, entry, o)
+}
+
 // Fleet is the state of the pools that a scheduler can't derive from the list of VMs.
 type Fleet struct {
 	// BaseSize is the number of VMs that operators assigned to each pool.
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -63,6 +63,7 @@
 	load    Load
 	waves   map[int64]Wave
 	fleet   *Fleet
+	offer   Offer
 }
 
 // Apply applies a record. It returns an error and leaves the table unchanged if the
@@ -85,6 +86,8 @@
 		return t.applyLoad(r.Value)
 	case keyFleet:
 		return t.applyFleet(r.Value)
+	case prefixOffer:
+		return t.applyOffer(id, r.Value)
 	}
 	return &Error{Job: id, Reason: "unknown record kind " + kind}
 }
@@ -276,6 +279,28 @@
 	return nil
 }
 
+func (t *Table) applyOffer(id string, value []byte) error {
+	o := Offer{}
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &o); err != nil {
+			return &Error{Job: prefixOffer + id, Reason: "malformed offer record", Err: err}
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.Made.After(t.offer.Made) {
+		t.offer = o
+	}
+	return nil
+}
+
+// Offer returns the offer to lead that was made last.
+func (t *Table) Offer() Offer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.offer
+}
+
 // Fleet returns the newest stored state of the pools, and whether there is one.
 func (t *Table) Fleet() (Fleet, bool) {
 	t.mu.Lock()
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -97,6 +97,9 @@
 	// TTLMS is how long the term is valid after the record, in milliseconds. It is absent
 	// in the records of versions whose TTL is maxTermTTL.
 	TTLMS int64 `json:"ttl-ms,omitempty"`
+	// MilliCores is the processor limit of the holder's VM, in thousandths of a core. It is
+	// absent if that is unknown, and in the records of earlier versions.
+	MilliCores int64 `json:"millicores,omitempty"`
 }
 
 // ttl returns how long the term is valid after the record.
@@ -122,6 +125,8 @@
 	// with it at a time. The entry then knows that an earlier process of its VM has ended,
 	// and takes over that process's term at once.
 	VM string
+	// MilliCores, if set, is the processor limit of the entry's VM, in thousandths of a core.
+	MilliCores int64
 	// Jitter returns a number from 0 to 1.
 	Jitter func() float64
 	// CandidacyDelay, if set, returns an additional delay before the entry campaigns, which
@@ -134,6 +139,8 @@
 	mu       sync.Mutex
 	epoch    int64
 	deadline time.Time
+	// holderMilliCores is that of the newest record, or 0.
+	holderMilliCores int64
 
 	// nextOffset is the offset at which the next record is expected.
 	nextOffset int64
@@ -204,6 +211,23 @@
 		l.Logger.Info("the earlier process of this VM held the term", zap.String("holder", rec.Holder))
 	}
 	l.released, l.vmOrdersStored, l.ttl = rec.Released || predecessor, rec.VMOrdersStored, rec.ttl()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holderMilliCores = rec.MilliCores
+	if rec.Released || rec.Holder == l.Holder {
+		l.holderMilliCores = 0
+	}
+}
+
+// HolderMilliCores returns the processor limit of the VM of another entry that leads, or 0 if
+// none does or its limit is unknown.
+func (l *Elector) HolderMilliCores() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.epoch != 0 {
+		return 0
+	}
+	return l.holderMilliCores
 }
 
 // follow reads renewals, and campaigns when none arrives for the election timeout.
@@ -278,7 +302,7 @@
 // it reads the stream to determine whether rec was stored.
 func (l *Elector) append(ctx context.Context, rec record) (int64, time.Time, error) {
 	l.serial++
-	rec.Holder, rec.Serial, rec.VM, rec.VMOrdersStored = l.Holder, l.serial, l.VM, true
+	rec.Holder, rec.Serial, rec.VM, rec.VMOrdersStored, rec.MilliCores = l.Holder, l.serial, l.VM, true, l.MilliCores
 	at, sent := l.nextOffset, l.Clock.Now()
 	l.ttl = l.answers.ttl(sent)
 	rec.TTLMS = l.ttl.Milliseconds()
@@ -341,7 +365,7 @@
 func (l *Elector) lead(ctx context.Context, t Term, sent time.Time) {
 	epoch := t.Epoch
 	l.mu.Lock()
-	l.epoch, l.deadline = epoch, sent.Add(l.ttl-expiryMargin)
+	l.epoch, l.deadline, l.holderMilliCores = epoch, sent.Add(l.ttl-expiryMargin), 0
 	l.mu.Unlock()
 	l.Logger.Info("term begun", zap.Int64("epoch", epoch), zap.Bool("released", t.Released), zap.Bool("vm-orders-stored", t.VMOrdersStored))
 	lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/msscheduler/engine_test.go
+++ b/msscheduler/engine_test.go
@@ -507,3 +507,27 @@
 		return false
 	}, eventually, 5*time.Millisecond)
 }
+
+// Guards against a leader that resigns while work waits for it, or that never finds a moment
+// to do so while tasks run.
+func TestCalmWhileNothingWaits(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	calm := func() bool {
+		g := e.current()
+		return g != nil && g.Calm()
+	}
+	require.Eventually(t, calm, eventually, 5*time.Millisecond)
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20s", Steps: []msjob.Step{step(3)}})
+	w.awaitRunning(3)
+	require.Eventually(t, calm, eventually, 5*time.Millisecond)
+	big := step(1)
+	big.Need.CPU = 4000
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=1ms", Steps: []msjob.Step{big, big, big}})
+	require.Eventually(t, func() bool { return !calm() }, eventually, time.Millisecond)
+	w.cancel("0000000000000002")
+	w.cancel("0000000000000001")
+	w.awaitRunning(0)
+	require.Eventually(t, calm, eventually, 5*time.Millisecond)
+}
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -182,6 +182,37 @@
 	v.waiting = v.waiting || r.waiting > 0 || step.Duplicates
 }
 
+// Calm reports whether nothing waits for the leader: no task, no start, no record, no VM order
+// and no wave, and whether the term is valid.
+func (e *Engine) Calm() bool {
+	if !e.Term.Valid() {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.jobs == nil || len(e.dirty) > 0 || len(e.unpublished.records) > 0 || len(e.pools.movedAt) > 0 {
+		return false
+	}
+	for _, w := range e.waves {
+		if !w.p.Completed {
+			return false
+		}
+	}
+	for _, j := range e.active {
+		for _, r := range j.tasks().ready {
+			if r.waiting > 0 {
+				return false
+			}
+		}
+	}
+	for _, r := range e.runs {
+		if r.state != runStarted {
+			return false
+		}
+	}
+	return true
+}
+
 // poolIn returns the pool that runs the job now.
 func (j *job) poolIn(site *mssite.Site) string {
 	j.queueIn(site)
