--- a/msjob/encode_test.go
+++ b/msjob/encode_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"testing"
 	"testing/quick"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -33,3 +34,19 @@
 		require.Equal(t, string(want), string(appendProgress(nil, &p)))
 	}
 }
+
+// Guards against an older offer that hides a newer one: a load returns records in no
+// particular order.
+func TestNewestOfferCounts(t *testing.T) {
+	var table Table
+	made := time.Unix(1000, 0).UTC()
+	for _, o := range []Offer{{800, made}, {1600, made.Add(time.Second)}, {800, made.Add(-time.Second)}} {
+		r, err := OfferRecord("edge-1", o)
+		require.NoError(t, err)
+		require.NoError(t, table.Apply(r))
+	}
+	require.Equal(t, Offer{1600, made.Add(time.Second)}, table.Offer())
+	require.Error(t, table.Apply(Record{Key: "offer/x", Value: []byte("[")}))
+	require.NoError(t, table.Apply(Record{Key: "offer/x"}))
+	require.Equal(t, int64(1600), table.Offer().MilliCores)
+}
