--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -347,7 +347,7 @@
 		Clock: n.clock, Wall: msclock.System{}, Logger: n.log, Metrics: n.metrics,
 		Settings: msscheduler.Settings{
 			MaxLease: b.MaxLease, StatusRetention: b.StatusRetention, MinHolderInterval: b.MinHolderInterval,
-			MaintenanceDuration: b.MaintenanceDuration, RemotePenalty: b.RemotePenalty, EvacuationDeadline: b.EvacuationDeadline,
+			MaintenanceDuration: b.MaintenanceDuration, EvacuationDeadline: b.EvacuationDeadline,
 			WarmupOverage: b.WarmupOverage, WarmupSlack: b.WarmupSlack,
 		},
 	}
--- a/msjob/record.go
+++ b/msjob/record.go
@@ -140,21 +140,6 @@
 	// are in a busy period.
 	BurstEnded map[string]time.Time `json:"ended,omitempty"`
 	InBurst    map[string]bool      `json:"in,omitempty"`
-	// Workers has the workers that are out of use, on probation or slow, by VM. Schedulers of
-	// earlier versions leave it out.
-	Workers map[string]WorkerHealth `json:"workers,omitempty"`
-}
-
-// WorkerHealth is what the next leader has to know of a worker that is not sound.
-type WorkerHealth struct {
-	// OutUntil is until when the worker gets no tasks, in Unix milliseconds. Level counts
-	// the times that it was out of use lately.
-	OutUntil int64 `json:"until,omitempty"`
-	Level    int   `json:"level,omitempty"`
-	// OnTrial is set until tasks have succeeded there again.
-	OnTrial bool `json:"trial,omitempty"`
-	// Ratio is how many times longer than usual tasks take there, if it is slow.
-	Ratio float64 `json:"ratio,omitempty"`
 }
 
 // FleetRecord returns the record of the pools' state.
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -2,11 +2,7 @@
 // task and the speed of backfill tasks. It does no I/O and starts no goroutines.
 package msplace
 
-import (
-	"time"
-
-	"marjoramspan/msjob"
-)
+import "marjoramspan/msjob"
 
 // Worker is a candidate worker for a task.
 type Worker struct {
@@ -23,17 +19,6 @@
 	// FailureRisk rates, from 0 to 1, how likely tasks on the worker are to fail or to be
 	// slow.
 	FailureRisk float64
-	// LastResort workers are slow or have failed lately: they get only tasks that no other
-	// worker can take. Limited ones run one task at a time; Tasks counts those that run.
-	LastResort, Limited bool
-	Tasks               int
-	// Proven rates, from 0 to 1, how lately the worker has run a task well.
-	Proven float64
-	// Slowdown is how many times longer than usual tasks take on the worker, if it is slow or
-	// they may have to start again elsewhere.
-	Slowdown float64
-	// Wanted workers are on a rack that tasks wait for, as it holds their data.
-	Wanted bool
 	// Recent counts the attempts that started on the worker shortly before, Suspects those
 	// of tasks under which a worker has crashed.
 	Recent, Suspects int
@@ -50,8 +35,6 @@
 	Avoid map[string]bool
 	// OnWorker counts the step's tasks in this occurrence by worker, OnRack by rack.
 	OnWorker, OnRack map[string]int
-	// Failures counts the attempts of the task that have failed.
-	Failures int
 	// Suspect is set if a worker may have crashed because of the task.
 	Suspect bool
 	// Group, if set, has the task start on a worker where only tasks of the same group have
@@ -59,13 +42,6 @@
 	Group string
 	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
 	MaxIsolated int
-	// RemotePenalty is how many times longer the task takes away from its data.
-	RemotePenalty float64
-	// RunTime is how long the task is expected to run near its data. RackRoom is the room on
-	// the rack of its data, PoolRoom that on all workers that are not slow; either may be
-	// nil. They are used by BetterRoom only.
-	RunTime            time.Duration
-	RackRoom, PoolRoom *Room
 }
 
 const (
@@ -76,21 +52,6 @@
 	scoreSameRack     = 4.0
 	scoreFailedBefore = -16.0
 	scoreUnreliable   = -8.0
-	// scoreLastResort outweighs the data's rack and the step's together, and is less than
-	// an earlier failure of the task.
-	scoreLastResort = -12.0
-	// scoreProven sends a task that has failed to a worker that works, also away from its
-	// data: another failure may use up its attempts.
-	scoreProven = 6.0
-	// scoreWanted keeps tasks off the rack that others wait for, as it holds their data. It
-	// outweighs packing.
-	scoreWanted = -3.0
-	// A task that takes longer than usualPenalty times away from its data prefers the rack by
-	// scorePenalty for each time more: with a penalty of 3 also to a worker there that is
-	// cold, but not to one that is the last resort.
-	usualPenalty    = 1.5
-	scorePenalty    = 4.0
-	maxScorePenalty = 6.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
 	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
@@ -121,11 +82,10 @@
 // the task.
 func Choose(want Requirements, workers []Worker) int {
 	mayIsolate := want.Group == "" || mayIsolate(want, workers)
-	onlyProven := want.Failures > 0 && !want.Step.Gang && provenExists(want, workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !CanRun(want, w) || !mayIsolate && !w.Isolated || onlyProven && w.Limited {
+		if !CanRun(want, w) || !mayIsolate && !w.Isolated {
 			continue
 		}
 		if s := scoreOf(want, w); best < 0 || s > bestScore {
@@ -135,18 +95,6 @@
 	return best
 }
 
-// provenExists reports whether a worker that isn't limited could run the task once it has
-// room. A task that has failed waits for it: each failure uses up one of its attempts.
-func provenExists(want Requirements, workers []Worker) bool {
-	for i := range workers {
-		w := &workers[i]
-		if !w.Limited && !want.Avoid[w.ID] && want.Step.Reserved().Fits(w.Capacity) && (want.Step.Label == "" || hasLabel(w.Labels, want.Step.Label)) {
-			return true
-		}
-	}
-	return false
-}
-
 // mayIsolate reports whether another worker may be kept for tasks that start apart.
 func mayIsolate(want Requirements, workers []Worker) bool {
 	n := 0
@@ -166,7 +114,7 @@
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
-	if !s.Reserved().Fits(w.Free) || w.Limited && w.Tasks > 0 {
+	if !s.Reserved().Fits(w.Free) {
 		return false
 	}
 	if want.Group != "" {
@@ -199,15 +147,6 @@
 func scoreOf(want Requirements, w *Worker) float64 {
 	s := want.Step
 	score := scoreUnreliable * w.FailureRisk
-	if w.LastResort {
-		score += scoreLastResort
-	}
-	if want.Failures > 0 {
-		score += scoreProven * w.Proven
-	}
-	if w.Wanted && s.DataRack != w.Rack {
-		score += scoreWanted
-	}
 	if s.LongRunning || s.Backfill {
 		score += scoreFreeCapacity * freeShare(w)
 	} else {
@@ -223,7 +162,7 @@
 		score += scoreSuspectFreeCapacity * freeShare(w)
 	}
 	if s.DataRack != "" && s.DataRack == w.Rack {
-		score += scoreDataRack + min(maxScorePenalty, scorePenalty*max(0, want.RemotePenalty-usualPenalty))
+		score += scoreDataRack
 	}
 	if s.SameRack && want.OnRack[w.Rack] > 0 {
 		score += scoreSameRack
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -329,11 +329,11 @@
 // publishPools publishes the sizes of the pools if they have changed. The caller holds
 // mu.
 func (e *Engine) publishPools() {
-	if !e.pools.dirty && !e.healthRecordDue() {
+	if !e.pools.dirty {
 		return
 	}
 	e.pools.dirty = false
-	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst, Workers: e.health.Record(e.Clock.Now(), e.Wall.Now())}
+	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst}
 	r, err := msjob.FleetRecord(&f)
 	e.enqueue(err, r)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"marjoramspan/msclock"
-	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
@@ -37,9 +36,6 @@
 	MinHolderInterval time.Duration
 	// MaintenanceDuration is how long the maintenance of a VM takes.
 	MaintenanceDuration time.Duration
-	// RemotePenalty is how many times longer a task takes away from the rack of its data.
-	// The default is 1.5.
-	RemotePenalty float64
 	// EvacuationDeadline is the time within which no task may start any more in a data
 	// centre that operators evacuate. 0 means that there is no such bound.
 	EvacuationDeadline time.Duration
@@ -148,16 +144,7 @@
 	fleet      fleet
 	pools      pools
 	vmOrders   vmOrders
-	// health has the speed and reliability of workers.
-	health        mshealth.Table
-	healthCheckAt time.Time
-	ratedAt       time.Time
-	stragglersAt  time.Time
-	// contacts has the latest reports by data centre.
-	contacts map[string]contact
-	// wantedRacks has until when racks are kept for tasks whose data they hold.
-	wantedRacks map[string]time.Time
-	zones       zones
+	zones      zones
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -214,10 +201,6 @@
 	duplicated map[msjob.TaskID]bool
 	// avoid has the workers on which a task has failed or stalled.
 	avoid map[msjob.TaskID]map[string]bool
-	// failedOn has the workers on which tasks of the job have failed.
-	failedOn map[*worker]bool
-	// roomWaits has the steps that wait for a better worker.
-	roomWaits roomWait
 	// taskView sums up the tasks while tasksKnown is set. Whatever changes the phase, the
 	// crashes or the occurrences of tasks calls tasksChanged or markDirty.
 	taskView   taskView
@@ -314,7 +297,6 @@
 	e.mu.Lock()
 	e.runtimes.Restore(load.Ratios, e.Clock.Now())
 	e.jobs, e.active, e.dirty, e.recurring = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*job{}
-	e.restoreHealth()
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
 	e.Jobs.Each(func(entry msjob.TableEntry) { entries = append(entries, entry) })
@@ -442,13 +424,11 @@
 	e.expireLeases(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
-	e.rateWorkers(now)
 	e.evacuateZones(now)
 	if now.Sub(e.stallsCheckedAt) >= stallCheckInterval {
 		e.stallsCheckedAt = now
 		e.stopStalled(now)
 	}
-	e.moveStragglers(now)
 	e.beginOccurrences()
 	b.starts = e.place(now)
 	e.collect(&b, now)
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -31,7 +31,7 @@
 	for _, w := range e.workers {
 		if w.usable(now) {
 			p := l.Pools[w.Pool]
-			p.MilliCores += int64(float64(w.countedCPU(now)) * e.throughput(w, now))
+			p.MilliCores += w.countedCPU(now)
 			l.Pools[w.Pool] = p
 		}
 	}
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -5,7 +5,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
@@ -19,7 +18,6 @@
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
-	health          *prometheus.GaugeVec
 	// evacuatedZones has the evacuated data centres, evacuatedLeft the attempts there, and
 	// evacuatedTasks the tasks that were stopped there.
 	evacuatedZones, evacuatedLeft prometheus.Gauge
@@ -55,9 +53,6 @@
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
 	})
-	m.health = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "marjoramspan_workers_by_health", Help: "Workers by how far they may be used.",
-	}, []string{"state"})
 	m.evacuatedZones = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "marjoramspan_evacuated_data_centres", Help: "Data centres that operators evacuate, by this leader's view.",
 	})
@@ -74,7 +69,7 @@
 	m.teamShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "marjoramspan_team_share", Help: "Largest part of a pool that a team's running and recently started tasks take.",
 	}, []string{"team"})
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare, m.health)
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare)
 	return m
 }
 
@@ -125,15 +120,6 @@
 	}
 }
 
-func (m *Metrics) workersByHealth(n map[mshealth.State]int) {
-	if m == nil {
-		return
-	}
-	for _, s := range mshealth.States() {
-		m.health.WithLabelValues(s.String()).Set(float64(n[s]))
-	}
-}
-
 func (m *Metrics) evacuation(zones, attempts int) {
 	if m != nil {
 		m.evacuatedZones.Set(float64(zones))
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -165,7 +165,6 @@
 		return false
 	case msworker.Unknown:
 		r.uncertain = true
-		e.noteUnanswered(r.w)
 		return false
 	case msworker.NotSent:
 		if now.Sub(r.orderedAt) < maxUnsentTime || r.uncertain {
@@ -175,11 +174,6 @@
 		r.w.blockedUntil = now.Add(noCapacityPause)
 	case msworker.Unhealthy:
 		r.w.blockedUntil = now.Add(unhealthyPause)
-		if e.health.WorkedSince(e.healthOf(r.w), now.Add(-unhealthyPause)) {
-			// It says that it is unhealthy, and tasks end well there.
-			r.w.blockedUntil = now.Add(noCapacityPause)
-		}
-		e.health.Refused(e.healthOf(r.w), now)
 	case msworker.NoTicket:
 		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
 	case msworker.Invalid:
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -8,6 +8,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
+	"marjoramspan/msworker"
 )
 
 // poolSnapshot has the usable workers of a pool and their state as the placement sees
@@ -28,7 +29,6 @@
 	held *worker
 	// suspectsWait is set once a task that has to start apart has found no worker.
 	suspectsWait bool
-	rooms        rooms
 	// full has what no worker of the pool has room for.
 	full []roomRequest
 }
@@ -44,6 +44,10 @@
 // next call.
 func (e *Engine) snapshotPools(now time.Time) map[string]*poolSnapshot {
 	all := e.resetSnapshots()
+	if now.Sub(e.mediansAt) >= mediansMaxAge {
+		e.medians, e.mediansAt = e.medianRuntimeRatios(), now
+	}
+	medians := e.medians
 	for _, w := range e.workersByID() {
 		if !w.usable(now) {
 			continue
@@ -55,11 +59,10 @@
 		}
 		n := w.attemptCounts()
 		v := msplace.Worker{
-			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: w.coldness(now), Tasks: len(w.runs),
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
 		}
-		e.rate(w, &v, now)
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
 	}
@@ -74,7 +77,6 @@
 				r.placement[i].Free = e.offered(w, r.size, now)
 			}
 		}
-		r.liftLimits()
 	}
 	return all
 }
@@ -280,7 +282,7 @@
 	}
 	clear(e.onWorker)
 	clear(e.onRack)
-	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated, RemotePenalty: e.remotePenalty()}
+	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -290,18 +292,10 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		want.Failures = tasks[i].Failures
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
-		n, room := -1, (*msplace.Room)(nil)
+		n := -1
 		if want.Group != "" || !pool.isFull(step) {
 			n = msplace.Choose(want, pool.placement)
-			room = e.betterRoom(want, j, id, pool, n, now)
-			e.noteWanted(step, pool, n, now)
-		}
-		if room != nil {
-			// The step's further tasks may end sooner elsewhere, as they would wait for longer.
-			j.roomWaits = j.roomWaits.begin(j, k, s, now)
-			continue
 		}
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
@@ -400,7 +394,6 @@
 	v := &pool.placement[n]
 	v.Free = e.offered(w, pool.size, now)
 	v.Recent++
-	v.Tasks++
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
 		v.Isolated, v.IsolatedFor = true, want.Group
@@ -420,7 +413,6 @@
 	for n, w := range pool.workers {
 		if w == r.w {
 			pool.placement[n].Free = e.offered(w, pool.size, e.Clock.Now())
-			pool.placement[n].Tasks = len(w.runs)
 		}
 	}
 }
@@ -456,3 +448,39 @@
 	}
 	return int(n)
 }
+
+// failureScore counts the failures on a worker since an attempt last succeeded there.
+type failureScore struct {
+	failures int
+	// lastFailure is when the latest failure was recorded.
+	lastFailure time.Time
+}
+
+const (
+	// suspectFailures consecutive failures make a worker suspect: most tasks fail once
+	// in hundreds of attempts.
+	suspectFailures = 3
+	// suspectDuration is how long a suspect worker gets no new tasks.
+	suspectDuration = 6 * time.Second
+)
+
+func (w *worker) recordEnd(reason msworker.EndReason, now time.Time) {
+	switch reason {
+	case msworker.EndDone:
+		w.score = failureScore{}
+	case msworker.EndFailed:
+		w.score.failures++
+		w.score.lastFailure = now
+		if w.score.failures >= suspectFailures {
+			w.blockedUntil = now.Add(suspectDuration)
+		}
+	}
+}
+
+// risk is the failure risk of the worker, from 0 to 1.
+func (s failureScore) risk(now time.Time) float64 {
+	if s.failures == 0 || now.Sub(s.lastFailure) > 2*suspectDuration {
+		return 0
+	}
+	return min(1, float64(s.failures)/suspectFailures)
+}
--- a/msscheduler/progress.go
+++ b/msscheduler/progress.go
@@ -1,6 +1,7 @@
 package msscheduler
 
 import (
+	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,14 @@
 	// maxStalls is on how many workers a task is stopped as stalled. One that advances
 	// nowhere may just not report progress.
 	maxStalls = 2
+	// stalledPause is how long a worker on which an attempt stalled gets no new tasks.
+	stalledPause = 5 * time.Second
+	// runtimeWeight is the weight of the latest attempt in a worker's average run time.
+	runtimeWeight = 0.3
+	// minSlowRatio and maxSlowRatio are the ratios of a worker's average run time to the
+	// median of its pool at which its slowness rises above 0 and reaches 1.
+	minSlowRatio = 1.7
+	maxSlowRatio = 4.0
 	// duplicateAfter is the multiple of its estimate after which a task gets a
 	// duplicate, if its step allows duplicates.
 	duplicateAfter = 2.2
@@ -39,7 +48,7 @@
 			if r.state == runStarted && e.isStalled(r, now) {
 				e.Logger.Info("attempt stalled", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
 					zap.String("worker", w.ID), zap.Int("percent", r.percent), zap.Duration("since", now.Sub(r.progressedAt)))
-				e.health.Stalled(e.healthOf(w), now)
+				w.blockedUntil = now.Add(stalledPause)
 				r.job.avoidWorker(r.task, w.ID)
 				e.stop(r)
 			}
@@ -63,6 +72,44 @@
 	return r.reportedAt.Sub(r.progressedAt) > limit && now.Sub(r.reportedAt) < stallTimeout
 }
 
+// recordRuntime adds the run time of a successful attempt to its worker's average, as a
+// multiple of the estimate.
+func (w *worker) recordRuntime(took, estimate time.Duration) {
+	if estimate <= 0 || took <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(estimate)
+	if w.runtimeRatio == 0 {
+		w.runtimeRatio = ratio
+		return
+	}
+	w.runtimeRatio += runtimeWeight * (ratio - w.runtimeRatio)
+}
+
+// medianRuntimeRatios returns the median of the workers' average run times, by pool.
+func (e *Engine) medianRuntimeRatios() map[string]float64 {
+	all := map[string][]float64{}
+	for _, w := range e.workers {
+		if w.runtimeRatio > 0 {
+			all[w.Pool] = append(all[w.Pool], w.runtimeRatio)
+		}
+	}
+	medians := make(map[string]float64, len(all))
+	for pool, r := range all {
+		sort.Float64s(r)
+		medians[pool] = r[len(r)/2]
+	}
+	return medians
+}
+
+// slowness is how much slower than its pool a worker is, from 0 to 1.
+func (w *worker) slowness(median float64) float64 {
+	if w.runtimeRatio == 0 || median == 0 {
+		return 0
+	}
+	return min(1, max(0, (w.runtimeRatio/median-minSlowRatio)/(maxSlowRatio-minSlowRatio)))
+}
+
 // wantsDuplicate reports whether a duplicate of the task may start beside its only
 // attempt.
 func (e *Engine) wantsDuplicate(j *job, id msjob.TaskID, t *msjob.Task, now time.Time) bool {
@@ -82,8 +129,5 @@
 		return false
 	}
 	ran := now.Sub(since)
-	if _, ok := e.straggles(r, now); ok {
-		return true
-	}
 	return !r.w.reachable && ran > stallTimeout/2 || ran > time.Duration(duplicateAfter*float64(s.Estimate))+stallTimeout/4
 }
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -49,11 +49,8 @@
 	// trialTime is how long the attempt has to run before it is no longer a likely cause of
 	// a crash.
 	trialTime time.Duration
-	// image names what it runs.
-	image string
-	// adopted says that an earlier leader assigned the attempt, resumed that it started from
-	// a checkpoint.
-	adopted, resumed bool
+	// adopted says that an earlier leader assigned the attempt.
+	adopted bool
 	// sentAt is when the latest start was sent, unanswered how many starts the worker may
 	// have had without a confirmation.
 	sentAt     time.Time
@@ -141,7 +138,7 @@
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
-		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(), resumed: t.Checkpoint != "", image: imageOf(j, s),
+		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(),
 	}
 }
 
@@ -199,8 +196,8 @@
 	key := runKey{task: end.Task, attempt: end.Attempt}
 	r := e.runs[key]
 	if r != nil && r.w == w {
-		e.noteRuntime(r, end, now)
 		if s := r.step(); end.Reason == msworker.EndDone && s != nil && !r.answeredAt.IsZero() {
+			w.recordRuntime(now.Sub(r.answeredAt), s.Estimate)
 			e.recordRuntime(r, now.Sub(r.answeredAt), now)
 		}
 		e.dropRun(r)
@@ -216,7 +213,7 @@
 	}
 	isNew := t.RecordEnd(end.Attempt)
 	if isNew {
-		e.rateEnd(w, j, end, now)
+		w.recordEnd(end.Reason, now)
 	}
 	if j.p.State.Final() {
 		return
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -28,8 +28,15 @@
 	onWorker, onRack map[string]int
 	// stallsCheckedAt is when attempts without progress were last looked for.
 	stallsCheckedAt time.Time
+	// medians has the medians of the workers' run times at mediansAt.
+	medians   map[string]float64
+	mediansAt time.Time
 }
 
+// mediansMaxAge is how old the medians of the workers' run times may be: they are averages
+// over several attempts of each worker.
+const mediansMaxAge = 100 * time.Millisecond
+
 // workersByID returns the workers in the order of their IDs.
 func (e *Engine) workersByID() []*worker {
 	if e.sortedWorkers == nil || len(e.sortedWorkers) != len(e.workers) {
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msclock"
-	"marjoramspan/mshealth"
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
@@ -80,15 +79,11 @@
 	// blockedUntil is until when the worker gets no new tasks.
 	blockedUntil time.Time
 	cancel       context.CancelFunc
+	score        failureScore
+	// runtimeRatio is the moving average of its attempts' run times, as a multiple of
+	// their estimates.
+	runtimeRatio float64
 	throttle     msplace.ThrottleController
-	// health is what is known of its VM, healthState how far it may be used by that.
-	health      *mshealth.Worker
-	healthState mshealth.State
-	// probedAt is when an extra report was requested last, probing says that one is.
-	probedAt time.Time
-	probing  bool
-	// reportClock is the worker's clock at the latest report.
-	reportClock time.Duration
 	// reserved says that the worker's VM is about to be maintained.
 	reserved bool
 	// maintenanceSince is when the maintenance of the VM was ordered. Its tasks count as
@@ -147,7 +142,7 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated &&
-		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil) && w.healthState != mshealth.Out
+		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil)
 }
 
 // outdated reports whether the registry still has an earlier life of a worker that has
@@ -305,7 +300,6 @@
 	if w.reachable {
 		w.reachable = false
 		w.unreachableSince = e.Clock.Now()
-		e.noteLoss(w, err)
 		e.Logger.Info("worker lost", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)), zap.Error(err))
 	}
 }
@@ -318,7 +312,7 @@
 		e.handleRestart(w, rep.ProcessStart)
 	}
 	if rep.ProcessStart != w.processStart {
-		w.processStart, w.processSeenAt, w.reportClock = rep.ProcessStart, now, 0
+		w.processStart, w.processSeenAt = rep.ProcessStart, now
 	}
 	w.lease.Observe(rep.Clock, now)
 	if !w.reported {
@@ -330,8 +324,6 @@
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
-	e.noteContact(w, now)
-	e.health.Found(e.healthOf(w), now)
 	if !w.reported {
 		w.firstReportAt = now
 	}
@@ -344,10 +336,6 @@
 			e.wakeLoop()
 		}
 	}
-	if w.overtaken(rep.Clock, now) {
-		return
-	}
-	w.reportClock = rep.Clock
 	e.reconcile(w, sent, now, rep)
 	w.attemptsChanged()
 	e.throttleWorker(w, now)
@@ -366,7 +354,6 @@
 		}
 		e.updateRun(r, row, now)
 		r.reportedAt = now
-		e.noteProgress(r, now)
 		e.exonerate(r)
 	}
 	if len(rep.Ended) >= msworker.MaxEnds {
@@ -387,7 +374,6 @@
 			if r.uncertain {
 				e.stop(r)
 			} else {
-				e.health.Dropped(e.healthOf(w), now)
 				e.markLost(r, notEnded, "not running on its worker")
 			}
 		case r.state == runStopping && !r.answeredAt.IsZero() && r.answeredAt.Before(sent):
@@ -439,7 +425,6 @@
 // no longer run, and the sequence numbers of its ends start again.
 func (e *Engine) handleRestart(w *worker, processStart int64) {
 	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", processStart), zap.Int("runs", len(w.runs)))
-	e.noteRestart(w)
 	end := restarted
 	if !w.drainingSince.IsZero() {
 		end, w.drainingSince = endedAsPlanned, time.Time{}
@@ -448,6 +433,7 @@
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
+	w.score = failureScore{}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -40,8 +40,6 @@
 	changed chan struct{}
 	// loseStarts is how many answers to starts are still lost.
 	loseStarts int
-	// slowdown is how many times longer attempts take.
-	slowdown int
 }
 
 type jobRun struct {
@@ -154,13 +152,6 @@
 	w.loseStarts = n
 }
 
-// SetSlowdown makes the attempts that start from now on take n times as long.
-func (w *JobWorker) SetSlowdown(n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slowdown = n
-}
-
 // clock is the worker's own clock.
 func (w *JobWorker) clock() time.Duration {
 	return w.now().Sub(w.born)
@@ -271,7 +262,6 @@
 	}
 	r := &running{begun: w.now(), percent: 100}
 	r.takes, r.fails, r.lasting = parseSpec(s.Spec, s.Attempt)
-	r.takes *= time.Duration(max(1, w.slowdown))
 	w.running[k] = r
 	w.Journal.start(k, w.Worker.ID, r.begun)
 	return nil
