cmd/marjoramspan: becoming the leader can't deadlock with the job streams

setScheduler held the node's lock while it interrupted the followers of the job streams, and a follower that applies a record holds its own lock while it asks for the scheduler. With a record arriving in that moment, the entry neither led nor read jobs any more. The lock is released before the followers are interrupted. TestBecomingLeaderWhileRecordsAreApplied fails without the change (blocked for 5 s).

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -365,10 +365,12 @@
 	return e.Run(ctx)
 }
 
+// setScheduler sets the scheduler of this entry, or none. Followers ask for it while they
+// apply records, so none of their methods is called with mu held.
 func (n *node) setScheduler(e *msscheduler.Engine) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.engine = e
+	n.mu.Unlock()
 	if e == nil {
 		return
 	}
--- a/cmd/marjoramspan/platform_test.go
+++ b/cmd/marjoramspan/platform_test.go
@@ -16,6 +16,7 @@
 	"marjoramspan/msintake"
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
+	"marjoramspan/msscheduler"
 	"marjoramspan/mssite"
 	"marjoramspan/msstandin"
 	"marjoramspan/platform"
@@ -113,6 +114,50 @@
 	require.Eventually(t, func() bool { _, ok := n.jobs.Job("a"); return ok }, 10*time.Second, 5*time.Millisecond)
 }
 
+// The follower of a job stream applies records, and asks for the scheduler, while the entry
+// becomes the leader. Both waited for each other, and the entry read nothing any more.
+func TestBecomingLeaderWhileRecordsAreApplied(t *testing.T) {
+	var log msstandin.JobLog
+	clock := &msclock.Boot{}
+	n := &node{clock: clock, begun: clock.Now(), log: zap.NewNop()}
+	n.set.Store(&platform.Settings{Name: "edge-1"})
+	n.build()
+	j := &msjob.Job{ID: "a", Steps: []msjob.Step{{Count: 1}}}
+	r, err := msjob.JobRecord(j)
+	require.NoError(t, err)
+	f := n.streams[0]
+	f.Log = log.Log()
+	ctx, cancel := context.WithCancel(t.Context())
+	ran := make(chan struct{})
+	go func() {
+		defer close(ran)
+		_ = f.Run(ctx)
+	}()
+	defer cancel()
+	require.NoError(t, f.Sync(ctx))
+	time.Sleep(50 * time.Millisecond)
+	applying, done := make(chan struct{}), make(chan struct{})
+	plain := n.jobs.OnJob
+	n.jobs.OnJob = func(e msjob.TableEntry) {
+		close(applying)
+		time.Sleep(50 * time.Millisecond)
+		plain(e)
+	}
+	log.Put("ms-jobs-1", r.Key, r.Value)
+	<-applying
+	go func() {
+		defer close(done)
+		n.setScheduler(&msscheduler.Engine{})
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the entry can't become the leader")
+	}
+	cancel()
+	<-ran
+}
+
 // Guards against threads that an entry with little processor time can't use, and against
 // none at all.
 func TestThreads(t *testing.T) {
