msscheduler: jobs that may wait for ever don't hold back late ones

Nothing started for a job late beyond use while another that ends found no room in its pool. A job without an objective that fits no worker never becomes useless itself, so it held back all useless jobs of the pool for ever, although they were accepted. Only jobs that will become useless count now, so that the time is bounded by three times their objective. They also count if the search for a worker was skipped because an earlier step of the same size had found none.

--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -21,8 +21,9 @@
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
-	// usefulWait is set once a task has found no worker whose job serves callers only for
-	// some time and can still be of use to them.
+	// usefulWait is set once a task has found no worker whose job is of use to callers only
+	// for some time and can still be. Jobs that never become useless don't set it: they may
+	// wait for ever, for example for a worker that doesn't exist.
 	usefulWait bool
 	// held is the worker that is kept free for a wide job in this pass, or nil.
 	held *worker
@@ -225,6 +226,12 @@
 	return j.Pool
 }
 
+// canBecomeUseless reports whether the job is of use to callers now and will not be some time after
+// its objective.
+func (j *job) canBecomeUseless() bool {
+	return !j.useless && !j.def.LongRunning() && j.order.Objective > 0
+}
+
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
 	pool := snapshots[j.poolIn(site)]
 	if pool == nil || j.useless && pool.usefulWait {
@@ -239,6 +246,7 @@
 		}
 		if e.findsNoRoom(j, r, pool, site) {
 			pool.othersWait = true
+			pool.usefulWait = pool.usefulWait || j.canBecomeUseless()
 			continue
 		}
 		placed = append(placed, e.placeStep(j, j.p.Occurrences[r.occurrence], r.occurrence, r.step, pool, site, now)...)
@@ -311,7 +319,7 @@
 		if n < 0 {
 			whole.othersWait = true
 			pool.noteFull(step)
-			whole.usefulWait = whole.usefulWait || !j.useless && !j.def.LongRunning()
+			whole.usefulWait = whole.usefulWait || j.canBecomeUseless()
 			break
 		}
 		if tasks[i].Phase == msjob.Assigned {
