msintake: a caller that leaves doesn't end the use of additional streams

An append whose caller had gone away counted as a failed one, so that the entry returned to the contended stream for at least 4 s. It counts as no observation now. TestCallerLeavesDuringAnAppend fails without the change.

--- a/msintake/streams.go
+++ b/msintake/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -67,10 +68,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var switched bool
-	if err != nil {
-		switched = s.contention.fail(own, now)
-	} else {
+	switch {
+	case err == nil:
 		switched = s.contention.observe(own, now, took)
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The caller has gone away, which says nothing of the stream.
+		s.contention.trying = s.contention.trying && own
+	default:
+		switched = s.contention.fail(own, now)
 	}
 	switch {
 	case !switched:
--- a/msintake/streams_test.go
+++ b/msintake/streams_test.go
@@ -199,3 +199,24 @@
 		require.Equal(t, "job/b", log.Records("jobs")[0].Key)
 	}
 }
+
+// A caller that goes away says nothing of the stream: the entry must not return to a
+// contended stream for it.
+func TestCallerLeavesDuringAnAppend(t *testing.T) {
+	var log msstandin.JobLog
+	in := newIntake(t, &log, msclock.System{})
+	l := log.Log()
+	ctx, cancel := context.WithCancel(t.Context())
+	plain := l.Append
+	l.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+		return plain(ctx, a)
+	}
+	withStreams(t.Context(), in, l, "p")
+	in.Streams.announced = true
+	in.Streams.contention = contention{hold: minHold, until: time.Now().Add(time.Hour)}
+	g := Grant{Queue: in.Sites.Site().Queues[0], Team: "team"}
+	require.Error(t, in.Submit(ctx, g, &msjob.Job{ID: "a", Steps: []msjob.Step{{Count: 1}}}))
+	require.True(t, in.Streams.Using())
+}
