msjournal: a late answer that records have expired loads nothing again

Run and Sync may read at the same offset at the same time. If its records have expired, both loaded the stream, the second after Sync had returned. In that moment a new leader could find a table that was just emptied, and delete the progress of the jobs that it missed. Now a stream is loaded again only if nothing has been read past the offset since. TestLateExpiredAnswerLoadsNothing fails without the change (a third reset).

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -163,8 +163,13 @@
 	batch, err := f.Log.Read(readCtx, f.Stream, from, wait)
 	if KindOf(err) == Expired && err != nil {
 		f.mu.Lock()
-		f.loaded = false
+		// Another read may have passed the offset, or loaded the stream, in the meantime.
+		passed := f.nextOffset > from
+		f.loaded = f.loaded && passed
 		f.mu.Unlock()
+		if passed {
+			return nil
+		}
 		return f.load(ctx)
 	}
 	if err != nil {
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -309,3 +309,46 @@
 		require.InDelta(t, 10, log.Reads()-before, 1)
 	})
 }
+
+// Two reads find that the records at their offset have expired, and the answer of one comes
+// after the stream was loaded for the other. A second load would empty the state once more,
+// after Sync has said that it is complete: a new leader would miss jobs in it.
+func TestLateExpiredAnswerLoadsNothing(t *testing.T) {
+	var log msstandin.JobLog
+	var resets atomic.Int64
+	l := log.Log()
+	late := make(chan struct{})
+	waiting := make(chan struct{}, 1)
+	plain := l.Read
+	var hold atomic.Bool
+	l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+		switch {
+		case !hold.Load():
+			return plain(ctx, stream, from, wait)
+		case wait > 0 && from == 1:
+			waiting <- struct{}{}
+			<-late
+			return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Expired, Op: "read"}
+		case from == 1:
+			return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Expired, Op: "read"}
+		}
+		return plain(ctx, stream, from, wait)
+	}
+	log.Put("s", "a", []byte("1"))
+	v := &view{}
+	f := &msjournal.Follower{
+		Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply,
+		Reset: func() { resets.Add(1); v.reset() },
+	}
+	require.NoError(t, f.Sync(t.Context()))
+	hold.Store(true)
+	runInBackground(t, f.Run)
+	<-waiting
+	log.Put("s", "b", []byte("2"))
+	require.NoError(t, f.Sync(t.Context()))
+	require.Equal(t, int64(2), resets.Load())
+	close(late)
+	log.Put("s", "c", []byte("3"))
+	require.Eventually(t, func() bool { return v.get("c") == "3" }, waitTimeout, time.Millisecond)
+	require.Equal(t, int64(2), resets.Load())
+}
