msjob: records of jobs not seen yet are updated at the limit; a job is forgotten after two resets

At 10,000 jobs that weren't seen yet, further records of a job that was kept were dropped as well, so that its cancel or status was lost. An ended job whose two streams were both read again stayed in the table for ever if its status was deleted meanwhile. TestRecordsOfWaitingJobsAreUpdatedAtTheLimit and TestEndedJobIsForgottenOnceBothStreamsAreReset fail without the change.

--- a/msjob/streams.go
+++ b/msjob/streams.go
@@ -158,10 +158,10 @@
 			if !e.Status.State.Final() {
 				e.Job = e.copies[0].job
 			}
-		case stream == 0 || !e.Status.State.Final():
+		case stream == 0 || e.unconfirmed || !e.Status.State.Final():
 			delete(t.jobs, id)
 			o := TableEntry{Status: e.Status, Canceled: e.cancels != 0, cancels: e.cancels}
-			if stream == 0 {
+			if stream == 0 || e.unconfirmed {
 				o.Status = Status{}
 			}
 			if !o.empty() {
--- a/msjob/streams_test.go
+++ b/msjob/streams_test.go
@@ -1,6 +1,7 @@
 package msjob
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -130,3 +131,35 @@
 	_, ok = s.Job("a")
 	require.False(t, ok)
 }
+
+// While as many records wait for their jobs as are kept, those of the jobs that are kept
+// must still be updated: a status or a cancel would be lost otherwise.
+func TestRecordsOfWaitingJobsAreUpdatedAtTheLimit(t *testing.T) {
+	s := newStreamTable(t)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	for i := range maxOrphans {
+		require.NoError(t, s.Apply(CancelRecord(strconv.Itoa(i))))
+	}
+	s.status(Running)
+	s.job(2, 1)
+	e, _ := s.Job("a")
+	require.True(t, e.Canceled)
+	require.Equal(t, Running, e.Status.State)
+}
+
+// The status of an ended job was deleted while both of its streams were read again. The job
+// must not stay for ever.
+func TestEndedJobIsForgottenOnceBothStreamsAreReset(t *testing.T) {
+	s := newStreamTable(t)
+	s.job(2, 1)
+	s.status(Completed)
+	s.ResetStream(0)
+	s.requireState(Completed)
+	s.ResetStream(2)
+	_, ok := s.Job("a")
+	require.False(t, ok)
+	s.job(2, 1)
+	s.requireState(Queued)
+	s.status(Completed)
+	s.requireState(Completed)
+}
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -6,7 +6,7 @@
 )
 
 // TableEntry is the state of one job in a Table. The values that it points to are replaced
-// on updates, never modified, so a copy of an TableEntry stays consistent.
+// on updates, never modified, so a copy of a TableEntry stays consistent.
 type TableEntry struct {
 	Job *Job
 	// Status is the newest status that the scheduler published.
@@ -16,11 +16,11 @@
 	// Canceled is set if a caller canceled the job.
 	Canceled bool
 
-	// copies has the records of the job by stream; Job is the first of them unless the
-	// job has ended. cancels has the streams with a cancel record.
+	// copies has the records of the job by stream, in the order in which they were read; Job
+	// is the first of them unless the job has ended. cancels has the streams with a cancel record.
 	copies  []jobCopy
 	cancels StreamSet
-	// unconfirmed is set while Status was read before stream 0 was last reset.
+	// unconfirmed is set if Status was read before stream 0 was last reset, and not since.
 	unconfirmed bool
 }
 
@@ -290,14 +290,16 @@
 	}
 }
 
-// maxOrphans limits the records that are kept for jobs that haven't been seen yet.
+// maxOrphans limits the jobs that haven't been seen yet of which records are kept.
 const maxOrphans = 10_000
 
+// storeOrphan keeps what is known of a job that hasn't been seen yet, unless there are too
+// many already. The caller holds mu.
 func (t *Table) storeOrphan(id string, e TableEntry) {
 	if t.orphans == nil {
 		t.orphans = map[string]TableEntry{}
 	}
-	if len(t.orphans) < maxOrphans {
+	if _, known := t.orphans[id]; known || len(t.orphans) < maxOrphans {
 		t.orphans[id] = e
 	}
 }
