--- a/msscheduler/copies.go
+++ b/msscheduler/copies.go
@@ -76,8 +76,8 @@
 	return d
 }
 
-// AddCopy deletes a further record of a job that another stream has. The job stays stored
-// in the stream that its definition is from.
+// AddCopy is called for each further record of a known job, which another stream has, and
+// deletes it. The job stays stored in the stream that its definition is from.
 func (e *Engine) AddCopy(id string, stream int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
