msintake: a failed trial of ms-jobs extends the hold

When the append that is tried in ms-jobs after a hold failed, the next one was tried there at once, so that one caller after the other got an error while the additional streams worked. The hold now doubles, as after a slow answer. TestFailedTrialExtendsTheHold fails without the change.

--- a/msintake/contention.go
+++ b/msintake/contention.go
@@ -143,10 +143,14 @@
 	return c.leave(now)
 }
 
-// fail records a failed append. One to an additional stream ends their use.
+// fail records a failed append. One to an additional stream ends their use, and one that was
+// tried in the shared stream extends it.
 func (c *contention) fail(own bool, now time.Time) (switched bool) {
 	if !own {
-		c.trying = false
+		if c.trying {
+			c.trying = false
+			c.extend(now)
+		}
 		return false
 	}
 	if c.until.IsZero() {
--- a/msintake/streams_test.go
+++ b/msintake/streams_test.go
@@ -220,3 +220,17 @@
 	require.Error(t, in.Submit(ctx, g, &msjob.Job{ID: "a", Steps: []msjob.Step{{Count: 1}}}))
 	require.True(t, in.Streams.Using())
 }
+
+// The append that is tried in ms-jobs after a hold fails. The next one must not be tried
+// there at once: its caller would get an error as well, while the additional streams work.
+func TestFailedTrialExtendsTheHold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := contention{hold: minHold, until: now}
+	require.False(t, c.useOwn(now))
+	c.fail(false, now)
+	require.True(t, c.useOwn(now))
+	now = now.Add(2 * minHold)
+	require.False(t, c.useOwn(now), "it is tried again after twice the time")
+	c.observe(false, now, 5*time.Millisecond)
+	require.False(t, c.useOwn(now))
+}
