msjob: a job whose record in ms-jobs is deleted before it ended stays known

The leader deletes the record of ms-jobs if it has read that of the additional stream first. A look-up that had read the additional stream before the job was stored there, and ms-jobs after that deletion, answered 'no such job' for an accepted job. A deletion in ms-jobs without a final status now leaves the job known until its other record is read. A deletion of a job that wasn't read yet also keeps its cancel. The two tests added fail without it.

--- a/msjob/streams_test.go
+++ b/msjob/streams_test.go
@@ -163,3 +163,31 @@
 	s.status(Completed)
 	s.requireState(Completed)
 }
+
+// The leader keeps the record of an additional stream and deletes the one in stream 0. A
+// reader that sees the deletion first must not answer that there is no such job, and the
+// leader must not delete the record that is left.
+func TestDeletionInStream0IsReadBeforeTheOtherRecord(t *testing.T) {
+	s := newStreamTable(t)
+	s.job(0, 1)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	require.NoError(t, s.Apply(DeleteCopyRecords("a")[0]))
+	s.requireState(Canceled)
+	s.job(3, 2)
+	require.Empty(t, s.copies)
+	e, _ := s.Job("a")
+	require.Equal(t, 2, e.Job.Priority)
+	require.Equal(t, 3, e.Stream())
+	s.status(Completed)
+	s.drop(3)
+	s.requireState(Completed)
+}
+
+// A deletion of a job in stream 0 takes nothing of what is known of it otherwise.
+func TestDeletionInStream0KeepsTheCancel(t *testing.T) {
+	s := newStreamTable(t)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	require.NoError(t, s.Apply(DeleteCopyRecords("a")[0]))
+	s.job(3, 1)
+	s.requireState(Canceled)
+}
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -133,10 +133,14 @@
 	t.mu.Lock()
 	if known := t.jobs[id]; known != nil {
 		// Another entry accepted the same job again. The first record wins.
+		moved := len(known.copies) == 0 && !known.Status.State.Final()
 		isNew := known.addCopy(jobCopy{stream: stream, job: j})
+		if moved {
+			known.Job = j
+		}
 		fn := t.OnCopy
 		t.mu.Unlock()
-		if isNew && fn != nil {
+		if isNew && !moved && fn != nil {
 			fn(id, stream)
 		}
 		return nil
@@ -167,8 +171,13 @@
 	defer t.mu.Unlock()
 	e := t.jobs[id]
 	if e == nil {
-		if stream == 0 {
-			delete(t.orphans, id)
+		// The job may be in another stream, so its status and cancel stay.
+		if o, ok := t.orphans[id]; ok && stream == 0 {
+			o.Progress = nil
+			t.orphans[id] = o
+			if o.empty() {
+				delete(t.orphans, id)
+			}
 		}
 		return
 	}
@@ -178,6 +187,9 @@
 		e.Job = e.Status.endedJob(id)
 	case len(e.copies) > 0:
 		e.Job = e.copies[0].job
+	case stream == 0:
+		// In stream 0 a job that has not ended is deleted only if its additional stream has a
+		// record of it, which is still to be read.
 	default:
 		delete(t.jobs, id)
 		if e.cancels != 0 {
