--- a/msjob/streams_test.go
+++ b/msjob/streams_test.go
@@ -1,6 +1,7 @@
 package msjob
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -130,3 +131,63 @@
 	_, ok = s.Job("a")
 	require.False(t, ok)
 }
+
+// While as many records wait for their jobs as are kept, those of the jobs that are kept
+// must still be updated: a status or a cancel would be lost otherwise.
+func TestRecordsOfWaitingJobsAreUpdatedAtTheLimit(t *testing.T) {
+	s := newStreamTable(t)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	for i := range maxOrphans {
+		require.NoError(t, s.Apply(CancelRecord(strconv.Itoa(i))))
+	}
+	s.status(Running)
+	s.job(2, 1)
+	e, _ := s.Job("a")
+	require.True(t, e.Canceled)
+	require.Equal(t, Running, e.Status.State)
+}
+
+// The status of an ended job was deleted while both of its streams were read again. The job
+// must not stay for ever.
+func TestEndedJobIsForgottenOnceBothStreamsAreReset(t *testing.T) {
+	s := newStreamTable(t)
+	s.job(2, 1)
+	s.status(Completed)
+	s.ResetStream(0)
+	s.requireState(Completed)
+	s.ResetStream(2)
+	_, ok := s.Job("a")
+	require.False(t, ok)
+	s.job(2, 1)
+	s.requireState(Queued)
+	s.status(Completed)
+	s.requireState(Completed)
+}
+
+// The leader keeps the record of an additional stream and deletes the one in stream 0. A
+// reader that sees the deletion first must not answer that there is no such job, and the
+// leader must not delete the record that is left.
+func TestDeletionInStream0IsReadBeforeTheOtherRecord(t *testing.T) {
+	s := newStreamTable(t)
+	s.job(0, 1)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	require.NoError(t, s.Apply(DeleteCopyRecords("a")[0]))
+	s.requireState(Canceled)
+	s.job(3, 2)
+	require.Empty(t, s.copies)
+	e, _ := s.Job("a")
+	require.Equal(t, 2, e.Job.Priority)
+	require.Equal(t, 3, e.Stream())
+	s.status(Completed)
+	s.drop(3)
+	s.requireState(Completed)
+}
+
+// A deletion of a job in stream 0 takes nothing of what is known of it otherwise.
+func TestDeletionInStream0KeepsTheCancel(t *testing.T) {
+	s := newStreamTable(t)
+	require.NoError(t, s.Apply(CancelRecord("a")))
+	require.NoError(t, s.Apply(DeleteCopyRecords("a")[0]))
+	s.job(3, 1)
+	s.requireState(Canceled)
+}
