--- a/msjob/record.go
+++ b/msjob/record.go
@@ -129,6 +129,22 @@
 	// Workers has the workers that are out of use, on probation or slow, by VM. Schedulers of
 	// earlier versions leave it out.
 	Workers map[string]WorkerHealth `json:"workers,omitempty"`
+	// Interference has the images found to slow others on the same worker, 64 pairs at most.
+	// Schedulers of earlier versions leave it out.
+	Interference []Interference `json:"interference,omitempty"`
+}
+
+// Interference says that tasks of the image Slowed take Slowdown times as long beside tasks
+// of the image By.
+type Interference struct {
+	Slowed   string  `json:"slowed"`
+	By       string  `json:"by"`
+	Slowdown float64 `json:"slowdown"`
+	// Evidence is the logarithm of the odds against chance, from Samples ends.
+	Evidence float64 `json:"evidence"`
+	Samples  int     `json:"samples"`
+	// Updated is when the evidence last changed, in Unix milliseconds.
+	Updated int64 `json:"updated"`
 }
 
 // WorkerHealth is what the next leader has to know of a worker that is not sound.
