msplace: images that interfere are kept apart

A task that runs beside an image that slows it loses part of its objective. Requirements.Beside has the tasks of such images by worker; a worker that runs one loses 1.5 points, more than packing and less than any other term, and 0.25 for long-running tasks. CanRun is unchanged, so that no task waits for it.

--- a/msplace/place.go
+++ b/msplace/place.go
@@ -66,6 +66,9 @@
 	// nil. They are used by BetterRoom only.
 	RunTime            time.Duration
 	RackRoom, PoolRoom *Room
+	// Beside has the tasks by worker of each image that slows the task's image or is slowed
+	// by it.
+	Beside []map[string]int
 }
 
 const (
@@ -93,6 +96,12 @@
 	maxScorePenalty = 6.0
 	// scoreInterference keeps backfill tasks away from tasks with a latency target.
 	scoreInterference = -6.0
+	// scoreBeside keeps tasks away from workers that run an image that slows theirs or is
+	// slowed by it. It outweighs packing, and no other term: those are about failures,
+	// callers' data and what steps ask for. Long-running tasks have scoreLastingBeside, which
+	// is less than one more of their step's tasks on the rack.
+	scoreBeside        = -1.5
+	scoreLastingBeside = -0.25
 	// scoreFreeCapacity applies to an idle worker; others get a proportional part. It
 	// spreads tasks that run for long. Other tasks get scoreUsedCapacity, which packs them
 	// on few workers: in a queue with little load, the VMs of the other workers are idle
@@ -234,6 +243,13 @@
 	if s.Backfill && w.Serving > 0 || s.TailLatencyTarget > 0 && w.Backfilling > 0 {
 		score += scoreInterference
 	}
+	if len(want.Beside) > 0 && Disturbed(want, w) {
+		if s.LongRunning {
+			score += scoreLastingBeside
+		} else {
+			score += scoreBeside
+		}
+	}
 	if s.LongRunning {
 		score += scoreTasksOnWorker*float64(want.OnWorker[w.ID]) + scoreTasksOnRack*float64(want.OnRack[w.Rack])
 		if w.LongRunning > 0 {
@@ -243,6 +259,16 @@
 	return score
 }
 
+// Disturbed reports whether the worker runs an image that slows the task's or is slowed by it.
+func Disturbed(want Requirements, w *Worker) bool {
+	for _, byWorker := range want.Beside {
+		if byWorker[w.ID] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ChooseIsolated returns the index of the worker that is the soonest to be free of recent
 // attempts and could run the task, or -1 if there is none or no more workers may be
 // isolated.
--- a/msplace/place_test.go
+++ b/msplace/place_test.go
@@ -336,3 +336,31 @@
 	require.Equal(t, 0, ChooseIsolated(want, workers[:1]), "the only worker")
 	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Group: "j", MaxIsolated: 1}, workers[:1]))
 }
+
+// A task beside an image that slows it loses its objective, but so does one that waits. It runs
+// apart where a worker has room, also at the cost of packing, and away from neither the rack
+// of its data nor a worker that works.
+func TestInterferingImagesRunApart(t *testing.T) {
+	workers := []Worker{newWorker("a", "r1", 8000), newWorker("b", "r2", 32000)}
+	want := newWant(msjob.Step{Count: 1, Need: msjob.Resources{CPU: 4000, Memory: 100}})
+	require.Equal(t, 0, Choose(want, workers), "packed")
+	want.Beside = []map[string]int{{"a": 1}}
+	require.Equal(t, 1, Choose(want, workers), "apart")
+	for name, change := range map[string]func(s *msjob.Step, w *Worker){
+		"full":        func(_ *msjob.Step, w *Worker) { w.Free.CPU = 0 },
+		"data":        func(s *msjob.Step, _ *Worker) { s.DataRack = "r1" },
+		"last resort": func(_ *msjob.Step, w *Worker) { w.LastResort = true },
+		"wanted":      func(_ *msjob.Step, w *Worker) { w.Wanted = true },
+		"failing":     func(_ *msjob.Step, w *Worker) { w.FailureRisk = 1 },
+	} {
+		s, other := *want.Step, workers[1]
+		change(&s, &other)
+		changed := want
+		changed.Step = &s
+		require.Equal(t, 0, Choose(changed, []Worker{workers[0], other}), name)
+	}
+	lasting := newWant(msjob.Step{Count: 2, LongRunning: true, Need: want.Step.Need})
+	lasting.Beside = want.Beside
+	lasting.OnRack = map[string]int{"r2": 1}
+	require.Equal(t, 0, Choose(lasting, []Worker{newWorker("a", "r1", 32000), workers[1]}), "spread over racks")
+}
