msscheduler: learn which images interfere, and place by it

Each attempt that ends is counted with what ran beside it, and so is the tail latency that long-running tasks report.

--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -334,6 +334,7 @@
 	}
 	e.pools.dirty = false
 	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst, Workers: e.health.Record(e.Clock.Now(), e.Wall.Now())}
+	f.Interference = e.interference.table.Record(e.Clock.Now(), e.Wall.Now())
 	r, err := msjob.FleetRecord(&f)
 	e.enqueue(err, r)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -153,6 +153,7 @@
 	healthCheckAt time.Time
 	ratedAt       time.Time
 	stragglersAt  time.Time
+	interference  interference
 	// contacts has the latest reports by data centre.
 	contacts map[string]contact
 	// wantedRacks has until when racks are kept for tasks whose data they hold.
@@ -244,6 +245,7 @@
 func (e *Engine) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer e.Metrics.resetShares()
+	defer e.Metrics.interfering(0)
 	defer e.group.Wait()
 	defer cancel()
 	defer e.Metrics.evacuation(0, 0)
@@ -443,6 +445,7 @@
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
 	e.rateWorkers(now)
+	e.checkInterference(now)
 	e.evacuateZones(now)
 	if now.Sub(e.stallsCheckedAt) >= stallCheckInterval {
 		e.stallsCheckedAt = now
--- a/msscheduler/health.go
+++ b/msscheduler/health.go
@@ -244,10 +244,15 @@
 	}
 }
 
-// healthRecordDue reports whether the fleet record has to be stored as workers have changed.
-// The pools' sizes in it must be known first.
+// healthRecordDue reports whether the fleet record has to be stored as workers or
+// interfering images have changed. The pools' sizes in it must be known first.
 func (e *Engine) healthRecordDue() bool {
-	return e.pools.baseSizes != nil && e.health.RecordDue(e.Clock.Now())
+	if e.pools.baseSizes == nil {
+		return false
+	}
+	now := e.Clock.Now()
+	workers, pairs := e.health.RecordDue(now), e.interference.table.RecordDue(now)
+	return workers || pairs
 }
 
 // restoreHealth takes over what the earlier leader has recorded of workers. The caller holds
@@ -255,6 +260,7 @@
 func (e *Engine) restoreHealth() {
 	if f, ok := e.Jobs.Fleet(); ok {
 		e.health.Restore(f.Workers, e.Clock.Now(), e.Wall.Now())
+		e.restoreInterference(f)
 	}
 }
 
--- /dev/null
+++ b/msscheduler/interference.go
@@ -0,0 +1,160 @@
+package msscheduler
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramspan/mshealth"
+	"marjoramspan/msinterfere"
+	"marjoramspan/msjob"
+	"marjoramspan/msplace"
+	"marjoramspan/msworker"
+)
+
+const (
+	// interferenceCheckInterval is the minimum time between two checks for pairs without
+	// recent samples.
+	interferenceCheckInterval = time.Second
+	// latencySampleInterval is the time between two samples of the latency of a long-running
+	// task: those that follow each other closely tell the same.
+	latencySampleInterval = 5 * time.Second
+)
+
+// interference has which images slow each other down, and where those images run.
+type interference struct {
+	table    msinterfere.Table
+	overlaps msinterfere.Overlaps
+	// attempts counts the attempts of each image of a found pair by worker. It is empty while
+	// no pair is found.
+	attempts  map[string]map[string]int
+	checkedAt time.Time
+	// beside is reused from step to step.
+	beside []map[string]int
+}
+
+// count adds n attempts of an image on a worker.
+func (f *interference) count(r *run, n int) {
+	if byWorker := f.attempts[r.image]; byWorker != nil {
+		byWorker[r.w.ID] += n
+		if byWorker[r.w.ID] <= 0 {
+			delete(byWorker, r.w.ID)
+		}
+	}
+}
+
+// partnersOf returns the counts by worker of the images that should not run beside an image,
+// or nil. The result is valid until the next call.
+func (f *interference) partnersOf(image string) []map[string]int {
+	if f.table.Found() == 0 {
+		return nil
+	}
+	f.beside = f.beside[:0]
+	for _, partner := range f.table.Partners(image) {
+		if byWorker := f.attempts[partner]; len(byWorker) > 0 {
+			f.beside = append(f.beside, byWorker)
+		}
+	}
+	return f.beside
+}
+
+// neighbours sums up what ran beside an attempt since the given time.
+func (e *Engine) neighbours(r *run, since, now time.Time) []msinterfere.Neighbour {
+	o := &e.interference.overlaps
+	o.Begin(since, now, &r.w.history)
+	for _, other := range r.w.runs {
+		if other != r {
+			o.Add(other.image, other.confirmedAt, now)
+		}
+	}
+	return o.List()
+}
+
+// noteInterference learns from an attempt that has succeeded. On a worker that is slow or has
+// failed lately the neighbours are not the likely cause.
+func (e *Engine) noteInterference(r *run, end msworker.End, now time.Time) {
+	estimate := e.usualRuntime(r)
+	if end.Reason != msworker.EndDone || estimate <= 0 || r.w.healthState != mshealth.Sound || !now.After(r.answeredAt) {
+		return
+	}
+	s := msinterfere.Sample{Image: r.image, Job: r.job.def.ID, Ratio: float64(now.Sub(r.answeredAt)) / float64(estimate)}
+	e.interference.table.Add(s, e.neighbours(r, r.answeredAt, now), now)
+}
+
+// noteLatency learns from the tail latency that a long-running task reports. While backfill
+// tasks are throttled on its worker, the latency doesn't show what they do to it.
+func (e *Engine) noteLatency(r *run, now time.Time) {
+	s := r.step()
+	if s == nil || !s.LongRunning || s.TailLatencyTarget <= 0 || r.usage <= 0 || r.percent < fullPercent || now.Sub(r.latencySampledAt) < latencySampleInterval {
+		return
+	}
+	since := r.latencySampledAt
+	r.latencySampledAt = now
+	if since.IsZero() || r.w.healthState != mshealth.Sound || r.w.cold(now) {
+		return
+	}
+	for _, other := range r.w.runs {
+		if other.throttlePercent < fullPercent {
+			return
+		}
+	}
+	ratio := float64(r.usage) / float64(s.TailLatencyTarget.Milliseconds())
+	e.interference.table.Add(msinterfere.Sample{Image: r.image, Ratio: ratio}, e.neighbours(r, since, now), now)
+}
+
+// checkInterference forgets pairs, logs those found and forgotten, and counts where their
+// images run. The caller holds mu.
+func (e *Engine) checkInterference(now time.Time) {
+	f := &e.interference
+	if now.Sub(f.checkedAt) < interferenceCheckInterval {
+		return
+	}
+	f.checkedAt = now
+	f.table.Expire(now)
+	changes := f.table.Changes()
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		line := "interference forgotten"
+		if c.Found {
+			line = "interference found"
+		}
+		e.Logger.Info(line, zap.String("slowed", c.Slowed), zap.String("by", c.By), zap.Float64("slowdown", c.Slowdown), zap.Int("samples", c.Samples))
+	}
+	e.countInterfering()
+}
+
+// countInterfering counts the attempts of the images of found pairs anew.
+func (e *Engine) countInterfering() {
+	f := &e.interference
+	e.Metrics.interfering(f.table.Found())
+	f.attempts = map[string]map[string]int{}
+	f.table.Images(func(image string) { f.attempts[image] = map[string]int{} })
+	for _, r := range e.runs {
+		f.count(r, 1)
+	}
+}
+
+// notePlacedApart counts whether a placement avoided an interfering neighbour. n is the
+// worker chosen.
+func (e *Engine) notePlacedApart(want msplace.Requirements, pool *poolSnapshot, n int) {
+	if len(want.Beside) == 0 || n < 0 || e.Metrics == nil {
+		return
+	}
+	if msplace.Disturbed(want, &pool.placement[n]) {
+		e.Metrics.placedApart("beside")
+		return
+	}
+	want.Beside = nil
+	if msplace.Choose(want, pool.placement) != n {
+		e.Metrics.placedApart("avoided")
+	}
+}
+
+// restoreInterference takes over the pairs that the earlier leader has recorded. The caller
+// holds mu.
+func (e *Engine) restoreInterference(f msjob.Fleet) {
+	e.interference.table.Restore(f.Interference, e.Clock.Now(), e.Wall.Now())
+	e.countInterfering()
+}
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -26,6 +26,10 @@
 	evacuatedTasks                *prometheus.CounterVec
 	// teamCores and teamShare have what the running tasks of each team take.
 	teamCores, teamShare *prometheus.GaugeVec
+	// interferingPairs counts the pairs of images that slow each other down, apart the
+	// placements for which that mattered.
+	interferingPairs prometheus.Gauge
+	apart            *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -74,6 +78,13 @@
 	m.teamShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "marjoramspan_team_share", Help: "Largest part of a pool that a team's running and recently started tasks take.",
 	}, []string{"team"})
+	m.interferingPairs = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marjoramspan_interfering_pairs", Help: "Pairs of images found to slow each other down on a worker.",
+	})
+	m.apart = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_interference_placements_total", Help: "Placements that avoided an image that interferes, or had to be beside one.",
+	}, []string{"outcome"})
+	reg.MustRegister(m.interferingPairs, m.apart)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare, m.health)
 	return m
 }
@@ -166,3 +177,16 @@
 		m.teamShare.Reset()
 	}
 }
+
+func (m *Metrics) interfering(pairs int) {
+	if m != nil {
+		m.interferingPairs.Set(float64(pairs))
+	}
+}
+
+// placedApart counts a placement that "avoided" an image that interferes, or is "beside" one.
+func (m *Metrics) placedApart(outcome string) {
+	if m != nil {
+		m.apart.WithLabelValues(outcome).Inc()
+	}
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -281,6 +281,9 @@
 	clear(e.onWorker)
 	clear(e.onRack)
 	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated, RemotePenalty: e.remotePenalty()}
+	if e.interference.table.Found() > 0 {
+		want.Beside = e.interference.partnersOf(imageOf(j, step))
+	}
 	for key, r := range j.runs {
 		if key.task.Occurrence == k && key.task.Step == s {
 			want.OnWorker[r.w.ID]++
@@ -317,6 +320,7 @@
 		if tasks[i].Phase == msjob.Assigned {
 			j.markDuplicated(id)
 		}
+		e.notePlacedApart(want, pool, n)
 		r := e.reserve(j, id, nextAttempt(tasks, i, step.Gang), pool, n, want)
 		r.ticket = tickets[r.w.ID]
 		placed = append(placed, r)
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -78,6 +78,8 @@
 	throttlePending bool
 	// reportedAt is when the latest report that listed the attempt arrived.
 	reportedAt time.Time
+	// latencySampledAt is when the latency of a long-running task was last sampled.
+	latencySampledAt time.Time
 }
 
 func (r *run) step() *msjob.Step {
@@ -101,6 +103,7 @@
 		}
 		r.job.runs[r.runKey] = r
 	}
+	e.interference.count(r, 1)
 	r.w.used = r.w.used.Plus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Plus(r.limit)
@@ -122,6 +125,10 @@
 	if r.job != nil {
 		delete(r.job.runs, r.runKey)
 	}
+	e.interference.count(r, -1)
+	if !r.confirmedAt.IsZero() {
+		r.w.history.Ended(r.image, r.confirmedAt, e.Clock.Now())
+	}
 	r.w.used = r.w.used.Minus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Minus(r.limit)
@@ -200,6 +207,7 @@
 	r := e.runs[key]
 	if r != nil && r.w == w {
 		e.noteRuntime(r, end, now)
+		e.noteInterference(r, end, now)
 		if s := r.step(); end.Reason == msworker.EndDone && s != nil && !r.answeredAt.IsZero() {
 			e.recordRuntime(r, now.Sub(r.answeredAt), now)
 		}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -8,6 +8,7 @@
 
 	"marjoramspan/msclock"
 	"marjoramspan/mshealth"
+	"marjoramspan/msinterfere"
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
@@ -109,6 +110,8 @@
 	// coldUntil is until when the worker runs tasks slowly. starts counts its recent starts.
 	coldUntil time.Time
 	starts    mszone.Starts
+	// history has the attempts that ended lately.
+	history msinterfere.History
 }
 
 // mixesServingAndBackfill reports whether backfill tasks run beside tasks with a latency
@@ -414,6 +417,7 @@
 		r.servingAt = now
 	}
 	r.percent, r.usage = row.Percent, row.Usage
+	e.noteLatency(r, now)
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
