msinterfere: tasks of interleaved jobs count once

Only the latest job of a pair was remembered, so that tasks of jobs that run side by side counted again and again: with eight jobs of eight like tasks 24 of 3,000 neutral pairs were reported, more than the 3 allowed.

--- a/msinterfere/interfere.go
+++ b/msinterfere/interfere.go
@@ -53,6 +53,9 @@
 	// sample for the longest time are dropped. They take 2 KB each.
 	maxPairs  = 512
 	maxImages = 1024
+	// recentJobs is how many jobs a pair remembers: a queue with 28 jobs a second, whose tasks
+	// end within half a second of each other, has 14 at a time.
+	recentJobs = 16
 	// maxFound bounds the pairs that count for placement, and thereby the fleet record.
 	maxFound = 64
 )
@@ -102,8 +105,26 @@
 	// the overlap, weight that of the overlaps.
 	excess, weight float64
 	samples        int
-	job            string
 	found          bool
+	// jobs has the hashes of the latest jobs that have counted.
+	jobs    [recentJobs]uint64
+	nextJob int
+}
+
+// counts reports whether no task of the job has counted lately, and notes that one has.
+func (p *pair) counts(job string) bool {
+	if job == "" {
+		return true
+	}
+	h := hash(job)
+	for _, known := range p.jobs {
+		if known == h {
+			return false
+		}
+	}
+	p.jobs[p.nextJob] = h
+	p.nextJob = (p.nextJob + 1) % recentJobs
+	return true
 }
 
 func (p *pair) slowdown() float64 {
@@ -221,11 +242,10 @@
 		p = &pair{at: now}
 		t.pairs[key] = p
 	}
-	if job != "" && p.job == job {
+	if !p.counts(job) {
 		return
 	}
 	p.age(now)
-	p.job = job
 	p.samples++
 	p.excess += overlap * (value - mean)
 	p.weight += overlap
@@ -321,12 +341,17 @@
 	}
 }
 
-// bitOf returns the bit of an image among neighbours, by the FNV-1a hash of its name. Two
-// images with the same bit make the references without them fewer, not wrong.
+// bitOf returns the bit of an image among neighbours. Two images with the same bit make the
+// references without them fewer, not wrong.
 func bitOf(name string) uint64 {
+	return 1 << (hash(name) >> 58)
+}
+
+// hash is FNV-1a.
+func hash(s string) uint64 {
 	h := uint64(14695981039346656037)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * 1099511628211
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
 	}
-	return 1 << (h >> 58)
+	return h
 }
