--- a/cmd/marjoramspan/interference.go
+++ b/cmd/marjoramspan/interference.go
@@ -10,7 +10,7 @@
 	"marjoramspan/msjob"
 )
 
-type interferenceCmd struct {
+type pairsCmd struct {
 	platformLogFlags
 	outputFlags
 }
@@ -26,7 +26,7 @@
 }
 
 // Run lists the images found to slow others, as the leader has last recorded them.
-func (c *interferenceCmd) Run(ctx context.Context) error {
+func (c *pairsCmd) Run(ctx context.Context) error {
 	t, err := c.jobTable(ctx)
 	if err != nil {
 		return err
--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -37,21 +37,21 @@
   marjoramspan status --log 10.0.0.5:7000 --json`
 
 type cli struct {
-	Serve        serveCmd        `cmd:"" help:"Run the daemon of an entry VM."`
-	Platform     platformCmd     `cmd:"" help:"Run the daemon of an entry VM on the users' platform."`
-	Settings     settingsCmd     `cmd:"" help:"Check or show the daemon's settings."`
-	Rules        rulesCmd        `cmd:"" help:"Check, compare, publish or show the rules."`
-	Keys         keysCmd         `cmd:"" help:"Give, withdraw or list keys."`
-	Pool         poolCmd         `cmd:"" help:"Show the pools."`
-	VM           vmCmd           `cmd:"" name:"vm" help:"Move VMs between pools."`
-	Wave         waveCmd         `cmd:"" help:"Plan, start, pause, resume or show a maintenance wave."`
-	Zone         zoneCmd         `cmd:"" help:"Evacuate, release or list data centres."`
-	Why          whyCmd          `cmd:"" help:"Say why something is as it is."`
-	Jobs         jobsCmd         `cmd:"" help:"List the jobs on the users' platform."`
-	Interference interferenceCmd `cmd:"" help:"List the images found to slow others on the same worker."`
-	Status       statusCmd       `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
-	Refusals     refusalsCmd     `cmd:"" help:"Show what was refused, by minute, team, pool, queue and reason, with gaps marked."`
-	Audit        auditCmd        `cmd:"" help:"Show every change, who asked for it and what became of it."`
+	Serve    serveCmd    `cmd:"" help:"Run the daemon of an entry VM."`
+	Platform platformCmd `cmd:"" help:"Run the daemon of an entry VM on the users' platform."`
+	Settings settingsCmd `cmd:"" help:"Check or show the daemon's settings."`
+	Rules    rulesCmd    `cmd:"" help:"Check, compare, publish or show the rules."`
+	Keys     keysCmd     `cmd:"" help:"Give, withdraw or list keys."`
+	Pool     poolCmd     `cmd:"" help:"Show the pools."`
+	VM       vmCmd       `cmd:"" name:"vm" help:"Move VMs between pools."`
+	Wave     waveCmd     `cmd:"" help:"Plan, start, pause, resume or show a maintenance wave."`
+	Zone     zoneCmd     `cmd:"" help:"Evacuate, release or list data centres."`
+	Why      whyCmd      `cmd:"" help:"Say why something is as it is."`
+	Jobs     jobsCmd     `cmd:"" help:"List the jobs on the users' platform."`
+	Pairs    pairsCmd    `cmd:"" name:"interference" help:"List the images found to slow others on the same worker."`
+	Status   statusCmd   `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
+	Refusals refusalsCmd `cmd:"" help:"Show what was refused, by minute, team, pool, queue and reason, with gaps marked."`
+	Audit    auditCmd    `cmd:"" help:"Show every change, who asked for it and what became of it."`
 }
 
 func main() {
