--- a/cmd/marjoramspan/main.go
+++ b/cmd/marjoramspan/main.go
@@ -48,6 +48,7 @@
 	Zone     zoneCmd     `cmd:"" help:"Evacuate, release or list data centres."`
 	Why      whyCmd      `cmd:"" help:"Say why something is as it is."`
 	Jobs     jobsCmd     `cmd:"" help:"List the jobs on the users' platform."`
+	Pairs    pairsCmd    `cmd:"" name:"interference" help:"List the images found to slow others on the same worker."`
 	Status   statusCmd   `cmd:"" help:"Show every entry: freshness, members, requests, tokens."`
 	Refusals refusalsCmd `cmd:"" help:"Show what was refused, by minute, team, pool, queue and reason, with gaps marked."`
 	Audit    auditCmd    `cmd:"" help:"Show every change, who asked for it and what became of it."`
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -326,14 +326,17 @@
 	}
 }
 
-// publishPools publishes the sizes of the pools if they have changed. The caller holds
+// publishPools publishes the sizes of the pools, and the images that interfere, if they have
+// changed. The caller holds
 // mu.
 func (e *Engine) publishPools() {
-	if !e.pools.dirty {
+	due := e.pools.baseSizes != nil && e.interference.table.RecordDue(e.Clock.Now())
+	if !e.pools.dirty && !due {
 		return
 	}
 	e.pools.dirty = false
 	f := msjob.Fleet{BaseSize: e.pools.baseSizes, BurstEnded: e.pools.bursts.BurstEnded, InBurst: e.pools.bursts.InBurst}
+	f.Interference = e.interference.table.Record(e.Clock.Now(), e.Wall.Now())
 	r, err := msjob.FleetRecord(&f)
 	e.enqueue(err, r)
 }
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -138,13 +138,14 @@
 	ctx              context.Context
 	loadPublishedAt  time.Time
 	// lastExpiry is when expired jobs were last looked for.
-	lastExpiry time.Time
-	load       msjob.Load
-	waves      map[int64]*wave
-	fleet      fleet
-	pools      pools
-	vmOrders   vmOrders
-	zones      zones
+	lastExpiry   time.Time
+	load         msjob.Load
+	waves        map[int64]*wave
+	fleet        fleet
+	pools        pools
+	vmOrders     vmOrders
+	zones        zones
+	interference interference
 	// othersWait has the pools in which tasks that need not be isolated waited after the
 	// latest pass.
 	othersWait map[string]bool
@@ -174,6 +175,8 @@
 	// stream is the stream that def is from.
 	stream   int
 	canceled bool
+	// queueImage names the job's tasks without an image.
+	queueImage string
 	// publishedState is the latest state that was enqueued for publish.
 	publishedState msjob.State
 	// runs has the job's attempts that may run.
@@ -227,6 +230,7 @@
 func (e *Engine) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer e.Metrics.resetShares()
+	defer e.Metrics.interfering(0)
 	defer e.group.Wait()
 	defer cancel()
 	defer e.Metrics.evacuation(0, 0)
@@ -296,6 +300,9 @@
 	load := e.Jobs.Load()
 	e.mu.Lock()
 	e.runtimes.Restore(load.Ratios, e.Clock.Now())
+	if f, ok := e.Jobs.Fleet(); ok {
+		e.restoreInterference(f)
+	}
 	e.jobs, e.active, e.dirty, e.recurring = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*job{}
 	e.mu.Unlock()
 	var entries []msjob.TableEntry
@@ -424,6 +431,7 @@
 	e.expireLeases(now)
 	b := batch{acked: map[*worker]int64{}}
 	e.evacuate(now)
+	e.checkInterference(now)
 	e.evacuateZones(now)
 	if now.Sub(e.stallsCheckedAt) >= stallCheckInterval {
 		e.stallsCheckedAt = now
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -75,6 +75,11 @@
 	throttlePending bool
 	// reportedAt is when the latest report that listed the attempt arrived.
 	reportedAt time.Time
+	// image names what the attempt runs; resumed says that it began from a checkpoint.
+	image   string
+	resumed bool
+	// latencySampledAt is when the latency of a long-running task was last sampled.
+	latencySampledAt time.Time
 }
 
 func (r *run) step() *msjob.Step {
@@ -98,6 +103,7 @@
 		}
 		r.job.runs[r.runKey] = r
 	}
+	e.interference.count(r, 1)
 	r.w.used = r.w.used.Plus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Plus(r.limit)
@@ -119,6 +125,10 @@
 	if r.job != nil {
 		delete(r.job.runs, r.runKey)
 	}
+	e.interference.count(r, -1)
+	if !r.confirmedAt.IsZero() {
+		r.w.history.Ended(r.image, r.confirmedAt, e.Clock.Now())
+	}
 	r.w.used = r.w.used.Minus(r.need)
 	if r.team != "" {
 		e.teams[r.team] = e.teams[r.team].Minus(r.limit)
@@ -138,7 +148,7 @@
 	return &run{
 		runKey: runKey{task: id, attempt: attempt}, job: j, w: w,
 		need: s.Reserved(), team: j.def.Team, limit: s.Need, throttlePercent: fullPercent,
-		suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(),
+		image: imageOf(j, s), resumed: t.Checkpoint != "", suspect: t.MaxCrashes() > 0, isolated: group != "", group: group, trialTime: t.TrialTime(),
 	}
 }
 
@@ -196,6 +206,7 @@
 	key := runKey{task: end.Task, attempt: end.Attempt}
 	r := e.runs[key]
 	if r != nil && r.w == w {
+		e.noteInterference(r, end, now)
 		if s := r.step(); end.Reason == msworker.EndDone && s != nil && !r.answeredAt.IsZero() {
 			w.recordRuntime(now.Sub(r.answeredAt), s.Estimate)
 			e.recordRuntime(r, now.Sub(r.answeredAt), now)
