platform, msjournal: show the open calls to the log and the age of each stream

Change: metrics of open calls, calls that wait for a connection, the oldest call, and the age of each stream; a rate-limited log line for a call that waits for a connection; a stream that stays lost is logged every 5 s.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -191,7 +191,9 @@
 	set := n.set.Load()
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
-	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().LogAddr }}
+	calls := &platform.Calls{Clock: n.clock, Logger: n.log}
+	n.reg.MustRegister(calls)
+	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().LogAddr }, Calls: calls}
 	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
 	n.journal = repeater.Repeated()
 	n.orders = (&platform.OrderClient{Client: platform.NewWorkerClient(workerConnections)}).Orders()
@@ -301,7 +303,7 @@
 }
 
 func (n *node) follower(stream string, apply func(r msjournal.Record) error, reset func()) *msjournal.Follower {
-	return &msjournal.Follower{
+	f := &msjournal.Follower{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: stream, Reset: reset,
 		Apply: func(r msjournal.Record, offset int64) {
 			if err := apply(r); err != nil {
@@ -309,6 +311,18 @@
 			}
 		},
 	}
+	n.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name:        "marjoramspan_stream_age_seconds",
+		Help:        "Age of the entry's view of a stream that it follows, by stream; 0 before the first read.",
+		ConstLabels: prometheus.Labels{"stream": stream},
+	}, func() float64 {
+		at := f.CurrentAsOf()
+		if at.IsZero() {
+			return 0
+		}
+		return n.clock.Now().Sub(at).Seconds()
+	}))
+	return f
 }
 
 const (
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -21,6 +21,8 @@
 	// reads.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// lostLogInterval is the time between two log lines about a stream that stays lost.
+	lostLogInterval = 5 * time.Second
 )
 
 // Follower tails one keyed stream. Its exported fields must be set before Run.
@@ -51,6 +53,8 @@
 	loadedOffsets    map[string]int64
 	lastLoadedOffset int64
 	failing          bool
+	// lostLoggedAt is when it was last logged that the stream is lost.
+	lostLoggedAt time.Time
 	// cancel, if set, ends the read or the pause that Run waits for. interrupted is set once
 	// it was called.
 	cancel      context.CancelFunc
@@ -89,17 +93,25 @@
 	return nil
 }
 
-// recordResult stores whether the last read failed and logs when that changes.
+// recordResult stores whether the last read failed. It logs when that changes, and at
+// intervals while reads fail.
 func (f *Follower) recordResult(err error) {
 	f.mu.Lock()
+	now := f.Clock.Now()
 	wasFailing := f.failing
 	f.failing = err != nil
-	age := f.Clock.Now().Sub(f.currentAsOf)
+	age := now.Sub(f.currentAsOf)
+	stillLost := err != nil && wasFailing && now.Sub(f.lostLoggedAt) >= lostLogInterval
+	if stillLost || err != nil && !wasFailing {
+		f.lostLoggedAt = now
+	}
 	f.mu.Unlock()
-	if err != nil && !wasFailing {
+	switch {
+	case err != nil && !wasFailing:
 		f.Logger.Warn("stream lost", zap.String("stream", f.Stream), zap.Duration("age", age), zap.Error(err))
-	}
-	if err == nil && wasFailing {
+	case stillLost:
+		f.Logger.Warn("stream still lost", zap.String("stream", f.Stream), zap.Duration("age", age), zap.Error(err))
+	case err == nil && wasFailing:
 		f.Logger.Info("stream regained", zap.String("stream", f.Stream))
 	}
 }
