--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -192,7 +192,14 @@
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
 	calls := &platform.Calls{Clock: n.clock, Logger: n.log}
-	n.reg.MustRegister(calls)
+	n.reg.MustRegister(calls, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marjoramspan_leads", Help: "1 while this entry schedules, otherwise 0.",
+	}, func() float64 {
+		if n.scheduler() != nil {
+			return 1
+		}
+		return 0
+	}))
 	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().LogAddr }, Calls: calls}
 	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
 	n.journal = repeater.Repeated()
