msjournal: a read whose wait is shortened has a deadline to match

What callers saw: after an outage of the log of 6.5 s, three to eight of nine entries refused confirmed queues with 404 and status requests with 503 for another 20 s.

Cause: while answers are missing, Repeater.read lets a read wait for 150 ms only and then sends up to six copies of it, so that a lost answer costs little. The copies kept the deadline that the Follower had set for the wait it asked for. For the additional job streams that is 25.7 s: four streams with six copies each held all 24 connections to the log until then. The class: a layer changes a parameter from which the layer above derived a limit.

Why this works: the copies end 1.65 s after the read began, as those of a read with the usual wait of 1 s do (1.7 s).

--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -17,6 +17,8 @@
 	// lossyReadWait bounds the wait of a read while answers are missing: until a read is
 	// repeated, the records of a lost answer aren't seen.
 	lossyReadWait = 150 * time.Millisecond
+	// lossyReadTimeout bounds the time of a read beyond a wait that was shortened.
+	lossyReadTimeout = 1500 * time.Millisecond
 )
 
 // Repeater repeats calls of a Log whose answers are missing, each on another connection,
@@ -99,10 +101,15 @@
 
 func (r *Repeater) read(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
 	r.mu.Lock()
-	if r.reads.missing(r.Clock.Now()) || r.appends.missing(r.Clock.Now()) {
-		wait = min(wait, lossyReadWait)
-	}
+	lossy := r.reads.missing(r.Clock.Now()) || r.appends.missing(r.Clock.Now())
 	r.mu.Unlock()
+	if lossy && wait > lossyReadWait {
+		wait = lossyReadWait
+		// The copies keep the deadline of the call, which allows for the wait that was asked for.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+lossyReadTimeout)
+		defer cancel()
+	}
 	c := repeatedCall{r: r, name: "read", times: &r.reads, wait: wait, send: func(ctx context.Context, n int) answer {
 		if n > 0 {
 			// The first copy has waited for a record already.
--- a/msjournal/repeat_test.go
+++ b/msjournal/repeat_test.go
@@ -78,6 +78,43 @@
 	})
 }
 
+// The log has lost answers and then answers nothing. A read that would wait for 25 s is sent
+// with a wait of 150 ms, and its copies held their connections for 25 s all the same.
+func TestShortenedReadFreesItsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Delay: logAnswerTime, LoseReadsEvery: 2})
+		var open atomic.Int64
+		l := log.Log()
+		plain := l.Read
+		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			open.Add(1)
+			defer open.Add(-1)
+			return plain(ctx, stream, from, wait)
+		}
+		read := repeated(l).Read
+		for range 8 {
+			_, err := read(t.Context(), "s", 0, 0)
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		log.SetFault(msstandin.LogFault{Silent: true})
+		for range 4 {
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 25700*time.Millisecond)
+				defer cancel()
+				_, err := read(ctx, "s", 0, 25*time.Second)
+				require.Equal(t, msjournal.Unknown, msjournal.KindOf(err))
+			}()
+		}
+		time.Sleep(time.Second)
+		require.NotZero(t, open.Load())
+		time.Sleep(time.Second)
+		require.Zero(t, open.Load(), "calls that hold a connection")
+	})
+}
+
 // A log that is slow answers every call, so calls are repeated only until its pace is
 // known; one that rejects calls gets no repeats at all.
 func TestSlowOrRejectingLogGetsNoRepeats(t *testing.T) {
