msjournal: after a failed read the next one doesn't wait for records

What callers saw: with an outage of the log of a few seconds, a configuration published when the log returned could be in force 2.1 s later, beyond config-apply (2 s).

Cause: reads go on through an outage with a wait of 1 s and a timeout of 1.7 s, and 400 ms between them. A read sent just before the return never gets an answer.

Why this works: after a failure the next read doesn't wait, so its timeout can be 1 s whatever the wait of the stream, and its answer shows that the log is back: 1.4 s at most.

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -21,6 +21,10 @@
 	// reads.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// probeTimeout bounds a read after a failed one. With maxRetryDelay it bounds how long
+	// after the return of the log a stream is read again: entries have to apply a
+	// configuration within two seconds.
+	probeTimeout = time.Second
 	// lostLogInterval is the time between two log lines about a stream that stays lost.
 	lostLogInterval = 5 * time.Second
 )
@@ -43,6 +47,8 @@
 	Pause func() time.Duration
 	// Wait, if set, returns how long a read waits for a record. It is one second otherwise.
 	Wait func() time.Duration
+	// Regained, if set, is called after the first successful read that follows a failed one.
+	Regained func()
 
 	mu          sync.Mutex
 	nextOffset  int64
@@ -113,23 +119,30 @@
 		f.Logger.Warn("stream still lost", zap.String("stream", f.Stream), zap.Duration("age", age), zap.Error(err))
 	case err == nil && wasFailing:
 		f.Logger.Info("stream regained", zap.String("stream", f.Stream))
+		if f.Regained != nil {
+			f.Regained()
+		}
 	}
 }
 
-// poll loads the stream if that is still to be done, and otherwise reads once.
+// poll loads the stream if that is still to be done, and otherwise reads once. After a failed
+// read it doesn't wait for records, as the answer shows that the log is back.
 func (f *Follower) poll(ctx context.Context) error {
 	f.mu.Lock()
-	loaded := f.loaded
+	loaded, failing := f.loaded, f.failing
 	f.mu.Unlock()
 	if !loaded {
 		return f.load(ctx)
 	}
 	return f.interruptible(ctx, func(ctx context.Context) error {
+		if failing {
+			return f.read(ctx, 0, probeTimeout)
+		}
 		wait := defaultReadWait
 		if f.Wait != nil {
 			wait = f.Wait()
 		}
-		return f.read(ctx, wait)
+		return f.read(ctx, wait, wait+readTimeoutMargin)
 	})
 }
 
@@ -163,14 +176,14 @@
 	}
 }
 
-// read reads once from the next offset and applies the records. If the records there
-// have expired, it loads the stream again.
-func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+// read reads once from the next offset, within timeout, and applies the records. If the
+// records there have expired, it loads the stream again.
+func (f *Follower) read(ctx context.Context, wait, timeout time.Duration) error {
 	f.mu.Lock()
 	from := f.nextOffset
 	f.mu.Unlock()
 	sentAt := f.Clock.Now()
-	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	batch, err := f.Log.Read(readCtx, f.Stream, from, wait)
 	if KindOf(err) == Expired && err != nil {
@@ -343,5 +356,5 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	return f.read(ctx, 0)
+	return f.read(ctx, 0, readTimeoutMargin)
 }
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -352,3 +352,26 @@
 	require.Eventually(t, func() bool { return v.get("c") == "3" }, waitTimeout, time.Millisecond)
 	require.Equal(t, int64(2), resets.Load())
 }
+
+// A read that was sent shortly before the log returned from an outage, and that never gets an
+// answer, delayed the next one until a configuration had to be in force.
+func TestFollowerReadsWithinTwoSecondsOfTheLogsReturn(t *testing.T) {
+	for outage := 100 * time.Millisecond; outage <= 6*time.Second; outage += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			var log msstandin.JobLog
+			v := &view{}
+			f := &msjournal.Follower{Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
+			regained := 0
+			f.Regained = func() { regained++ }
+			runInBackground(t, f.Run)
+			time.Sleep(10 * time.Second)
+			log.SetFault(msstandin.LogFault{Silent: true})
+			time.Sleep(outage)
+			log.SetFault(msstandin.LogFault{})
+			log.Put("s", "k", []byte("new"))
+			time.Sleep(2 * time.Second)
+			require.Equal(t, "new", v.get("k"), "after an outage of %s", outage)
+			require.LessOrEqual(t, regained, 1)
+		})
+	}
+}
