msjournal: in an outage, repeats leave room for first copies

Cause: each call that isn't answered is repeated up to five times. In an outage that is all calls, so that 12 readers have up to 78 copies open and the repeats of one stream keep the first copies of others from a connection.

Why this works: at most eight repeats are open at a time, of reads and of appends. A log that loses a third of its answers has fewer: a lost copy is given up as soon as another is answered.

--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -14,6 +14,10 @@
 const (
 	// maxCopies bounds the copies of one call that are sent.
 	maxCopies = 6
+	// maxOpenRepeats bounds the repeats that are open at a time, of appends and of reads. In
+	// an outage no call is answered, and repeats of all of them would take the connections
+	// that first copies need.
+	maxOpenRepeats = 8
 	// lossyReadWait bounds the wait of a read while answers are missing: until a read is
 	// repeated, the records of a lost answer aren't seen.
 	lossyReadWait = 150 * time.Millisecond
@@ -32,6 +36,8 @@
 
 	mu             sync.Mutex
 	appends, reads answerTimes
+	// openRepeats counts the open repeats by the name of their call.
+	openRepeats map[string]int
 	// appendsTo has the answer times of the appends by stream: those of a contended stream
 	// are much longer than those of others, and repeats would add to the contention.
 	appendsTo map[string]*answerTimes
@@ -155,6 +161,9 @@
 			begun := clock.Now()
 			a := c.send(copyCtx, n)
 			a.copy = n
+			if n > 0 {
+				c.r.endRepeat(c.name)
+			}
 			c.observe(n, clock.Now().Sub(begun), a)
 			answers <- a
 		}()
@@ -195,6 +204,10 @@
 				timer = nil
 				continue
 			}
+			if !c.r.beginRepeat(c.name) {
+				timer = clock.After(delay)
+				continue
+			}
 			c.r.Metrics.repeated(c.name)
 			timer = clock.After(delay * time.Duration(sent))
 			sendCopy()
@@ -202,6 +215,26 @@
 	}
 }
 
+// beginRepeat counts a repeat, and reports whether it may be sent.
+func (r *Repeater) beginRepeat(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.openRepeats[name] >= maxOpenRepeats {
+		return false
+	}
+	if r.openRepeats == nil {
+		r.openRepeats = map[string]int{}
+	}
+	r.openRepeats[name]++
+	return true
+}
+
+func (r *Repeater) endRepeat(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.openRepeats[name]--
+}
+
 // withDeadlineOf returns a context with the deadline and the values of ctx that isn't
 // canceled with it.
 func withDeadlineOf(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/msjournal/repeat_test.go
+++ b/msjournal/repeat_test.go
@@ -115,6 +115,42 @@
 	})
 }
 
+// In an outage, repeats of all open calls took the connections that first copies need.
+func TestRepeatsInAnOutageAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		const calls = 12
+		var log msstandin.JobLog
+		log.SetFault(msstandin.LogFault{Silent: true})
+		var open, most atomic.Int64
+		l := log.Log()
+		plain := l.Read
+		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			most.Store(max(most.Load(), open.Add(1)))
+			defer open.Add(-1)
+			return plain(ctx, stream, from, wait)
+		}
+		read := repeated(l).Read
+		runInBackground(t, func(ctx context.Context) error {
+			var wg sync.WaitGroup
+			for range calls {
+				wg.Go(func() {
+					for ctx.Err() == nil {
+						rctx, cancel := context.WithTimeout(ctx, 1700*time.Millisecond)
+						_, _ = read(rctx, "s", 0, 0)
+						cancel()
+					}
+				})
+			}
+			wg.Wait()
+			return nil
+		})
+		time.Sleep(10 * time.Second)
+		require.Greater(t, most.Load(), int64(calls), "repeats are sent")
+		require.LessOrEqual(t, most.Load(), int64(2*calls), "24 connections are enough for calls and repeats")
+	})
+}
+
 // A log that is slow answers every call, so calls are repeated only until its pace is
 // known; one that rejects calls gets no repeats at all.
 func TestSlowOrRejectingLogGetsNoRepeats(t *testing.T) {
