platform, marjoramspan: no class of calls to the log waits for another

Cause: one limit of 24 connections for reads that wait for 25 s, reads that decide for callers, and appends. Whichever class has calls without answers takes it from the others. The reads of job streams also went on over connections that had died in the outage, for up to 25 s; a leader waited 2 s for its own.

Change: appends, long reads and all other reads have connections of their own. Once op or ms-jobs is read again, the reads of the job streams begin anew; an interrupted read no longer counts as a successful one. The age of ms-leader is a metric like those of the other streams.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -47,10 +47,14 @@
 
 	// metricsPort is the port of the metrics, as the deploy file names it.
 	metricsPort = 7001
-	// logConnections and workerConnections bound the connections to one address. A
-	// read that waits keeps one busy, and so does a call whose answer is lost.
-	logConnections    = 24
-	workerConnections = 6
+	// appendConnections, readConnections and longReadConnections bound the connections to
+	// the log, and workerConnections those to a worker or another service. A read that waits
+	// keeps one busy, and so does a call whose answer is lost. Up to 15 appends and 16 reads
+	// are under way beside their repeats, and one long read for each job stream.
+	appendConnections   = 24
+	readConnections     = 24
+	longReadConnections = 8
+	workerConnections   = 6
 	// readerPause is the pause between two reads of an entry that doesn't schedule;
 	// it bounds how late callers see a job's state.
 	readerPause = 200 * time.Millisecond
@@ -200,7 +204,10 @@
 		}
 		return 0
 	}))
-	logClient := &platform.LogClient{Client: platform.NewClient(logConnections), Address: func() string { return n.set.Load().LogAddr }, Calls: calls}
+	logClient := &platform.LogClient{
+		Client: platform.NewClient(readConnections), Appends: platform.NewClient(appendConnections), LongReads: platform.NewClient(longReadConnections),
+		Address: func() string { return n.set.Load().LogAddr }, Calls: calls,
+	}
 	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
 	n.journal = repeater.Repeated()
 	n.orders = (&platform.OrderClient{Client: platform.NewWorkerClient(workerConnections)}).Orders()
@@ -221,11 +228,13 @@
 	}
 	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
 	n.buildStreams(name)
+	n.operators.Regained, n.records.Regained = n.rereadJobStreams, n.rereadJobStreams
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
 		CandidacyDelay: n.handicap, MilliCores: n.milliCores(),
 	}
+	n.reportAge(streamLeader, n.leader.CurrentAsOf)
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
 		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf,
@@ -318,18 +327,23 @@
 			}
 		},
 	}
+	n.reportAge(stream, f.CurrentAsOf)
+	return f
+}
+
+// reportAge registers the age of the entry's view of a stream as a metric.
+func (n *node) reportAge(stream string, currentAsOf func() time.Time) {
 	n.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name:        "marjoramspan_stream_age_seconds",
 		Help:        "Age of the entry's view of a stream that it follows, by stream; 0 before the first read.",
 		ConstLabels: prometheus.Labels{"stream": stream},
 	}, func() float64 {
-		at := f.CurrentAsOf()
+		at := currentAsOf()
 		if at.IsZero() {
 			return 0
 		}
 		return n.clock.Now().Sub(at).Seconds()
 	}))
-	return f
 }
 
 const (
@@ -451,9 +465,14 @@
 	n.mu.Lock()
 	n.engine = e
 	n.mu.Unlock()
-	if e == nil {
-		return
+	if e != nil {
+		n.rereadJobStreams()
 	}
+}
+
+// rereadJobStreams begins new reads of the additional job streams. Theirs wait so long that
+// the connections may have died meanwhile.
+func (n *node) rereadJobStreams() {
 	for _, f := range n.streams {
 		f.Interrupt()
 	}
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -80,6 +81,9 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		f.recordResult(err)
 		if err != nil {
 			_ = msclock.Sleep(ctx, f.Clock, delay)
@@ -146,7 +150,10 @@
 	})
 }
 
-// interruptible calls fn with a context that Interrupt cancels, and returns no error then.
+// errInterrupted is the result of a read or a pause that Interrupt has ended.
+var errInterrupted = errors.New("interrupted")
+
+// interruptible calls fn with a context that Interrupt cancels, and returns errInterrupted then.
 // Pause and Wait are called within it, so that none decides on what held before an
 // Interrupt.
 func (f *Follower) interruptible(ctx context.Context, fn func(ctx context.Context) error) error {
@@ -160,7 +167,7 @@
 	defer f.mu.Unlock()
 	f.cancel = nil
 	if f.interrupted {
-		return nil
+		return errInterrupted
 	}
 	return err
 }
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -141,6 +141,8 @@
 	deadline time.Time
 	// holderMilliCores is that of the newest record, or 0.
 	holderMilliCores int64
+	// currentAsOf is when the latest call that the log answered was sent.
+	currentAsOf time.Time
 
 	// nextOffset is the offset at which the next record is expected.
 	nextOffset int64
@@ -182,6 +184,7 @@
 
 // load reads the newest record and the end of the stream.
 func (l *Elector) load(ctx context.Context) error {
+	begun := l.Clock.Now()
 	rctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	p, err := l.Log.Newest(rctx, l.Stream, "")
@@ -190,6 +193,7 @@
 	}
 	l.nextOffset = p.End
 	l.lastRecordAt = l.Clock.Now()
+	l.setCurrent(begun)
 	// A stream without records has had no leader.
 	l.released, l.vmOrdersStored, l.ttl = len(p.Records) == 0, len(p.Records) == 0, maxTermTTL
 	for _, r := range p.Records {
@@ -219,6 +223,20 @@
 	}
 }
 
+// CurrentAsOf returns the time as of which the entry knows who leads. It is zero before the
+// first answer of the log.
+func (l *Elector) CurrentAsOf() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.currentAsOf
+}
+
+func (l *Elector) setCurrent(sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.currentAsOf = sent
+}
+
 // HolderMilliCores returns the processor limit of the VM of another entry that leads, or 0 if
 // none does or its limit is unknown.
 func (l *Elector) HolderMilliCores() int64 {
@@ -245,7 +263,8 @@
 			}
 			continue
 		}
-		wait := min(readWait, electionTimeout-l.Clock.Now().Sub(l.lastRecordAt))
+		begun := l.Clock.Now()
+		wait := min(readWait, electionTimeout-begun.Sub(l.lastRecordAt))
 		rctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 		b, err := l.Log.Read(rctx, l.Stream, l.nextOffset, max(wait, time.Millisecond))
 		cancel()
@@ -257,6 +276,7 @@
 			_ = msclock.Sleep(ctx, l.Clock, retryBackoff)
 			continue
 		}
+		l.setCurrent(begun)
 		if failing {
 			// The leader may have been unable to renew for the same reason, so the wait
 			// starts again.
@@ -319,6 +339,7 @@
 	cancel()
 	if err == nil {
 		l.nextOffset = off + 1
+		l.setCurrent(sent)
 		return off, sent, nil
 	}
 	if kind := msjournal.KindOf(err); kind != msjournal.Unknown && kind != msjournal.Conflict {
