platform: lease renewals and the list of VMs wait for no orders

A worker has six connections for renewals, starts and stops. A worker that answers renewals and leaves starts hanging (they are sent again every 0.6 s) got no renewals any more once six starts were open: its lease ended and its running tasks were killed. VM orders and the list of VMs shared six connections in the same way.

Elsewhere: the advisor gets one kind of call; mslog.Client has no limit of connections; connections between entries are gRPC streams over one connection each.

Why this works: each class has connections of its own, and the calls with a limit of two are made one at a time.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -55,6 +55,10 @@
 	readConnections     = 24
 	longReadConnections = 8
 	workerConnections   = 6
+	// renewalConnections and listConnections are for calls of which one is made at a time; an
+	// earlier one may still be closing.
+	renewalConnections = 2
+	listConnections    = 2
 	// readerPause is the pause between two reads of an entry that doesn't schedule;
 	// it bounds how late callers see a job's state.
 	readerPause = 200 * time.Millisecond
@@ -210,8 +214,11 @@
 	}
 	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
 	n.journal = repeater.Repeated()
-	n.orders = (&platform.OrderClient{Client: platform.NewWorkerClient(workerConnections)}).Orders()
-	n.vms = (&platform.VMClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().VMServiceAddr }}).VMs()
+	n.orders = (&platform.OrderClient{Client: platform.NewWorkerClient(workerConnections), Renewals: platform.NewWorkerClient(renewalConnections)}).Orders()
+	n.vms = (&platform.VMClient{
+		Client: platform.NewClient(workerConnections), Lists: platform.NewClient(listConnections),
+		Address: func() string { return n.set.Load().VMServiceAddr },
+	}).VMs()
 	n.advise = (&platform.AdviceClient{Client: platform.NewClient(workerConnections), Address: func() string { return n.set.Load().AdvisorAddr }}).Advise
 	name := msjournal.ProducerName(set.Name, n.clock.Now(), rand.Uint64())
 	n.operators = n.follower(platform.StreamOperators, func(r msjournal.Record) error { return platform.ApplyOperatorRecord(&n.sites, r) }, n.sites.BeginListing)
