msjob, msscheduler, msintake: show jobs that are ahead of the leader's configuration

Change: a job's record has the version of the site by which it was accepted; the leader logs and counts jobs that are ahead of its own; refusals with 404 and 401 name the age of the view.

--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -124,23 +124,28 @@
 		return Grant{}, &Error{Kind: NotReady, Reason: "no site has been read", RetryAfter: storeRetryAfter}
 	}
 	q, rest := site.MatchQueue(host, path)
+	age := in.Clock.Now().Sub(in.SiteCurrent())
 	if q == nil {
-		return Grant{}, &Error{Kind: NoQueue, Reason: "no queue at this host and path in version " + strconv.FormatInt(site.Version, 10)}
+		return Grant{}, &Error{Kind: NoQueue, Reason: "no queue at this host and path in " + viewOf(site, age)}
 	}
 	g := Grant{Queue: *q, Subpath: rest, Version: site.Version, Team: site.Keys[key]}
 	if q.Public {
 		return g, nil
 	}
-	age := in.Clock.Now().Sub(in.SiteCurrent())
 	if in.SiteLease > 0 && age > in.SiteLease {
 		return g, &Error{Kind: NotReady, Reason: "keys were last confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: storeRetryAfter}
 	}
 	if key == "" || g.Team == "" {
-		return g, &Error{Kind: BadKey, Reason: "the key is not in version " + strconv.FormatInt(site.Version, 10)}
+		return g, &Error{Kind: BadKey, Reason: "the key is not in " + viewOf(site, age)}
 	}
 	return g, nil
 }
 
+// viewOf describes the version of a site that was last confirmed to be the newest age ago.
+func viewOf(site *mssite.Site, age time.Duration) string {
+	return "version " + strconv.FormatInt(site.Version, 10) + ", confirmed " + age.Round(time.Millisecond).String() + " ago"
+}
+
 // Submit stores a job and returns nil once it is stored. It also returns nil for a job
 // that was accepted before.
 func (in *Intake) Submit(ctx context.Context, g Grant, j *msjob.Job) error {
@@ -153,7 +158,7 @@
 	if in.Writer.Failing() && in.journalAge() > logOutageAge {
 		return &Error{Kind: NotReady, Reason: "the log does not answer", RetryAfter: storeRetryAfter}
 	}
-	j.Queue, j.Pool, j.Team = g.Queue.Name, g.Queue.Pool, g.Team
+	j.Queue, j.Pool, j.Team, j.SiteVersion = g.Queue.Name, g.Queue.Pool, g.Team, g.Version
 	j.Priority, j.Attempts = g.Queue.Priority, g.Queue.Attempts
 	j.Stretch, j.Slack = g.Queue.Stretch, g.Queue.Slack
 	j.Accepted = in.Clock.Now().UTC()
--- a/msjob/job.go
+++ b/msjob/job.go
@@ -106,6 +106,9 @@
 	// path, plus Slack.
 	Stretch float64       `json:"stretch,omitempty"`
 	Slack   time.Duration `json:"slack,omitempty"`
+	// SiteVersion is the version of the site by which the entry accepted the job. It is 0 in
+	// the records of versions that don't store it.
+	SiteVersion int64 `json:"site-version,omitempty"`
 	// Accepted is when the entry accepted the job.
 	Accepted time.Time `json:"accepted"`
 	// Occurrences is how many times the steps run, at StartAt and then every Every.
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -572,6 +572,10 @@
 		return
 	}
 	e.active[j.def.ID] = j
+	if site := e.Sites.Site(); j.def.SiteVersion > versionOf(site) {
+		e.Metrics.newerSite()
+		e.Logger.Info("job of a newer site", zap.String("job", j.def.ID), zap.String("queue", j.def.Queue), zap.Int64("job-version", j.def.SiteVersion), zap.Int64("version", versionOf(site)))
+	}
 	if j.def.Occurrences == 0 {
 		j.p.Occurrence(j.def, 0)
 	} else {
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -18,6 +18,9 @@
 	// losses counts attempts without a listed end, workers the workers that have ended.
 	losses, workers *prometheus.CounterVec
 	givenUp         prometheus.Counter
+	// newerSites counts the jobs that another entry accepted by a newer site than this
+	// entry had.
+	newerSites prometheus.Counter
 	// evacuatedZones has the evacuated data centres, evacuatedLeft the attempts there, and
 	// evacuatedTasks the tasks that were stopped there.
 	evacuatedZones, evacuatedLeft prometheus.Gauge
@@ -57,6 +60,9 @@
 	m.givenUp = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marjoramspan_tasks_given_up_total", Help: "Tasks that are not started again, as they crash their workers.",
 	})
+	m.newerSites = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "marjoramspan_jobs_of_newer_site_total", Help: "Jobs that another entry accepted by a newer version of the site than the leader had read.",
+	})
 	m.evacuatedZones = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "marjoramspan_evacuated_data_centres", Help: "Data centres that operators evacuate, by this leader's view.",
 	})
@@ -80,7 +86,7 @@
 		Name: "marjoramspan_interference_placements_total", Help: "Placements that avoided an image that interferes, or had to be beside one.",
 	}, []string{"outcome"})
 	reg.MustRegister(m.interferingPairs, m.apart)
-	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.teamCores, m.teamShare)
+	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.newerSites, m.teamCores, m.teamShare)
 	return m
 }
 
@@ -125,6 +131,12 @@
 	}
 }
 
+func (m *Metrics) newerSite() {
+	if m != nil {
+		m.newerSites.Inc()
+	}
+}
+
 func (m *Metrics) gaveUp() {
 	if m != nil {
 		m.givenUp.Inc()
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -211,6 +211,14 @@
 	return site.QueueByName(j.Queue)
 }
 
+// versionOf returns the version of a site, or 0 if there is none.
+func versionOf(site *mssite.Site) int64 {
+	if site == nil {
+		return 0
+	}
+	return site.Version
+}
+
 // markDuplicated records that a duplicate of a task was started, which happens once.
 func (j *job) markDuplicated(id msjob.TaskID) {
 	if j.duplicated == nil {
