msscheduler: tasks wait until the leader has the configuration their job was accepted by

Callers of a new queue got 404 from an entry that had started a job of it.

Cause: a job's record names its queue and pool. The leader reads it from the job streams, and the configuration from op, over connections that are slow or die independently. With a queue that its own version lacks, poolOf takes the pool from the record, so a worker sees the effect of a version that the leader refuses requests by. The class: two streams are read side by side, and one refers to the other. A team that the own version lacks had no limit either.

Why this works: the job's record has its version, and its tasks are not placed by an older one. The leader reads op to its end when it meets such a job, and the next pass begins when the site changes. Jobs from versions that don't store it start as before.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -271,6 +271,9 @@
 	}
 	n.sites.OnChange = func(s *mssite.Site) {
 		n.log.Info("site in force", zap.Int64("version", s.Version), zap.Int("queues", len(s.Queues)), zap.Int("teams", len(s.Teams)))
+		if e := n.scheduler(); e != nil {
+			e.SiteChanged()
+		}
 	}
 }
 
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -164,6 +164,8 @@
 	sharesReportedAt time.Time
 	// fullPools has when the order in each pool was last logged.
 	fullPools map[string]time.Time
+	// readingSite is set while readSite reads.
+	readingSite bool
 	// teamLimiter decides which jobs are within their team's share.
 	teamLimiter msplace.TeamLimiter
 }
@@ -212,8 +214,9 @@
 	queue     *mssite.Queue
 	pool      string
 	queueSite *mssite.Site
-	// inOrder is set once the job is in Engine.order.
-	inOrder bool
+	// inOrder is set once the job is in Engine.order, inQueue while the latest pass has it in
+	// its queue.
+	inOrder, inQueue bool
 }
 
 type gangKey struct {
@@ -572,9 +575,10 @@
 		return
 	}
 	e.active[j.def.ID] = j
-	if site := e.Sites.Site(); j.def.SiteVersion > versionOf(site) {
+	if site := e.Sites.Site(); site.OlderThan(j.def.SiteVersion) {
 		e.Metrics.newerSite()
-		e.Logger.Info("job of a newer site", zap.String("job", j.def.ID), zap.String("queue", j.def.Queue), zap.Int64("job-version", j.def.SiteVersion), zap.Int64("version", versionOf(site)))
+		e.Logger.Info("job waits for a newer site", zap.String("job", j.def.ID), zap.String("queue", j.def.Queue), zap.Int64("job-version", j.def.SiteVersion), zap.Bool("no-site", site == nil))
+		e.readSite()
 	}
 	if j.def.Occurrences == 0 {
 		j.p.Occurrence(j.def, 0)
@@ -589,6 +593,32 @@
 	e.wakeLoop()
 }
 
+// readSite reads the operators' records to their end, as the job streams have shown that they
+// are behind. The caller holds mu.
+func (e *Engine) readSite() {
+	if e.Operators == nil || e.readingSite {
+		return
+	}
+	e.readingSite = true
+	// Not part of the group: a read isn't canceled, and the term must end at once.
+	go func() {
+		_ = e.Operators.Sync(e.ctx) // The follower logs failures, and goes on reading.
+		e.mu.Lock()
+		e.readingSite = false
+		e.mu.Unlock()
+		e.wakeLoop()
+	}()
+}
+
+// SiteChanged makes the next pass begin at once, as jobs may wait for the site.
+func (e *Engine) SiteChanged() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.jobs != nil {
+		e.wakeLoop()
+	}
+}
+
 // Cancel ends a job that a caller has cancelled.
 func (e *Engine) Cancel(id string) {
 	e.mu.Lock()
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -153,7 +153,9 @@
 	jobs, candidates := e.queued[:0], e.candidates[:0]
 	for _, j := range e.activeJobs() {
 		t, ok := j.candidate(wall)
-		if !ok {
+		// The effect of a version must not show before this entry handles requests by it.
+		j.inQueue = ok && !site.OlderThan(j.def.SiteVersion)
+		if !j.inQueue {
 			continue
 		}
 		t.Starved = j.wide && e.wideJobs.Starved(j.def.Queue)
@@ -211,14 +213,6 @@
 	return site.QueueByName(j.Queue)
 }
 
-// versionOf returns the version of a site, or 0 if there is none.
-func versionOf(site *mssite.Site) int64 {
-	if site == nil {
-		return 0
-	}
-	return site.Version
-}
-
 // markDuplicated records that a duplicate of a task was started, which happens once.
 func (j *job) markDuplicated(id msjob.TaskID) {
 	if j.duplicated == nil {
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -88,7 +88,7 @@
 func (e *Engine) keepOrder(queue []*job) {
 	all := append(e.nextOrder[:0], queue...)
 	for _, j := range e.order {
-		if !j.tasks().waiting {
+		if !j.inQueue {
 			all = append(all, j)
 		}
 	}
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -103,6 +103,14 @@
 	return q, path[len(q.Prefix):]
 }
 
+// OlderThan reports whether s has a lower version, or is nil while the version is not 0.
+func (s *Site) OlderThan(version int64) bool {
+	if s == nil {
+		return version > 0
+	}
+	return s.Version < version
+}
+
 // QueueByName returns the queue with the given name, or nil.
 func (s *Site) QueueByName(name string) *Queue {
 	for i := range s.Queues {
