msintake: requests are refused by a current configuration only

Callers don't repeat such requests.

Cause: Authorize refused by whatever version the entry had, whatever its age. A status request for an unknown job was already looked up in the log before it was refused; a queue and a key were not.

Change: before a request is refused, op is read to its end, unless the view is at most a second old (half of config-apply) and no job has shown that there is a newer version. If op can't be read, the answer is 503 with Retry-After, at once while reads are known to fail.

Evidence: TestRequestsAreRefusedByACurrentSiteOnly fails in each of its cases on the version before (NoQueue).

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -244,7 +244,7 @@
 	n.reportAge(streamLeader, n.leader.CurrentAsOf)
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
-		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf,
+		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf, Operators: n.operators,
 		Metrics: msintake.NewMetrics(n.reg),
 	}
 	n.intake.Streams = &msintake.Streams{
@@ -255,6 +255,7 @@
 		n.intake.SiteLease = time.Duration(float64(b.KeyWithdrawal) * keyLeaseShare)
 	}
 	n.jobs.OnJob = func(j msjob.TableEntry) {
+		n.sites.Announce(j.Job.SiteVersion)
 		if e := n.scheduler(); e != nil {
 			e.AddJob(j)
 		}
--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -73,6 +73,14 @@
 	return e.Err
 }
 
+// orNil returns e as an error, which is nil if e is.
+func (e *Error) orNil() error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
 // Grant is the access that a request's path and key give.
 type Grant struct {
 	Queue mssite.Queue
@@ -107,6 +115,9 @@
 	Streams *Streams
 	// SiteCurrent returns when the site was last confirmed to be the newest.
 	SiteCurrent func() time.Time
+	// Operators, if set, follows the operators' records that Sites holds. Requests are then
+	// refused by a current site only.
+	Operators *msjournal.Follower
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
 	// maximum.
 	SiteLease time.Duration
@@ -116,9 +127,34 @@
 	Metrics *Metrics
 }
 
+// maxRefusalAge is the maximum age of the site by which a request is refused. A configuration
+// has to be in force after two seconds.
+const maxRefusalAge = time.Second
+
 // Authorize returns the queue for a host and path, and checks the key unless the queue is
-// open.
-func (in *Intake) Authorize(host, path, key string) (Grant, error) {
+// open. Callers don't repeat a request without a queue or a valid key, so before it returns
+// such an error it reads the operators' records to their end, unless the site is current.
+func (in *Intake) Authorize(ctx context.Context, host, path, key string) (Grant, error) {
+	g, err := in.authorize(host, path, key)
+	if err == nil || err.Kind == NotReady || in.siteIsCurrent() {
+		return g, err.orNil()
+	}
+	if in.Operators.Failing() {
+		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter}
+	}
+	if err := in.Operators.Sync(ctx); err != nil {
+		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
+	}
+	g, err = in.authorize(host, path, key)
+	return g, err.orNil()
+}
+
+// siteIsCurrent reports whether requests may be refused by the site as it is.
+func (in *Intake) siteIsCurrent() bool {
+	return in.Operators == nil || !in.Sites.Behind() && in.Clock.Now().Sub(in.SiteCurrent()) <= maxRefusalAge
+}
+
+func (in *Intake) authorize(host, path, key string) (Grant, *Error) {
 	site := in.Sites.Site()
 	if site == nil {
 		return Grant{}, &Error{Kind: NotReady, Reason: "no site has been read", RetryAfter: storeRetryAfter}
--- a/msintake/intake_test.go
+++ b/msintake/intake_test.go
@@ -46,23 +46,60 @@
 	current := clock.Now()
 	in.SiteCurrent = func() time.Time { return current }
 	in.SiteLease = 3500 * time.Millisecond
-	_, err := in.Authorize("h", "/q/1", "k")
+	_, err := in.Authorize(t.Context(), "h", "/q/1", "k")
 	require.NoError(t, err)
 	clock.Advance(3500 * time.Millisecond)
-	_, err = in.Authorize("h", "/q/1", "k")
+	_, err = in.Authorize(t.Context(), "h", "/q/1", "k")
 	require.NoError(t, err)
 	clock.Advance(time.Millisecond)
-	_, err = in.Authorize("h", "/q/1", "k")
+	_, err = in.Authorize(t.Context(), "h", "/q/1", "k")
 	require.Equal(t, NotReady, kindOf(t, err))
-	_, err = in.Authorize("h", "/open/1", "")
+	_, err = in.Authorize(t.Context(), "h", "/open/1", "")
 	require.NoError(t, err)
 	current = clock.Now()
-	_, err = in.Authorize("h", "/q/1", "k")
+	_, err = in.Authorize(t.Context(), "h", "/q/1", "k")
 	require.NoError(t, err)
-	_, err = in.Authorize("h", "/q/1", "other")
+	_, err = in.Authorize(t.Context(), "h", "/q/1", "other")
 	require.Equal(t, BadKey, kindOf(t, err))
 }
 
+// An entry that had not read a new queue yet refused its requests with "no queue", for as long
+// as it couldn't read the operators' records, and after it had started jobs of the queue.
+func TestRequestsAreRefusedByACurrentSiteOnly(t *testing.T) {
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	in.Operators = &msjournal.Follower{
+		Log: log.Log(), Clock: clock, Logger: in.Logger, Stream: "op", Reset: func() {},
+		Apply: func(r msjournal.Record, offset int64) {
+			in.Sites.Set(&mssite.Site{Version: 2 + offset, Queues: []mssite.Queue{{Name: r.Key, Host: "h", Prefix: "/" + r.Key + "/", Public: true}}})
+		},
+	}
+	in.SiteCurrent = in.Operators.CurrentAsOf
+	authorize := func(path string) error {
+		_, err := in.Authorize(t.Context(), "h", path, "")
+		return err
+	}
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	require.Equal(t, NoQueue, kindOf(t, authorize("/new/1")))
+	reads := log.Reads()
+	clock.Advance(maxRefusalAge)
+	require.Equal(t, NoQueue, kindOf(t, authorize("/new/1")))
+	require.Equal(t, reads, log.Reads(), "the site is current")
+	log.Put("op", "new", []byte("{}"))
+	clock.Advance(time.Millisecond)
+	require.NoError(t, authorize("/new/1"))
+	require.Equal(t, NoQueue, kindOf(t, authorize("/other/1")))
+	log.Put("op", "newer", []byte("{}"))
+	in.Sites.Announce(3)
+	clock.Advance(time.Millisecond)
+	require.NoError(t, authorize("/newer/1"), "a job has shown that there is a newer site")
+	clock.Advance(maxRefusalAge + time.Millisecond)
+	log.SetFault(msstandin.LogFault{Down: true})
+	require.Equal(t, NotReady, kindOf(t, authorize("/other/1")), "there may be a newer site")
+	require.NoError(t, authorize("/newer/1"))
+}
+
 // A job that another entry has accepted may be missing from this entry's table. Status
 // must look it up in the log, and must not report it as nonexistent if the log can't be
 // read.
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -302,6 +302,13 @@
 	return f.currentAsOf
 }
 
+// Failing reports whether the latest read of Run has failed.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
 // Next returns the offset of the next record to read.
 func (f *Follower) Next() int64 {
 	f.mu.Lock()
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -127,9 +127,11 @@
 	// OnChange, if set, is called with each new version, with no lock held.
 	OnChange func(s *Site)
 
-	mu    sync.Mutex
-	site  *Site
-	waves map[int64]Wave
+	mu   sync.Mutex
+	site *Site
+	// announced is the highest version that is known to exist.
+	announced int64
+	waves     map[int64]Wave
 	// evacuated has the evacuated data centres. listed has those that a listing of the
 	// records has named so far; it is nil while no listing is in progress.
 	evacuated, listed map[string]bool
@@ -158,6 +160,20 @@
 	return h.site
 }
 
+// Announce notes that a version exists, as something shows that refers to it.
+func (h *Store) Announce(version int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.announced = max(h.announced, version)
+}
+
+// Behind reports whether a newer version than that of the site is known to exist.
+func (h *Store) Behind() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.site.OlderThan(h.announced)
+}
+
 // SetWave stores a wave and replaces an earlier one with the same ID.
 func (h *Store) SetWave(w Wave) {
 	h.mu.Lock()
