msscheduler, msintake: nothing waits for a configuration that can't be read

What callers would see: a job that never starts.

Cause: a job waits until the leader has the version by which it was accepted. If the leader can't decode that version, as in a roll-out, or the log no longer holds it, it waits without end. For the same reason each refusal with 404 read the log again.

Why this works: a job's record is written after its version was read, so a read of the operators' records that begins once the record is known finds the version if there is one to be had. After such a read nothing waits for it. The read is repeated while it fails.

--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -142,7 +142,7 @@
 	if in.Operators.Failing() {
 		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter}
 	}
-	if err := in.Operators.Sync(ctx); err != nil {
+	if err := in.Sites.ReadAnnounced(ctx, in.Operators.Sync); err != nil {
 		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
 	}
 	g, err = in.authorize(host, path, key)
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -575,9 +575,10 @@
 		return
 	}
 	e.active[j.def.ID] = j
-	if site := e.Sites.Site(); site.OlderThan(j.def.SiteVersion) {
+	e.Sites.Announce(j.def.SiteVersion)
+	if e.Sites.Awaits(j.def.SiteVersion) {
 		e.Metrics.newerSite()
-		e.Logger.Info("job waits for a newer site", zap.String("job", j.def.ID), zap.String("queue", j.def.Queue), zap.Int64("job-version", j.def.SiteVersion), zap.Bool("no-site", site == nil))
+		e.Logger.Info("job waits for a newer site", zap.String("job", j.def.ID), zap.String("queue", j.def.Queue), zap.Int64("job-version", j.def.SiteVersion), zap.Bool("no-site", e.Sites.Site() == nil))
 		e.readSite()
 	}
 	if j.def.Occurrences == 0 {
@@ -602,7 +603,8 @@
 	e.readingSite = true
 	// Not part of the group: a read isn't canceled, and the term must end at once.
 	go func() {
-		_ = e.Operators.Sync(e.ctx) // The follower logs failures, and goes on reading.
+		// It fails at the end of the term only.
+		_ = e.Sites.ReadAnnounced(e.ctx, func(ctx context.Context) error { return e.sync(ctx, e.Operators) })
 		e.mu.Lock()
 		e.readingSite = false
 		e.mu.Unlock()
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -153,8 +153,7 @@
 	jobs, candidates := e.queued[:0], e.candidates[:0]
 	for _, j := range e.activeJobs() {
 		t, ok := j.candidate(wall)
-		// The effect of a version must not show before this entry handles requests by it.
-		j.inQueue = ok && !site.OlderThan(j.def.SiteVersion)
+		j.inQueue = ok && !e.awaitsSite(j, site)
 		if !j.inQueue {
 			continue
 		}
@@ -181,6 +180,20 @@
 	return ordered, candidates
 }
 
+// awaitsSite reports whether a job waits for a newer version than site, by which it was
+// accepted: its effect must not show before this entry handles requests by it.
+func (e *Engine) awaitsSite(j *job, site *mssite.Site) bool {
+	if !site.OlderThan(j.def.SiteVersion) {
+		return false
+	}
+	if e.Sites.Awaits(j.def.SiteVersion) {
+		e.readSite()
+		return true
+	}
+	// If the version was read meanwhile, the next pass places by it.
+	return e.Sites.Site() != site
+}
+
 // candidate describes a job for the placement order and reports whether any of its tasks
 // waits to be placed.
 func (j *job) candidate(now time.Time) (msplace.Candidate, bool) {
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -1,11 +1,12 @@
 // Package mssite holds the configuration that operators publish: queues, pools,
 // teams, keys and planned maintenance.
 //
-// A Site is immutable. Holder keeps the newest one and never replaces it by a lower
+// A Site is immutable. Store keeps the newest one and never replaces it by a lower
 // version while the process runs.
 package mssite
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"time"
@@ -129,9 +130,10 @@
 
 	mu   sync.Mutex
 	site *Site
-	// announced is the highest version that is known to exist.
-	announced int64
-	waves     map[int64]Wave
+	// announced is the highest version that is known to exist. Those up to notFound were
+	// looked for.
+	announced, notFound int64
+	waves               map[int64]Wave
 	// evacuated has the evacuated data centres. listed has those that a listing of the
 	// records has named so far; it is nil while no listing is in progress.
 	evacuated, listed map[string]bool
@@ -167,11 +169,38 @@
 	h.announced = max(h.announced, version)
 }
 
+// Awaits reports whether a version is newer than that of the site and can still be expected.
+func (h *Store) Awaits(version int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.awaits(version)
+}
+
+func (h *Store) awaits(version int64) bool {
+	return version > h.notFound && h.site.OlderThan(version)
+}
+
 // Behind reports whether a newer version than that of the site is known to exist.
 func (h *Store) Behind() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.site.OlderThan(h.announced)
+	return h.awaits(h.announced)
+}
+
+// ReadAnnounced calls read, which reads the operators' records to their end. If they don't
+// hold the announced versions, or such a version is invalid, nothing awaits these any longer.
+// It returns the error of read.
+func (h *Store) ReadAnnounced(ctx context.Context, read func(ctx context.Context) error) error {
+	h.mu.Lock()
+	announced := h.announced
+	h.mu.Unlock()
+	if err := read(ctx); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notFound = max(h.notFound, announced)
+	return nil
 }
 
 // SetWave stores a wave and replaces an earlier one with the same ID.
