msintake: no request is held until a slow read of the configuration ends

The log took 0.5 s an answer, so a request sent at 16.890 was handled by the version that came at 17.4, and one sent at 17.290 by the older one that another read had confirmed. The class: a request that waits is handled by a later state than those that overtake it.

TestNoRequestIsHeldUntilASlowReadEnds fails on the version before (accepted after 0.5 s).

Why this works: a request is held for half of the rollback slack at most, 125 ms where the contract says 250 ms, and then gets 503 with Retry-After. Whatever overtakes it within that time is within the slack. The read goes on for the next requests, as Follower.Sync returns at the deadline of its caller now, also to the caller that started the read.

--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -8,6 +8,7 @@
 package msintake
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -118,6 +119,10 @@
 	// Operators, if set, follows the operators' records that Sites holds. Requests are then
 	// refused by a current site only.
 	Operators *msjournal.Follower
+	// MaxHold bounds how long a request waits until the operators' records are read. Those
+	// that arrive meanwhile are handled by the older site, so an entry that held a request for
+	// longer would seem to go back. It is defaultMaxHold if 0.
+	MaxHold time.Duration
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
 	// maximum.
 	SiteLease time.Duration
@@ -127,13 +132,18 @@
 	Metrics *Metrics
 }
 
-// maxRefusalAge is the maximum age of the site by which a request is refused. A configuration
-// has to be in force after two seconds.
-const maxRefusalAge = time.Second
+const (
+	// maxRefusalAge is the maximum age of the site by which a request is refused. A
+	// configuration has to be in force after two seconds.
+	maxRefusalAge = time.Second
+	// defaultMaxHold is the default of Intake.MaxHold, half of the usual rollback slack.
+	defaultMaxHold = 125 * time.Millisecond
+)
 
 // Authorize returns the queue for a host and path, and checks the key unless the queue is
 // open. Callers don't repeat a request without a queue or a valid key, so before it returns
-// such an error it reads the operators' records to their end, unless the site is current.
+// such an error it reads the operators' records to their end, unless the site is current. If
+// that takes longer than MaxHold, the error is NotReady.
 func (in *Intake) Authorize(ctx context.Context, host, path, key string) (Grant, error) {
 	g, err := in.authorize(host, path, key)
 	if err == nil || err.Kind == NotReady || in.siteIsCurrent() {
@@ -142,6 +152,8 @@
 	if in.Operators.Failing() {
 		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter}
 	}
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(in.MaxHold, defaultMaxHold))
+	defer cancel()
 	if err := in.Sites.ReadAnnounced(ctx, in.Operators.Sync); err != nil {
 		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
 	}
--- a/msintake/intake_test.go
+++ b/msintake/intake_test.go
@@ -106,6 +106,34 @@
 	require.NoError(t, authorize("/newer/1"))
 }
 
+// An entry seemed to go back: it held a request until a slow read brought a newer site, and
+// refused one that arrived meanwhile by the older site.
+func TestNoRequestIsHeldUntilASlowReadEnds(t *testing.T) {
+	const rollbackSlack = 250 * time.Millisecond
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	in.Operators = &msjournal.Follower{
+		Log: log.Log(), Clock: clock, Logger: in.Logger, Stream: "op", Reset: func() {},
+		Apply: func(r msjournal.Record, offset int64) {
+			in.Sites.Set(&mssite.Site{Version: 2 + offset, Queues: []mssite.Queue{{Name: r.Key, Host: "h", Prefix: "/" + r.Key + "/", Public: true}}})
+		},
+	}
+	in.SiteCurrent = in.Operators.CurrentAsOf
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	clock.Advance(maxRefusalAge + time.Millisecond)
+	log.Put("op", "new", []byte("{}"))
+	log.SetFault(msstandin.LogFault{Delay: 2 * rollbackSlack})
+	begun := time.Now()
+	_, err := in.Authorize(t.Context(), "h", "/new/1", "")
+	require.Equal(t, NotReady, kindOf(t, err))
+	require.Less(t, time.Since(begun), rollbackSlack)
+	require.Eventually(t, func() bool {
+		_, err := in.Authorize(t.Context(), "h", "/new/1", "")
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond, "the read goes on")
+}
+
 // A job that another entry has accepted may be missing from this entry's table. Status
 // must look it up in the log, and must not report it as nonexistent if the log can't be
 // read.
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -316,7 +316,8 @@
 	return f.nextOffset
 }
 
-// Sync returns once all records appended before the call have been applied.
+// Sync returns once all records appended before the call have been applied, or with the error
+// of ctx once that is done.
 // Concurrent calls share their reads: on a link with little bandwidth, separate
 // reads of the same records would slow each other down until all of them time out.
 func (f *Follower) Sync(ctx context.Context) error {
@@ -335,13 +336,15 @@
 		}
 		f.mu.Unlock()
 		if owner {
-			// Other callers wait for this read too, so it must not be canceled with the
-			// context of the caller that started it.
-			call.err = f.catchUpOnce(context.WithoutCancel(ctx))
-			f.mu.Lock()
-			f.inFlight = nil
-			f.mu.Unlock()
-			close(call.done)
+			go func() {
+				// Other callers wait for this read too, so it must not be canceled with the
+				// context of the caller that started it.
+				call.err = f.catchUpOnce(context.WithoutCancel(ctx))
+				f.mu.Lock()
+				f.inFlight = nil
+				f.mu.Unlock()
+				close(call.done)
+			}()
 		}
 		select {
 		case <-call.done:
