msscheduler: the leader goes on while a configuration is applied

A new configuration is applied with the lock of the operators' follower held, and told the engine, which took its own lock for that. Where evacuations have a deadline, a pass holds the engine's lock and asks the follower for the age of its view. Both wait for good, while the term is renewed elsewhere. The class: a callback takes a lock while its caller holds another.

The other callbacks of followers were read: none takes a lock that is held around a call of its follower.

Why this works: waking the loop needs no lock; the channel is made at its first use.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -99,6 +99,7 @@
 
 	startedAt time.Time
 	wake      chan struct{}
+	wakeOnce  sync.Once
 	termEnded chan error
 	// progress, public and vmOrderLog are the streams. After takeOver only publish writes
 	// to public, and only manageVMs to vmOrderLog.
@@ -239,7 +240,6 @@
 	defer e.Metrics.evacuation(0, 0)
 	e.ctx = ctx
 	e.startedAt = e.Clock.Now()
-	e.wake = make(chan struct{}, 1)
 	e.termEnded = make(chan error, 1)
 	e.publishWake = make(chan struct{}, 1)
 	e.progress, e.public, e.vmOrderLog = appender{stream: e.ProgressStream}, appender{stream: e.PublicStream}, appender{stream: e.VMOrderStream}
@@ -378,14 +378,14 @@
 			return nil
 		case err := <-e.termEnded:
 			return err
-		case <-e.wake:
+		case <-e.wakes():
 		case <-e.Clock.After(maxPassInterval):
 		}
 		if d := passDelay(took, e.Clock.Now().Sub(now)); d > 0 {
 			_ = msclock.Sleep(ctx, e.Clock, d)
 		}
 		select {
-		case <-e.wake:
+		case <-e.wakes():
 		default:
 		}
 	}
@@ -401,14 +401,20 @@
 	return 0
 }
 
-// wakeLoop makes the loop start its next pass without delay.
+// wakeLoop makes the loop start its next pass without delay. It needs no lock.
 func (e *Engine) wakeLoop() {
 	select {
-	case e.wake <- struct{}{}:
+	case e.wakes() <- struct{}{}:
 	default:
 	}
 }
 
+// wakes returns the channel by which wakeLoop wakes the loop.
+func (e *Engine) wakes() chan struct{} {
+	e.wakeOnce.Do(func() { e.wake = make(chan struct{}, 1) })
+	return e.wake
+}
+
 // endTerm makes Run return err, as a stream, a worker or the VM service has seen a
 // higher fencing token.
 func (e *Engine) endTerm(err error) {
@@ -612,13 +618,10 @@
 	}()
 }
 
-// SiteChanged makes the next pass begin at once, as jobs may wait for the site.
+// SiteChanged makes the next pass begin at once, as jobs may wait for the site. It takes no
+// lock: its caller may hold that of Operators, which a pass waits for.
 func (e *Engine) SiteChanged() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.jobs != nil {
-		e.wakeLoop()
-	}
+	e.wakeLoop()
 }
 
 // Cancel ends a job that a caller has cancelled.
--- a/msscheduler/newersite_test.go
+++ b/msscheduler/newersite_test.go
@@ -1,12 +1,14 @@
 package msscheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"marjoramspan/msclock"
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
 	"marjoramspan/mssite"
@@ -56,3 +58,30 @@
 	log.SetFault(msstandin.LogFault{})
 	w.await(e, "0000000000000001", msjob.Completed)
 }
+
+// The leader stopped for good, without losing its term, when a site was applied while it
+// placed tasks: each held a lock that the other one waited for.
+func TestLeaderGoesOnWhileASiteIsApplied(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	var log msstandin.JobLog
+	var e *entry
+	operators := &msjournal.Follower{
+		Log: log.Log(), Clock: &msclock.Boot{}, Logger: zap.NewNop(), Stream: "op", Reset: func() {},
+		Apply: func(msjournal.Record, int64) {
+			time.Sleep(2 * maxPassInterval) // The next pass begins meanwhile.
+			e.current().SiteChanged()
+		},
+	}
+	w.configure = func(g *Engine) { g.Settings.EvacuationDeadline, g.Operators = evacuationDeadline, operators }
+	e = w.entry("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = operators.Run(ctx) }()
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=30ms", SiteVersion: 1, Steps: []msjob.Step{step(2)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	log.Put("op", "config", []byte("{}"))
+	require.Eventually(t, func() bool { return operators.Next() > 0 }, 10*time.Second, time.Millisecond)
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=30ms", SiteVersion: 1, Steps: []msjob.Step{step(2)}})
+	w.await(e, "0000000000000002", msjob.Completed)
+}
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -125,7 +125,7 @@
 // Store keeps the newest site and the maintenance waves. The zero value is empty and
 // ready for use. It is safe for concurrent use.
 type Store struct {
-	// OnChange, if set, is called with each new version, with no lock held.
+	// OnChange, if set, is called with each new version, with no lock of the store held.
 	OnChange func(s *Site)
 
 	mu   sync.Mutex
