--- a/msintake/intake_test.go
+++ b/msintake/intake_test.go
@@ -63,19 +63,25 @@
 	require.Equal(t, BadKey, kindOf(t, err))
 }
 
-// An entry that had not read a new queue yet refused its requests with "no queue", for as long
-// as it couldn't read the operators' records, and after it had started jobs of the queue.
-func TestRequestsAreRefusedByACurrentSiteOnly(t *testing.T) {
-	var log msstandin.JobLog
-	clock := msclock.NewFake(time.Unix(1000, 0))
-	in := newIntake(t, &log, clock)
+// followQueues has the sites of in follow a log: the record at offset n is version 2+n, with one
+// queue that is named by the record's key.
+func followQueues(in *Intake, log *msstandin.JobLog) {
 	in.Operators = &msjournal.Follower{
-		Log: log.Log(), Clock: clock, Logger: in.Logger, Stream: "op", Reset: func() {},
+		Log: log.Log(), Clock: in.Clock, Logger: in.Logger, Stream: "op", Reset: func() {},
 		Apply: func(r msjournal.Record, offset int64) {
 			in.Sites.Set(&mssite.Site{Version: 2 + offset, Queues: []mssite.Queue{{Name: r.Key, Host: "h", Prefix: "/" + r.Key + "/", Public: true}}})
 		},
 	}
 	in.SiteCurrent = in.Operators.CurrentAsOf
+}
+
+// An entry that had not read a new queue yet refused its requests with "no queue", for as long
+// as it couldn't read the operators' records, and after it had started jobs of the queue.
+func TestRequestsAreRefusedByACurrentSiteOnly(t *testing.T) {
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	followQueues(in, &log)
 	authorize := func(path string) error {
 		_, err := in.Authorize(t.Context(), "h", path, "")
 		return err
@@ -113,13 +119,7 @@
 	var log msstandin.JobLog
 	clock := msclock.NewFake(time.Unix(1000, 0))
 	in := newIntake(t, &log, clock)
-	in.Operators = &msjournal.Follower{
-		Log: log.Log(), Clock: clock, Logger: in.Logger, Stream: "op", Reset: func() {},
-		Apply: func(r msjournal.Record, offset int64) {
-			in.Sites.Set(&mssite.Site{Version: 2 + offset, Queues: []mssite.Queue{{Name: r.Key, Host: "h", Prefix: "/" + r.Key + "/", Public: true}}})
-		},
-	}
-	in.SiteCurrent = in.Operators.CurrentAsOf
+	followQueues(in, &log)
 	require.NoError(t, in.Operators.Sync(t.Context()))
 	clock.Advance(maxRefusalAge + time.Millisecond)
 	log.Put("op", "new", []byte("{}"))
