--- a/msstandin/joblog.go
+++ b/msstandin/joblog.go
@@ -25,6 +25,10 @@
 	fault   LogFault
 	calls   int
 	reads   int
+	// readsAllowed is how many reads were allowed at readsAllowedAt.
+	readsAllowed   float64
+	readsAllowedAt time.Time
+	refusedReads   int
 }
 
 // LogFault is what is wrong with a log.
@@ -37,6 +41,9 @@
 	LoseReadsEvery int
 	// Delay is added to every answer.
 	Delay time.Duration
+	// ReadsPerSecond, if not 0, is how many reads, of records or of the newest, are answered a
+	// second, evenly over the second. The others are refused for their number.
+	ReadsPerSecond int
 }
 
 type jobStream struct {
@@ -59,7 +66,10 @@
 	offsets     map[int64]int64
 }
 
-var errFault = errors.New("stand-in: fault")
+var (
+	errFault   = errors.New("stand-in: fault")
+	errTooMany = errors.New("stand-in: too many reads")
+)
 
 // Log returns the log's calls.
 func (l *JobLog) Log() msjournal.Log {
@@ -88,6 +98,13 @@
 	return l.reads
 }
 
+// RefusedReads returns how many reads were refused for their number.
+func (l *JobLog) RefusedReads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refusedReads
+}
+
 // Put appends a record without faults, as operators and workers do.
 func (l *JobLog) Put(stream, key string, value []byte) {
 	l.mu.Lock()
@@ -179,6 +196,31 @@
 	return nil
 }
 
+// enterRead is enter for a read.
+func (l *JobLog) enterRead(ctx context.Context, op string) error {
+	if err := l.enter(ctx, op); err != nil {
+		return err
+	}
+	now := l.clock().Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := float64(l.fault.ReadsPerSecond)
+	if limit == 0 {
+		return nil
+	}
+	l.readsAllowed = min(l.readsAllowed+limit*now.Sub(l.readsAllowedAt).Seconds(), limit*readBurst.Seconds())
+	l.readsAllowedAt = now
+	if l.readsAllowed < 1 {
+		l.refusedReads++
+		return &msjournal.Error{Kind: msjournal.Rejected, Op: op, Err: errTooMany}
+	}
+	l.readsAllowed--
+	return nil
+}
+
+// readBurst is for how long reads that weren't made may be made up for.
+const readBurst = 50 * time.Millisecond
+
 func (l *JobLog) append(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
 	if err := l.enter(ctx, "append"); err != nil {
 		return 0, err
@@ -238,7 +280,7 @@
 const repeats = 5
 
 func (l *JobLog) read(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
-	if err := l.enter(ctx, "read"); err != nil {
+	if err := l.enterRead(ctx, "read"); err != nil {
 		return msjournal.Batch{}, err
 	}
 	l.mu.Lock()
@@ -282,7 +324,7 @@
 const pageKeys = 500
 
 func (l *JobLog) newest(ctx context.Context, stream, after string) (msjournal.Page, error) {
-	if err := l.enter(ctx, "newest"); err != nil {
+	if err := l.enterRead(ctx, "newest"); err != nil {
 		return msjournal.Page{}, err
 	}
 	l.mu.Lock()
