msjournal: a call that times out ends after its copies

Cause: a repeated call and its copies have the same deadline. The call returned once it was reached, and its caller made the next call, before the copies had given their connections back.

Why this works: the call waits for its copies, which end by the same deadline or are canceled. What is open is then at most the first copies and the repeats that are allowed.

--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -183,6 +183,10 @@
 			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				cancel()
 			}
+			// The copies end now too. The caller's next call must find their connections free.
+			for range sent - len(failed) {
+				<-answers
+			}
 			return answer{err: &Error{Kind: Unknown, Op: c.name, Err: ctx.Err()}}
 		case a := <-answers:
 			if !conclusive(a.err) {
