msjournal, platform: refused reads bring no more reads

The log refuses reads with 429, as all entries together make more than the 2,000 a second that it allows.

Cause: a Follower took a refusal for an outage. After it, it read once without waiting, as since after every failure, then began the read that waits, which was refused again: each refusal brought two reads and set the delay back to 50 ms. When op or ms-jobs was "regained" so, the reads of the job streams began anew as well. The class: the answer to an overload adds load.

Why this works: a refusal for the number of reads is an error of its own (TooMany). It is no outage, so nothing probes and nothing begins anew; the next read follows after the retry delay and the stream's usual pause.

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -49,6 +49,7 @@
 	// Wait, if set, returns how long a read waits for a record. It is one second otherwise.
 	Wait func() time.Duration
 	// Regained, if set, is called after the first successful read that follows a failed one.
+	// Refusals for the number of reads don't count.
 	Regained func()
 
 	mu          sync.Mutex
@@ -60,6 +61,9 @@
 	loadedOffsets    map[string]int64
 	lastLoadedOffset int64
 	failing          bool
+	// probing is set from a failed read, other than one refused for the number of reads, to the
+	// next successful one. The reads in between don't wait for records.
+	probing bool
 	// lostLoggedAt is when it was last logged that the stream is lost.
 	lostLoggedAt time.Time
 	// cancel, if set, ends the read or the pause that Run waits for. interrupted is set once
@@ -88,9 +92,13 @@
 		if err != nil {
 			_ = msclock.Sleep(ctx, f.Clock, delay)
 			delay = min(2*delay, maxRetryDelay)
-			continue
+			if !IsTooMany(err) {
+				continue
+			}
+			// Reads that are refused for their number must not be sent more often than others.
+		} else {
+			delay = minRetryDelay
 		}
-		delay = minRetryDelay
 		if f.Pause != nil {
 			_ = f.interruptible(ctx, func(ctx context.Context) error {
 				if d := f.Pause(); d > 0 {
@@ -108,8 +116,8 @@
 func (f *Follower) recordResult(err error) {
 	f.mu.Lock()
 	now := f.Clock.Now()
-	wasFailing := f.failing
-	f.failing = err != nil
+	wasFailing, wasProbing := f.failing, f.probing
+	f.failing, f.probing = err != nil, err != nil && (wasProbing || !IsTooMany(err))
 	age := now.Sub(f.currentAsOf)
 	stillLost := err != nil && wasFailing && now.Sub(f.lostLoggedAt) >= lostLogInterval
 	if stillLost || err != nil && !wasFailing {
@@ -123,23 +131,24 @@
 		f.Logger.Warn("stream still lost", zap.String("stream", f.Stream), zap.Duration("age", age), zap.Error(err))
 	case err == nil && wasFailing:
 		f.Logger.Info("stream regained", zap.String("stream", f.Stream))
-		if f.Regained != nil {
+		if wasProbing && f.Regained != nil {
 			f.Regained()
 		}
 	}
 }
 
 // poll loads the stream if that is still to be done, and otherwise reads once. After a failed
-// read it doesn't wait for records, as the answer shows that the log is back.
+// read it doesn't wait for records, as the answer shows that the log is back; a refusal for the
+// number of reads has shown that already.
 func (f *Follower) poll(ctx context.Context) error {
 	f.mu.Lock()
-	loaded, failing := f.loaded, f.failing
+	loaded, probing := f.loaded, f.probing
 	f.mu.Unlock()
 	if !loaded {
 		return f.load(ctx)
 	}
 	return f.interruptible(ctx, func(ctx context.Context) error {
-		if failing {
+		if probing {
 			return f.read(ctx, 0, probeTimeout)
 		}
 		wait := defaultReadWait
--- a/msjournal/journal.go
+++ b/msjournal/journal.go
@@ -96,7 +96,10 @@
 	Op   string
 	// End is the end offset of the stream if Kind is Conflict.
 	End int64
-	Err error
+	// TooMany is set if Kind is Rejected as all callers together make more calls than the log
+	// allows.
+	TooMany bool
+	Err     error
 }
 
 // Error returns the operation, the kind and the cause, if any.
@@ -112,6 +115,12 @@
 	return e.Err
 }
 
+// IsTooMany reports whether err is or wraps an *Error that has TooMany set.
+func IsTooMany(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.TooMany
+}
+
 // KindOf returns the kind of the *Error that err is or wraps, or Unknown if there
 // is none.
 func KindOf(err error) Kind {
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -375,3 +375,29 @@
 		})
 	}
 }
+
+// Each refusal for the number of reads brought two reads, one of them without a wait, and long
+// reads of other streams were begun anew, so that a log with too many readers got even more reads.
+func TestRefusedReadsBringNoMoreReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		l := log.Log()
+		answered := l.Read
+		reads, regained := 0, 0
+		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			reads++
+			if reads%2 == 0 {
+				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Rejected, Op: "read", TooMany: true}
+			}
+			return answered(ctx, stream, from, wait)
+		}
+		v := &view{}
+		f := &msjournal.Follower{Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
+		f.Regained = func() { regained++ }
+		runInBackground(t, f.Run)
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		require.LessOrEqual(t, reads, 2*(seconds+1), "an idle stream is read once a second")
+		require.Zero(t, regained, "the log was not away")
+	})
+}
--- a/msstandin/joblog.go
+++ b/msstandin/joblog.go
@@ -212,7 +212,7 @@
 	l.readsAllowedAt = now
 	if l.readsAllowed < 1 {
 		l.refusedReads++
-		return &msjournal.Error{Kind: msjournal.Rejected, Op: op, Err: errTooMany}
+		return &msjournal.Error{Kind: msjournal.Rejected, Op: op, TooMany: true, Err: errTooMany}
 	}
 	l.readsAllowed--
 	return nil
