msleader: refused reads don't hide a dead leader

Cause: after a failed read an entry starts its wait for a renewal anew, as the leader may have been unable to renew its term too. It did so after reads that the log refused for their number. With every second read refused, the wait never ended, and nobody took a dead leader's place.

Evidence: TestRefusedReadsDontHideADeadLeader, no leader after 4 s on the version before.

Why this works: a refusal for the number of reads says nothing of the leader's appends. The wait goes on, and an entry campaigns only once a read has shown that there is no renewal. Refusals for a whole TTL count as an outage, as before.

--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -252,9 +252,12 @@
 func (l *Elector) follow(ctx context.Context) error {
 	delay := l.candidacyDelay()
 	failing := false
+	// refusedSince is when the log began to refuse reads for their number, zero if the latest
+	// one was answered. That alone doesn't say that the leader was unable to renew its term.
+	var refusedSince time.Time
 	for ctx.Err() == nil {
 		electionTimeout := l.ttl + delay
-		if l.released || l.Clock.Now().Sub(l.lastRecordAt) >= electionTimeout {
+		if l.released || refusedSince.IsZero() && l.Clock.Now().Sub(l.lastRecordAt) >= electionTimeout {
 			if l.released {
 				_ = msclock.Sleep(ctx, l.Clock, l.candidacyDelay())
 			}
@@ -264,18 +267,22 @@
 			continue
 		}
 		begun := l.Clock.Now()
-		wait := min(readWait, electionTimeout-begun.Sub(l.lastRecordAt))
+		wait := max(min(readWait, electionTimeout-begun.Sub(l.lastRecordAt)), time.Millisecond)
 		rctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		b, err := l.Log.Read(rctx, l.Stream, l.nextOffset, max(wait, time.Millisecond))
+		b, err := l.Log.Read(rctx, l.Stream, l.nextOffset, wait)
 		cancel()
 		if err != nil {
 			if msjournal.KindOf(err) == msjournal.Expired {
 				return err
 			}
-			failing = true
+			if msjournal.IsTooMany(err) && refusedSince.IsZero() {
+				refusedSince = begun
+			}
+			failing = failing || !msjournal.IsTooMany(err) || begun.Sub(refusedSince) >= l.ttl
 			_ = msclock.Sleep(ctx, l.Clock, retryBackoff)
 			continue
 		}
+		refusedSince = time.Time{}
 		l.setCurrent(begun)
 		if failing {
 			// The leader may have been unable to renew for the same reason, so the wait
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -346,3 +346,38 @@
 		require.Contains(t, string(all[len(all)-1].Value), `"released":true`)
 	})
 }
+
+// An entry restarted its wait for a renewal after each read that was refused for the number of
+// reads, so that no entry took a dead leader's place.
+func TestRefusedReadsDontHideADeadLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		log.Put("leader", "term", []byte(`{"holder":"dead","serial":1,"ttl-ms":800}`))
+		l := log.Log()
+		answered := l.Read
+		reads := 0
+		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			reads++
+			if reads%2 == 1 {
+				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Rejected, Op: "read", TooMany: true}
+			}
+			return answered(ctx, stream, from, wait)
+		}
+		terms := &termRecorder{current: map[string]msleader.Term{}}
+		e := &msleader.Elector{
+			Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "leader", Holder: "a",
+			Jitter: func() float64 { return 0.3 }, Lead: terms.lead("a"),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		wg.Go(func() { _ = e.Run(ctx) })
+		time.Sleep(ackTimeout)
+		require.Equal(t, []string{"a"}, terms.validLeaders())
+	})
+}
+
+// ackTimeout is the time within which the platform's contract wants work to be confirmed again
+// after the loss of a machine.
+const ackTimeout = 4 * time.Second
