msjournal, msleader, marjoramspan: entries slow down where the log limits reads

Cause: an entry that doesn't lead makes about ten reads a second: up to five of ms-jobs, one for each renewal of the term, one of op. 300 make 3,000, and the log allows 2,000, so that the read of op, on which every request depends, was refused as often as those that can wait. The class: a limit for all, and callers that don't know it and treat all their calls alike.

Why this works: each refused read makes the pauses of the entry longer, and they shorten again slowly, so that all entries together stay near the limit and few reads are refused. Reads of ms-jobs, the job streams and the term slow down, by which callers see states up to a second and a dead leader's place is taken up to half a second later; op is read as often as before. Where nothing is refused nothing changes.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -64,6 +64,13 @@
 	readerPause = 200 * time.Millisecond
 	// leaderPause is the same for the entry that schedules.
 	leaderPause = 10 * time.Millisecond
+	// slowReaderPause, slowLeaderPause and slowStreamPause extend the pauses of readers, of the
+	// leader and of additional job streams while the log refuses reads for their number. Callers
+	// see a job's state later then, but configurations, which are read as often as before, are
+	// in force in time.
+	slowReaderPause = 800 * time.Millisecond
+	slowLeaderPause = 50 * time.Millisecond
+	slowStreamPause = 2 * time.Second
 	// streamPause is the pause of an entry that doesn't schedule between two reads of an
 	// additional job stream. It needs their jobs only for answers about jobs that another
 	// entry has accepted, and looks up jobs that it doesn't know.
@@ -168,6 +175,7 @@
 
 	reg      *prometheus.Registry
 	journal  msjournal.Log
+	pacer    *msjournal.Pacer
 	sites    mssite.Store
 	registry msworker.Registry
 	jobs     msjob.Table
@@ -212,7 +220,11 @@
 		Client: platform.NewClient(readConnections), Appends: platform.NewClient(appendConnections), LongReads: platform.NewClient(longReadConnections),
 		Address: func() string { return n.set.Load().LogAddr }, Calls: calls,
 	}
-	repeater := &msjournal.Repeater{Log: logClient.Log(), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
+	n.pacer = &msjournal.Pacer{Clock: n.clock, Jitter: rand.Float64}
+	n.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marjoramspan_log_read_slowdown", Help: "By how much this entry slows its reads of the log down, as the log refuses reads for their number: from 0, not at all, to 1.",
+	}, n.pacer.Level))
+	repeater := &msjournal.Repeater{Log: n.pacer.Watch(logClient.Log()), Clock: n.clock, Metrics: msjournal.NewRepeatMetrics(n.reg)}
 	n.journal = repeater.Repeated()
 	n.orders = (&platform.OrderClient{Client: platform.NewWorkerClient(workerConnections), Renewals: platform.NewWorkerClient(renewalConnections)}).Orders()
 	n.vms = (&platform.VMClient{
@@ -229,9 +241,9 @@
 	}, n.jobs.Reset)
 	n.records.Pause = func() time.Duration {
 		if n.scheduler() != nil {
-			return leaderPause
+			return leaderPause + n.pacer.Pause(slowLeaderPause)
 		}
-		return readerPause
+		return readerPause + n.pacer.Pause(slowReaderPause)
 	}
 	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
 	n.buildStreams(name)
@@ -239,7 +251,7 @@
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
-		CandidacyDelay: n.handicap, MilliCores: n.milliCores(),
+		CandidacyDelay: n.handicap, MilliCores: n.milliCores(), Pacer: n.pacer,
 	}
 	n.reportAge(streamLeader, n.leader.CurrentAsOf)
 	n.intake = &msintake.Intake{
@@ -298,12 +310,12 @@
 		}, func() { n.jobs.ResetStream(i) })
 		f.Pause = func() time.Duration {
 			if n.scheduler() != nil {
-				return leaderPause
+				return leaderPause + n.pacer.Pause(slowLeaderPause)
 			}
 			if idle := n.clock.Now().Sub(n.begun) - time.Duration(lastRecord.Load()); idle > streamIdle && !n.intake.Streams.Using() {
 				return idleStreamPause
 			}
-			return streamPause
+			return streamPause + n.pacer.Pause(slowStreamPause)
 		}
 		f.Wait = func() time.Duration {
 			if n.scheduler() != nil {
--- a/msleader/crowd_test.go
+++ b/msleader/crowd_test.go
@@ -41,8 +41,10 @@
 func newCrowdEntry(log *msstandin.JobLog, name string, r *rand.Rand, lead func(ctx context.Context, t msleader.Term) error) *crowdEntry {
 	e := &crowdEntry{}
 	clock := msclock.System{}
+	pacer := &msjournal.Pacer{Clock: clock, Jitter: r.Float64}
+	l := pacer.Watch(log.Log())
 	e.operators = &msjournal.Follower{
-		Log: log.Log(), Clock: clock, Logger: zap.NewNop(), Stream: "op", Reset: func() {},
+		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "op", Reset: func() {},
 		Apply: func(r msjournal.Record, _ int64) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -50,11 +52,11 @@
 		},
 	}
 	e.jobs = &msjournal.Follower{
-		Log: log.Log(), Clock: clock, Logger: zap.NewNop(), Stream: "jobs", Reset: func() {}, Apply: func(msjournal.Record, int64) {},
-		Pause: func() time.Duration { return 200 * time.Millisecond },
+		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "jobs", Reset: func() {}, Apply: func(msjournal.Record, int64) {},
+		Pause: func() time.Duration { return 200*time.Millisecond + pacer.Pause(800*time.Millisecond) },
 	}
 	e.elector = &msleader.Elector{
-		Log: log.Log(), Clock: clock, Logger: zap.NewNop(), Stream: "leader", Holder: name, Lead: lead, Jitter: r.Float64,
+		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "leader", Holder: name, Lead: lead, Jitter: r.Float64, Pacer: pacer,
 	}
 	return e
 }
--- a/msleader/leader.go
+++ b/msleader/leader.go
@@ -44,6 +44,9 @@
 	// maxRetryBackoff.
 	retryBackoff    = 80 * time.Millisecond
 	maxRetryBackoff = 640 * time.Millisecond
+	// slowReadPause is the share of the TTL for which an entry doesn't read after a renewal
+	// while reads are slowed down most. The death of the leader is noticed that much later.
+	slowReadPause = 0.6
 	// maxCandidacyJitter is the maximum random delay before a candidate campaigns.
 	maxCandidacyJitter = 20 * time.Millisecond
 
@@ -132,6 +135,8 @@
 	// CandidacyDelay, if set, returns an additional delay before the entry campaigns, which
 	// lets better candidates win.
 	CandidacyDelay func() time.Duration
+	// Pacer, if set, slows the reads of the entries that don't lead down.
+	Pacer *msjournal.Pacer
 	// Lead is called for each term and must return soon after ctx is done. If it
 	// returns earlier, the term is released.
 	Lead func(ctx context.Context, t Term) error
@@ -279,7 +284,7 @@
 				refusedSince = begun
 			}
 			failing = failing || !msjournal.IsTooMany(err) || begun.Sub(refusedSince) >= l.ttl
-			_ = msclock.Sleep(ctx, l.Clock, retryBackoff)
+			_ = msclock.Sleep(ctx, l.Clock, retryBackoff+l.slowPause())
 			continue
 		}
 		refusedSince = time.Time{}
@@ -295,10 +300,18 @@
 			l.lastRecordAt = l.Clock.Now()
 		}
 		l.nextOffset = max(l.nextOffset, b.Next)
+		if len(b.Records) > 0 && !l.released {
+			_ = msclock.Sleep(ctx, l.Clock, l.slowPause())
+		}
 	}
 	return nil
 }
 
+// slowPause returns the pause between two reads while reads are slowed down, else 0.
+func (l *Elector) slowPause() time.Duration {
+	return l.Pacer.Pause(time.Duration(slowReadPause * float64(l.ttl)))
+}
+
 // candidacyDelay returns how long to wait before campaigning once the term is free.
 func (l *Elector) candidacyDelay() time.Duration {
 	d := time.Duration(l.Jitter() * float64(maxCandidacyJitter))
