msjournal: entries read as usual 20 s after the last refusal

They did after 50 s. A log may also refuse one entry alone for some seconds, and its callers saw states of jobs late for as long. In balance an entry is refused once in four seconds instead of ten; TestConfigurationsAreInForceWhereTheLogLimitsReads passes with its bounds as they were.

--- a/msjournal/pacer.go
+++ b/msjournal/pacer.go
@@ -12,9 +12,10 @@
 	// levelStep is by how much a refused read raises the level of a Pacer. Several streams
 	// are read at a time, so the pauses are long after about a second of refusals.
 	levelStep = 0.2
-	// levelDecay is by how much the level falls in a second. Together with levelStep it lets
-	// each entry be refused once in ten seconds to find out whether it may read more often.
-	levelDecay = 0.02
+	// levelDecay is by how much the level falls in a second, so that an entry reads as usual 20 s
+	// after the log has stopped refusing. Where the log goes on to, each entry finds out by one
+	// refused read in four seconds.
+	levelDecay = 0.05
 )
 
 // Pacer says how far an entry has to slow its reads down, as the log refuses reads for their
