msleader, msjournal: the new tests share no unguarded state

go test -race found that the entries of TestConfigurationsAreInForceWhereTheLogLimitsReads drew from one source of random numbers, and that two tests counted reads without synchronization. No bound changed.

--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -383,21 +383,20 @@
 		var log msstandin.JobLog
 		l := log.Log()
 		answered := l.Read
-		reads, regained := 0, 0
+		var reads, regained atomic.Int64
 		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
-			reads++
-			if reads%2 == 0 {
+			if reads.Add(1)%2 == 0 {
 				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Rejected, Op: "read", TooMany: true}
 			}
 			return answered(ctx, stream, from, wait)
 		}
 		v := &view{}
 		f := &msjournal.Follower{Log: l, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
-		f.Regained = func() { regained++ }
+		f.Regained = func() { regained.Add(1) }
 		runInBackground(t, f.Run)
 		const seconds = 10
 		time.Sleep(seconds * time.Second)
-		require.LessOrEqual(t, reads, 2*(seconds+1), "an idle stream is read once a second")
-		require.Zero(t, regained, "the log was not away")
+		require.LessOrEqual(t, reads.Load(), int64(2*(seconds+1)), "an idle stream is read once a second")
+		require.Zero(t, regained.Load(), "the log was not away")
 	})
 }
--- a/msleader/crowd_test.go
+++ b/msleader/crowd_test.go
@@ -24,6 +24,8 @@
 	crowd = 300
 	// crowdReads is how many reads a second the log allows all of them.
 	crowdReads = 2000
+	// crowdSeed is the seed of the entries' delays.
+	crowdSeed = 36
 	// configApply is the time within which the platform's contract wants a configuration to be
 	// in force.
 	configApply = 2 * time.Second
@@ -38,10 +40,16 @@
 	newest string
 }
 
-func newCrowdEntry(log *msstandin.JobLog, name string, r *rand.Rand, lead func(ctx context.Context, t msleader.Term) error) *crowdEntry {
+func newCrowdEntry(log *msstandin.JobLog, name string, seed uint64, lead func(ctx context.Context, t msleader.Term) error) *crowdEntry {
 	e := &crowdEntry{}
 	clock := msclock.System{}
-	pacer := &msjournal.Pacer{Clock: clock, Jitter: r.Float64}
+	r := rand.New(rand.NewPCG(crowdSeed, seed))
+	jitter := func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return r.Float64()
+	}
+	pacer := &msjournal.Pacer{Clock: clock, Jitter: jitter}
 	l := pacer.Watch(log.Log())
 	e.operators = &msjournal.Follower{
 		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "op", Reset: func() {},
@@ -56,7 +64,7 @@
 		Pause: func() time.Duration { return 200*time.Millisecond + pacer.Pause(800*time.Millisecond) },
 	}
 	e.elector = &msleader.Elector{
-		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "leader", Holder: name, Lead: lead, Jitter: r.Float64, Pacer: pacer,
+		Log: l, Clock: clock, Logger: zap.NewNop(), Stream: "leader", Holder: name, Lead: lead, Jitter: jitter, Pacer: pacer,
 	}
 	return e
 }
@@ -84,7 +92,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var log msstandin.JobLog
 		log.SetFault(msstandin.LogFault{ReadsPerSecond: crowdReads})
-		r := rand.New(rand.NewPCG(36, 0))
+		r := rand.New(rand.NewPCG(crowdSeed, 0))
 		terms := &termRecorder{current: map[string]msleader.Term{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
@@ -93,7 +101,7 @@
 		var entries []*crowdEntry
 		for i := range crowd {
 			name := fmt.Sprint("edge-", i)
-			e := newCrowdEntry(&log, name, r, terms.lead(name))
+			e := newCrowdEntry(&log, name, uint64(i+1), terms.lead(name))
 			entries = append(entries, e)
 			delay := time.Duration(r.Int64N(int64(time.Second)))
 			wg.Go(func() { e.run(ctx, delay) })
--- a/msleader/leader_test.go
+++ b/msleader/leader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -355,10 +356,9 @@
 		log.Put("leader", "term", []byte(`{"holder":"dead","serial":1,"ttl-ms":800}`))
 		l := log.Log()
 		answered := l.Read
-		reads := 0
+		var reads atomic.Int64
 		l.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
-			reads++
-			if reads%2 == 1 {
+			if reads.Add(1)%2 == 1 {
 				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Rejected, Op: "read", TooMany: true}
 			}
 			return answered(ctx, stream, from, wait)
