--- a/msserver/connections.go
+++ b/msserver/connections.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -52,17 +53,21 @@
 
 // Stop closes l, on which the server accepts connections, waits until served has the result of
 // the server and until no request is under way, and calls shutdown. It waits for a second at
-// most, or until ctx is done. It returns the error of shutdown.
+// most, or until ctx is done. It returns the errors of the server and of shutdown.
 func (c *Connections) Stop(ctx context.Context, l net.Listener, served <-chan error, shutdown func(ctx context.Context) error) error {
 	arrival, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
 	_ = l.Close() // The server reports an error of the listener.
+	var failed error
 	select {
-	case <-served:
+	case err := <-served:
+		if !errors.Is(err, net.ErrClosed) {
+			failed = err
+		}
 		c.awaitQuiet(arrival)
 	case <-arrival.Done():
 	}
-	return shutdown(ctx)
+	return errors.Join(failed, shutdown(ctx))
 }
 
 // awaitQuiet returns once no request is under way, or ctx is done.
