msjournal: a test counts without a race

go test -race fails on TestFollowerReadsWithinTwoSecondsOfTheLogsReturn, since: the count of calls is written by one goroutine and read by another. The bound is as it was.

--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -361,8 +361,8 @@
 			var log msstandin.JobLog
 			v := &view{}
 			f := &msjournal.Follower{Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
-			regained := 0
-			f.Regained = func() { regained++ }
+			var regained atomic.Int64
+			f.Regained = func() { regained.Add(1) }
 			runInBackground(t, f.Run)
 			time.Sleep(10 * time.Second)
 			log.SetFault(msstandin.LogFault{Silent: true})
@@ -371,7 +371,7 @@
 			log.Put("s", "k", []byte("new"))
 			time.Sleep(2 * time.Second)
 			require.Equal(t, "new", v.get("k"), "after an outage of %s", outage)
-			require.LessOrEqual(t, regained, 1)
+			require.LessOrEqual(t, regained.Load(), int64(1))
 		})
 	}
 }
