--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -191,6 +192,7 @@
 	leader        *msleader.Elector
 	intake        *msintake.Intake
 	metrics       *msscheduler.Metrics
+	stalls        msclock.StallDetector
 	orders        msworker.Orders
 	vms           msworker.VMs
 	advise        msworker.Advisor
@@ -249,6 +251,7 @@
 	n.writer = &msjournal.Writer{Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamJobs, Producer: name}
 	n.buildStreams(name)
 	n.operators.Regained, n.records.Regained = n.rereadJobStreams, n.rereadJobStreams
+	n.watchStalls()
 	n.leader = &msleader.Elector{
 		Log: n.journal, Clock: n.clock, Logger: n.log, Stream: streamLeader,
 		Holder: name, VM: set.Name + "@" + set.ListenAddr, Jitter: rand.Float64, Lead: n.lead,
@@ -293,6 +296,23 @@
 	}
 }
 
+// minStall is the shortest time for which the process counts as having stood still, in
+// deployments that don't bound how late a request may be handled.
+const minStall = 100 * time.Millisecond
+
+// watchStalls prepares the detection of times in which the process stood still.
+func (n *node) watchStalls() {
+	stalls := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "marjoramspan_stalled_seconds_total", Help: "Time for which the process stood still.",
+	})
+	n.reg.MustRegister(stalls)
+	n.stalls.Clock, n.stalls.Min = n.clock, cmp.Or(n.set.Load().Bounds.RollbackSlack/2, minStall)
+	n.stalls.OnStall = func(d time.Duration) {
+		stalls.Add(d.Seconds())
+		n.log.Warn("process stood still", zap.Duration("for", d))
+	}
+}
+
 // jobStream returns the name of a stream of jobs and cancels.
 func jobStream(number int) string {
 	if number == 0 {
@@ -543,6 +563,7 @@
 		return nil
 	})
 	add("settings", n.watchSettings)
+	add("stalls", n.stalls.Run)
 	add("offers", n.offerToLead)
 	n.addServer(g, set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
 	n.addServer(g, net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
--- /dev/null
+++ b/msjournal/progress.go
@@ -0,0 +1,38 @@
+package msjournal
+
+import "context"
+
+// progressKey is the context key of a progressFunc.
+type progressKey struct{}
+
+// progressFunc is told how many bytes of an answer have arrived and how many it has in all, or
+// -1 if that isn't known.
+type progressFunc func(received, total int64)
+
+// WithProgress returns a context with which the calls of a Log report to fn, and to the
+// functions that ctx has already, what has arrived of their answers. fn is called from the
+// goroutine that reads the answer: first with 0 once the answer begins, and then with each
+// part of it.
+func WithProgress(ctx context.Context, fn func(received, total int64)) context.Context {
+	outer := progressOf(ctx)
+	if outer == nil {
+		return context.WithValue(ctx, progressKey{}, progressFunc(fn))
+	}
+	return context.WithValue(ctx, progressKey{}, progressFunc(func(received, total int64) {
+		fn(received, total)
+		outer(received, total)
+	}))
+}
+
+// ReportProgress calls the functions that WithProgress has added to ctx, if any. Implementations
+// of a Log call it while they read an answer.
+func ReportProgress(ctx context.Context, received, total int64) {
+	if fn := progressOf(ctx); fn != nil {
+		fn(received, total)
+	}
+}
+
+func progressOf(ctx context.Context) progressFunc {
+	fn, _ := ctx.Value(progressKey{}).(progressFunc)
+	return fn
+}
