--- /dev/null
+++ b/msintake/view_test.go
@@ -0,0 +1,98 @@
+package msintake
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msclock"
+	"marjoramspan/msjournal"
+	"marjoramspan/msstandin"
+)
+
+// rollbackSlack is how much later than a request that a site has allowed another one may be
+// handled by an older site.
+const rollbackSlack = 250 * time.Millisecond
+
+// An entry refused requests for a new queue by a site that was up to a second old, while it held
+// others until a read brought the queue.
+func TestNoQueueIsRefusedByAViewOlderThanTheSlack(t *testing.T) {
+	for age := rollbackSlack / 2; age <= 4*rollbackSlack; age += 10 * time.Millisecond {
+		var log msstandin.JobLog
+		clock := msclock.NewFake(time.Unix(1000, 0))
+		in := newIntake(t, &log, clock)
+		followQueues(in, &log)
+		require.NoError(t, in.Operators.Sync(t.Context()))
+		clock.Advance(age)
+		log.Put("op", "new", []byte("{}"))
+		_, err := in.Authorize(t.Context(), "h", "/new/1", "")
+		require.NoError(t, err, "by a view %v old", age)
+	}
+}
+
+// A site came into force after a request was matched with the one before it, and the refusal was
+// taken for one by the newer site.
+func TestRefusalIsNotDatedByANewerSite(t *testing.T) {
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	followQueues(in, &log)
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	clock.Advance(10 * rollbackSlack)
+	log.Put("op", "new", []byte("{}"))
+	in.SiteCurrent = func() time.Time {
+		require.NoError(t, in.Operators.Sync(t.Context()))
+		return in.Operators.CurrentAsOf()
+	}
+	_, err := in.Authorize(t.Context(), "h", "/new/1", "")
+	require.NoError(t, err)
+}
+
+// A request that waited for a read while the process stood still was answered by the site that
+// the read brought, after later ones had been refused by the older site.
+func TestRequestThatWaitedThroughAStallIsNotAnsweredByTheNewSite(t *testing.T) {
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	followQueues(in, &log)
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	clock.Advance(10 * rollbackSlack)
+	log.Put("op", "new", []byte("{}"))
+	read := in.Operators.Log.Read
+	in.Operators.Log.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+		clock.Advance(800 * time.Millisecond)
+		return read(ctx, stream, from, wait)
+	}
+	_, err := in.Authorize(t.Context(), "h", "/new/1", "")
+	require.Equal(t, NotReady, kindOf(t, err))
+	in.Operators.Log.Read = read
+	_, err = in.Authorize(t.Context(), "h", "/new/1", "")
+	require.NoError(t, err)
+}
+
+// An entry that went on reading jobs, but not the operators' records, accepted requests by a site
+// that had been replaced for longer than a change may take.
+func TestNoRequestIsAcceptedByASiteThatMayBeReplaced(t *testing.T) {
+	const siteLimit = 2 * time.Second
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	followQueues(in, &log)
+	log.Put("op", "dropped", []byte("{}"))
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	authorize := func() error {
+		_, err := in.Authorize(t.Context(), "h", "/dropped/1", "")
+		return err
+	}
+	log.Put("op", "other", []byte("{}"))
+	clock.Advance(siteLimit)
+	require.NoError(t, in.Journal.Sync(t.Context()))
+	require.NoError(t, authorize(), "a change may take as long")
+	clock.Advance(time.Millisecond)
+	require.NoError(t, in.Journal.Sync(t.Context()))
+	require.Equal(t, NotReady, kindOf(t, authorize()), "the entry reaches the log")
+	clock.Advance(2 * siteLimit)
+	require.NoError(t, authorize(), "the log is away")
+}
