msjournal: an answer that is arriving is not asked for again

What callers saw: on grown deployments some entries went on answering by a configuration that was replaced up to 27 s before (CONFIG, handled by version 26 or older; version 30 was acked more than 3000 ms before), in touch with the log all the while.

Cause: a read that isn't answered in full within twice the usual time, 20 ms where answers are small, was sent again, up to six times, each over another connection. Two configurations of 206 KB take 0.33 s over 10 Mbit/s, six copies of them 2 s; all were given up after 1 s, and the next read began with the first byte again. Copies of other streams that waited behind these on the link counted as missing too.

Change: an answer counts as missing only until it begins to arrive, and no read is repeated while a large answer arrives. Answer times end where the answer begins.

Evidence: TestLargeConfigurationsAreReadOverANarrowLink failed before (of 480 KB none applied after 2 s, 1.16 MB carried) and passes. A lost answer brings no byte, so it is repeated as before (TestLostReadsCostTensOfMilliseconds).

--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,9 @@
 	lossyReadWait = 150 * time.Millisecond
 	// lossyReadTimeout bounds the time of a read beyond a wait that was shortened.
 	lossyReadTimeout = 1500 * time.Millisecond
+	// largeAnswer is the size in bytes from which an answer takes longer to arrive over a slow
+	// link than a small answer may take before its call is repeated.
+	largeAnswer = 16 << 10
 )
 
 // Repeater repeats calls of a Log whose answers are missing, each on another connection,
@@ -38,6 +42,9 @@
 	appends, reads answerTimes
 	// openRepeats counts the open repeats by the name of their call.
 	openRepeats map[string]int
+	// arriving counts the large answers that are arriving. Others wait behind them on the
+	// VM's link, so that late answers aren't missing ones.
+	arriving int
 	// appendsTo has the answer times of the appends by stream: those of a contended stream
 	// are much longer than those of others, and repeats would add to the contention.
 	appendsTo map[string]*answerTimes
@@ -65,7 +72,48 @@
 // Repeated returns the calls that are repeated. Newest is called once, since its answer is
 // long and a repeat would delay it on a narrow link.
 func (r *Repeater) Repeated() Log {
-	return Log{Limits: r.Log.Limits, Append: r.append, Read: r.read, Newest: r.Log.Newest}
+	return Log{Limits: r.Log.Limits, Append: r.append, Read: r.read, Newest: r.newest}
+}
+
+func (r *Repeater) newest(ctx context.Context, stream, after string) (Page, error) {
+	a := arrival{r: r}
+	defer a.end()
+	return r.Log.Newest(WithProgress(ctx, a.progress), stream, after)
+}
+
+// arrival is the answer to one copy of a call. Its fields belong to the goroutine that makes
+// the call.
+type arrival struct {
+	r *Repeater
+	// begun is when the answer began to arrive, or zero.
+	begun time.Time
+	// large is set while the answer counts as a large one that is arriving.
+	large bool
+}
+
+func (a *arrival) progress(received, total int64) {
+	if a.begun.IsZero() {
+		a.begun = a.r.Clock.Now()
+	}
+	a.setLarge(total >= largeAnswer && received < total)
+}
+
+func (a *arrival) end() {
+	a.setLarge(false)
+}
+
+func (a *arrival) setLarge(large bool) {
+	if large == a.large {
+		return
+	}
+	a.large = large
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	if large {
+		a.r.arriving++
+	} else {
+		a.r.arriving--
+	}
 }
 
 // answer is the result of one copy of a call.
@@ -154,17 +202,28 @@
 	copyCtx, cancel := withDeadlineOf(ctx)
 	answers := make(chan answer, maxCopies)
 	sent := 0
+	// begun is set once the answer to a copy has begun to arrive: it isn't missing.
+	var begun atomic.Bool
 	sendCopy := func() {
 		n := sent
 		sent++
 		go func() {
-			begun := clock.Now()
-			a := c.send(copyCtx, n)
+			sentAt := clock.Now()
+			arriving := arrival{r: c.r}
+			a := c.send(WithProgress(copyCtx, func(received, total int64) {
+				begun.Store(true)
+				arriving.progress(received, total)
+			}), n)
+			arriving.end()
 			a.copy = n
 			if n > 0 {
 				c.r.endRepeat(c.name)
 			}
-			c.observe(n, clock.Now().Sub(begun), a)
+			answeredAt := arriving.begun
+			if answeredAt.IsZero() {
+				answeredAt = clock.Now()
+			}
+			c.observe(n, answeredAt.Sub(sentAt), a)
 			answers <- a
 		}()
 	}
@@ -204,7 +263,7 @@
 			go c.awaitLateAnswers(cancel, answers, sent-len(failed)-1, delay, a.copy)
 			return a
 		case <-timer:
-			if sent == maxCopies || len(failed) > 0 {
+			if sent == maxCopies || len(failed) > 0 || begun.Load() {
 				timer = nil
 				continue
 			}
@@ -223,7 +282,7 @@
 func (r *Repeater) beginRepeat(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.openRepeats[name] >= maxOpenRepeats {
+	if r.arriving > 0 || r.openRepeats[name] >= maxOpenRepeats {
 		return false
 	}
 	if r.openRepeats == nil {
@@ -272,7 +331,7 @@
 	return failed[0].err
 }
 
-// observe records how long a copy took if it was answered.
+// observe records how long a copy took until its answer began, if it was answered.
 func (c *repeatedCall) observe(n int, took time.Duration, a answer) {
 	if a.err != nil {
 		return
