msjournal: an answer that is arriving is not given up

What callers saw: entries that read a large configuration, or load their streams after all were killed, over a narrow link began again and again and answered 503, or by a version that was replaced.

Cause: a read or a page of a load had a fixed time from its sending, 0.7 to 1.7 s, whatever had arrived of its answer; the next one began with the first byte. Five loads of 600 KB need 2.4 s over 10 Mbit/s and never ended.

Change: the time of a read is that until its answer begins, and each further part may take a second, ten in all.

Works as a call that makes progress is no lost call; one on a dead connection is given up after a second, sooner than a long read was before.

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -192,14 +192,15 @@
 	}
 }
 
-// read reads once from the next offset, within timeout, and applies the records. If the
+// read reads once from the next offset and applies the records. Its answer has to begin within
+// timeout. If the
 // records there have expired, it loads the stream again.
 func (f *Follower) read(ctx context.Context, wait, timeout time.Duration) error {
 	f.mu.Lock()
 	from := f.nextOffset
 	f.mu.Unlock()
 	sentAt := f.Clock.Now()
-	readCtx, cancel := context.WithTimeout(ctx, timeout)
+	readCtx, cancel := withAnswerTimeout(ctx, timeout)
 	defer cancel()
 	batch, err := f.Log.Read(readCtx, f.Stream, from, wait)
 	if KindOf(err) == Expired && err != nil {
@@ -268,7 +269,7 @@
 	var pages []Page
 	after := ""
 	for {
-		readCtx, cancel := context.WithTimeout(ctx, defaultReadWait+readTimeoutMargin)
+		readCtx, cancel := withAnswerTimeout(ctx, defaultReadWait+readTimeoutMargin)
 		page, err := f.Log.Newest(readCtx, f.Stream, after)
 		cancel()
 		if err != nil {
--- a/msjournal/link_test.go
+++ b/msjournal/link_test.go
@@ -155,3 +155,36 @@
 		}
 	})
 }
+
+// A connection that dies while an answer arrives must not hold up a stream until a long read
+// would have ended.
+func TestAnswerThatStopsArrivingIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settle(t)
+		var log msstandin.JobLog
+		calls := log.Log()
+		read := calls.Read
+		dead := true
+		calls.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (msjournal.Batch, error) {
+			b, err := read(ctx, stream, from, wait)
+			if dead && len(b.Records) > 0 {
+				dead = false
+				msjournal.ReportProgress(ctx, 1, 1<<20)
+				<-ctx.Done()
+				return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Unknown, Op: "read", Err: context.Cause(ctx)}
+			}
+			return b, err
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &msjournal.Follower{
+			Log: calls, Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "op",
+			Apply: func(msjournal.Record, int64) {}, Reset: func() {}, Wait: func() time.Duration { return 25 * time.Second },
+		}
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(time.Second)
+		log.Put("op", "config", nil)
+		time.Sleep(configApply)
+		require.EqualValues(t, 1, f.Next())
+	})
+}
--- a/msjournal/progress.go
+++ b/msjournal/progress.go
@@ -1,6 +1,34 @@
 package msjournal
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+const (
+	// answerIdle is how long nothing more of an answer may arrive before it is given up. An
+	// entry reads over up to a dozen connections at a time, and their answers take turns on
+	// its link.
+	answerIdle = time.Second
+	// maxArrival bounds how long an answer may arrive in all.
+	maxArrival = 10 * time.Second
+)
+
+// withAnswerTimeout returns a context that ends with context.DeadlineExceeded as its cause if
+// the answer to a call hasn't begun within timeout, or if nothing more of it arrives for
+// answerIdle. An answer that is arriving isn't given up: the next call for it would begin with
+// its first byte again.
+func withAnswerTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancelMax := context.WithTimeout(ctx, timeout+maxArrival)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	ctx = WithProgress(ctx, func(int64, int64) { timer.Reset(min(timeout, answerIdle)) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+		cancelMax()
+	}
+}
 
 // progressKey is the context key of a progressFunc.
 type progressKey struct{}
--- a/msjournal/repeat.go
+++ b/msjournal/repeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,9 +158,9 @@
 	r.mu.Unlock()
 	if lossy && wait > lossyReadWait {
 		wait = lossyReadWait
-		// The copies keep the deadline of the call, which allows for the wait that was asked for.
+		// The deadline of the call allows for the wait that was asked for.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+lossyReadTimeout)
+		ctx, cancel = withAnswerTimeout(ctx, wait+lossyReadTimeout)
 		defer cancel()
 	}
 	c := repeatedCall{r: r, name: "read", times: &r.reads, wait: wait, send: func(ctx context.Context, n int) answer {
@@ -197,9 +196,9 @@
 // Unknown says what became of all copies.
 func (c *repeatedCall) run(ctx context.Context) answer {
 	clock := c.r.Clock
-	// Copies outlive the call for a moment, to learn whether their answers were late or
-	// lost. They have its deadline, so that one that reaches it is known for timed out.
-	copyCtx, cancel := withDeadlineOf(ctx)
+	// Copies outlive the call for a moment, to learn whether their answers were late or lost.
+	copyCtx, cancelCopies := context.WithCancelCause(context.WithoutCancel(ctx))
+	cancel := func() { cancelCopies(context.Canceled) }
 	answers := make(chan answer, maxCopies)
 	sent := 0
 	// begun is set once the answer to a copy has begun to arrive: it isn't missing.
@@ -239,14 +238,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				cancel()
-			}
+			// Copies of a call that timed out are known for timed out.
+			cancelCopies(context.Cause(ctx))
 			// The copies end now too. The caller's next call must find their connections free.
 			for range sent - len(failed) {
 				<-answers
 			}
-			return answer{err: &Error{Kind: Unknown, Op: c.name, Err: ctx.Err()}}
+			return answer{err: &Error{Kind: Unknown, Op: c.name, Err: context.Cause(ctx)}}
 		case a := <-answers:
 			if !conclusive(a.err) {
 				failed = append(failed, a)
@@ -298,15 +296,6 @@
 	r.openRepeats[name]--
 }
 
-// withDeadlineOf returns a context with the deadline and the values of ctx that isn't
-// canceled with it.
-func withDeadlineOf(ctx context.Context) (context.Context, context.CancelFunc) {
-	if deadline, ok := ctx.Deadline(); ok {
-		return context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	}
-	return context.WithCancel(context.WithoutCancel(ctx))
-}
-
 // conclusive reports whether a copy was answered with what became of the call.
 func conclusive(err error) bool {
 	if err == nil {
