msintake: a request is decided and dated by one view of the site

Cause: the request was matched against the site, and then the age was asked for, twice, each after the site. If a newer site came into force in between, the refusal by the older one counted as current. On an entry without processor time that is as long as it gets none.

Change: view takes the time as of which the site is the newest, and then site and announced version in one look; the decision and its text are by this view. A site that comes into force in between is dated too early.

Evidence: TestRefusalIsNotDatedByANewerSite failed before (404 by the older site) and passes.

--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -10,9 +10,7 @@
 package msintake
 
 import (
-	"cmp"
 	"context"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -140,68 +138,6 @@
 	unsettled unsettled
 }
 
-const (
-	// maxRefusalAge is the maximum age of the site by which a request is refused. A
-	// configuration has to be in force after two seconds.
-	maxRefusalAge = time.Second
-	// defaultMaxHold is the default of Intake.MaxHold, half of the usual rollback slack.
-	defaultMaxHold = 125 * time.Millisecond
-)
-
-// Authorize returns the queue for a host and path, and checks the key unless the queue is
-// open. Callers don't repeat a request without a queue or a valid key, so before it returns
-// such an error it reads the operators' records to their end, unless the site is current. If
-// that takes longer than MaxHold, the error is NotReady.
-func (in *Intake) Authorize(ctx context.Context, host, path, key string) (Grant, error) {
-	g, err := in.authorize(host, path, key)
-	if err == nil || err.Kind == NotReady || in.siteIsCurrent() {
-		return g, err.orNil()
-	}
-	if in.Operators.Failing() {
-		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter}
-	}
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(in.MaxHold, defaultMaxHold))
-	defer cancel()
-	if err := in.Sites.ReadAnnounced(ctx, in.Operators.Sync); err != nil {
-		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
-	}
-	g, err = in.authorize(host, path, key)
-	return g, err.orNil()
-}
-
-// siteIsCurrent reports whether requests may be refused by the site as it is.
-func (in *Intake) siteIsCurrent() bool {
-	return in.Operators == nil || !in.Sites.Behind() && in.Clock.Now().Sub(in.SiteCurrent()) <= maxRefusalAge
-}
-
-func (in *Intake) authorize(host, path, key string) (Grant, *Error) {
-	site := in.Sites.Site()
-	if site == nil {
-		return Grant{}, &Error{Kind: NotReady, Reason: "no site has been read", RetryAfter: storeRetryAfter}
-	}
-	q, rest := site.MatchQueue(host, path)
-	age := in.Clock.Now().Sub(in.SiteCurrent())
-	if q == nil {
-		return Grant{}, &Error{Kind: NoQueue, Reason: "no queue at this host and path in " + viewOf(site, age)}
-	}
-	g := Grant{Queue: *q, Subpath: rest, Version: site.Version, Team: site.Keys[key]}
-	if q.Public {
-		return g, nil
-	}
-	if in.SiteLease > 0 && age > in.SiteLease {
-		return g, &Error{Kind: NotReady, Reason: "keys were last confirmed " + age.Round(time.Millisecond).String() + " ago", RetryAfter: storeRetryAfter}
-	}
-	if key == "" || g.Team == "" {
-		return g, &Error{Kind: BadKey, Reason: "the key is not in " + viewOf(site, age)}
-	}
-	return g, nil
-}
-
-// viewOf describes the version of a site that was last confirmed to be the newest age ago.
-func viewOf(site *mssite.Site, age time.Duration) string {
-	return "version " + strconv.FormatInt(site.Version, 10) + ", confirmed " + age.Round(time.Millisecond).String() + " ago"
-}
-
 // Submit stores a job and returns nil once it is stored. It also returns nil for a job
 // that was accepted before.
 func (in *Intake) Submit(ctx context.Context, g Grant, j *msjob.Job) error {
--- a/mssite/site.go
+++ b/mssite/site.go
@@ -180,11 +180,11 @@
 	return version > h.notFound && h.site.OlderThan(version)
 }
 
-// Behind reports whether a newer version than that of the site is known to exist.
-func (h *Store) Behind() bool {
+// Newest returns the newest site, or nil, and whether a newer version is known to exist.
+func (h *Store) Newest() (s *Site, behind bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.awaits(h.announced)
+	return h.site, h.awaits(h.announced)
 }
 
 // ReadAnnounced calls read, which reads the operators' records to their end. If they don't
