msintake: requests are refused by a view within the rollback slack only

What callers saw: 404 for a queue by a view of up to a second, while another request that had been sent up to 0.8 s earlier was held, or was decided by the newer version (CONFIG, an entry went back).

Cause: a view of up to a second was good enough for a refusal, and a held request may be decided by a newer one. Age and hold together were 1.1 s, where 250 ms are allowed.

Change: a refusal needs a view that was a quarter of the slack old at most when the request arrived, and a request is held for half of it. The last quarter is for the ways of two requests to differ. Refusals share their reads (SyncSince): one begins a quarter of the slack after another at the earliest, which is 16 a second and entry, and later after one that failed and while the log refuses reads for their number. What can't be confirmed gets 503 with Retry-After.

--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -123,10 +123,11 @@
 	// Operators, if set, follows the operators' records that Sites holds. Requests are then
 	// refused by a current site only.
 	Operators *msjournal.Follower
-	// MaxHold bounds how long a request waits until the operators' records are read. Those
-	// that arrive meanwhile are handled by the older site, so an entry that held a request for
-	// longer would seem to go back. It is defaultMaxHold if 0.
-	MaxHold time.Duration
+	// RollbackSlack is how much later than a request that a site has allowed another one may
+	// still be handled by an older site. It is defaultRollbackSlack if 0.
+	RollbackSlack time.Duration
+	// ReadPause, if set, returns by how much the entry's reads of the log are slowed down.
+	ReadPause func() time.Duration
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
 	// maximum.
 	SiteLease time.Duration
@@ -136,6 +137,7 @@
 	Metrics *Metrics
 
 	unsettled unsettled
+	reads     confirmingReads
 }
 
 // Submit stores a job and returns nil once it is stored. It also returns nil for a job
--- a/msintake/view.go
+++ b/msintake/view.go
@@ -4,18 +4,26 @@
 	"cmp"
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"marjoramspan/mssite"
 )
 
-const (
-	// maxRefusalAge is the maximum age of the site by which a request is refused. A
-	// configuration has to be in force after two seconds.
-	maxRefusalAge = time.Second
-	// defaultMaxHold is the default of Intake.MaxHold, half of the usual rollback slack.
-	defaultMaxHold = 125 * time.Millisecond
-)
+// defaultRollbackSlack is the default of Intake.RollbackSlack.
+const defaultRollbackSlack = 250 * time.Millisecond
+
+// maxHold is how long a request may wait until the operators' records are read. Those that
+// arrive meanwhile are handled by the older site.
+func (in *Intake) maxHold() time.Duration {
+	return cmp.Or(in.RollbackSlack, defaultRollbackSlack) / 2
+}
+
+// maxRefusalAge is the maximum age of the site by which a request is refused. Together with
+// maxHold it leaves a quarter of the slack for the ways of two requests to differ.
+func (in *Intake) maxRefusalAge() time.Duration {
+	return cmp.Or(in.RollbackSlack, defaultRollbackSlack) / 4
+}
 
 // siteView is a site and what was known of it at one moment. A request is decided by one view.
 type siteView struct {
@@ -36,30 +44,83 @@
 }
 
 // Authorize returns the queue for a host and path, and checks the key unless the queue is
-// open. Callers don't repeat a request without a queue or a valid key, so before it returns
-// such an error it reads the operators' records to their end, unless the site is current. If
-// that takes longer than MaxHold, the error is NotReady.
+// open. Callers don't repeat a request without a queue or a valid key, and an earlier one may
+// have been allowed by a newer site, so such an error needs a view that is at most
+// maxRefusalAge old when the request arrives. Otherwise the operators' records are read first.
+// If that takes longer than maxHold, the error is NotReady.
 func (in *Intake) Authorize(ctx context.Context, host, path, key string) (Grant, error) {
+	arrived := in.Clock.Now()
 	v := in.view()
 	g, err := in.authorize(v, host, path, key)
-	if err == nil || err.Kind == NotReady || in.mayRefuse(v) {
+	if err == nil || err.Kind == NotReady || in.mayRefuse(v, arrived) {
 		return g, err.orNil()
 	}
-	if in.Operators.Failing() {
-		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter}
-	}
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(in.MaxHold, defaultMaxHold))
-	defer cancel()
-	if err := in.Sites.ReadAnnounced(ctx, in.Operators.Sync); err != nil {
-		return g, &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
+	if err := in.confirm(ctx, v, arrived); err != nil {
+		return g, err
 	}
 	g, err = in.authorize(in.view(), host, path, key)
 	return g, err.orNil()
 }
 
-// mayRefuse reports whether requests may be refused by a view.
-func (in *Intake) mayRefuse(v siteView) bool {
-	return in.Operators == nil || !v.behind && in.Clock.Now().Sub(v.asOf) <= maxRefusalAge
+// mayRefuse reports whether a request that arrived at a time may be refused by a view.
+func (in *Intake) mayRefuse(v siteView, arrived time.Time) bool {
+	return in.Operators == nil || !v.behind && arrived.Sub(v.asOf) <= in.maxRefusalAge()
+}
+
+// confirm reads the operators' records until the site is as new as the refusal of a request
+// that arrived at a time needs. Requests share these reads: one begins maxRefusalAge after
+// another at the earliest, and later after a failed one and while the log refuses reads for
+// their number, whatever callers send.
+func (in *Intake) confirm(ctx context.Context, v siteView, arrived time.Time) *Error {
+	if in.Operators.Failing() || !in.reads.allowed(arrived, in.maxRefusalAge()) {
+		return in.unconfirmed(nil)
+	}
+	holdCtx, cancel := context.WithTimeout(ctx, in.maxHold())
+	defer cancel()
+	var err error
+	if v.behind {
+		// What has shown that there is a newer version may be more recent than the last read.
+		err = in.Sites.ReadAnnounced(holdCtx, in.Operators.Sync)
+	} else {
+		err = in.Operators.SyncSince(holdCtx, arrived.Add(-in.maxRefusalAge()))
+	}
+	if err != nil && ctx.Err() == nil {
+		var pause time.Duration
+		if in.ReadPause != nil {
+			pause = in.ReadPause()
+		}
+		in.reads.failed(in.Clock.Now(), pause)
+	}
+	if err != nil {
+		return in.unconfirmed(err)
+	}
+	return nil
+}
+
+// confirmingReads delays reads for refusals after one that failed. The zero value is ready for
+// use. It is safe for concurrent use.
+type confirmingReads struct {
+	mu       sync.Mutex
+	failedAt time.Time
+	pause    time.Duration
+}
+
+// allowed reports whether a read may begin, if reads are at least interval apart.
+func (c *confirmingReads) allowed(now time.Time, interval time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.failedAt) >= interval+c.pause
+}
+
+// failed notes a read that failed. The next one begins pause later than it otherwise would.
+func (c *confirmingReads) failed(now time.Time, pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt, c.pause = now, pause
+}
+
+func (in *Intake) unconfirmed(err error) *Error {
+	return &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
 }
 
 // authorize decides a request by a view.
--- a/msintake/view_test.go
+++ b/msintake/view_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -96,3 +99,43 @@
 	clock.Advance(2 * siteLimit)
 	require.NoError(t, authorize(), "the log is away")
 }
+
+// Callers with bad keys or paths must not make an entry read the log more often than it bears.
+func TestRefusalsReadTheLogAtABoundedRate(t *testing.T) {
+	for _, readsPerSecond := range []int{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			var log msstandin.JobLog
+			log.SetFault(msstandin.LogFault{Delay: 4 * time.Millisecond, ReadsPerSecond: readsPerSecond})
+			in := newIntake(t, &log, msclock.System{})
+			followQueues(in, &log)
+			const slowed = 400 * time.Millisecond
+			in.ReadPause = func() time.Duration { return slowed }
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			var refused, unconfirmed atomic.Int64
+			var wg sync.WaitGroup
+			for range 20 {
+				wg.Go(func() {
+					for msclock.Sleep(ctx, in.Clock, time.Millisecond) == nil {
+						_, err := in.Authorize(ctx, "h", "/none/1", "")
+						if kindOf(t, err) == NoQueue {
+							refused.Add(1)
+						} else {
+							unconfirmed.Add(1)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			if readsPerSecond == 0 {
+				require.Positive(t, refused.Load())
+				require.LessOrEqual(t, log.Reads(), int(10*time.Second/in.maxRefusalAge())+1)
+				require.LessOrEqual(t, unconfirmed.Load(), int64(20), "those that were under way at the end")
+				return
+			}
+			// The log refuses every read.
+			require.LessOrEqual(t, log.RefusedReads(), int(10*time.Second/slowed)+1)
+			require.Positive(t, unconfirmed.Load())
+		})
+	}
+}
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -328,13 +328,18 @@
 
 // Sync returns once all records appended before the call have been applied, or with the error
 // of ctx once that is done.
+func (f *Follower) Sync(ctx context.Context) error {
+	return f.SyncSince(ctx, f.Clock.Now())
+}
+
+// SyncSince returns once all records appended before a time have been applied, or with the error
+// of ctx once that is done.
 // Concurrent calls share their reads: on a link with little bandwidth, separate
 // reads of the same records would slow each other down until all of them time out.
-func (f *Follower) Sync(ctx context.Context) error {
-	calledAt := f.Clock.Now()
+func (f *Follower) SyncSince(ctx context.Context, since time.Time) error {
 	for {
 		f.mu.Lock()
-		if f.loaded && !f.currentAsOf.Before(calledAt) {
+		if f.loaded && !f.currentAsOf.Before(since) {
 			f.mu.Unlock()
 			return nil
 		}
@@ -361,7 +366,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if call.err != nil && !call.started.Before(calledAt) {
+		if call.err != nil && !call.started.Before(since) {
 			return call.err
 		}
 	}
