msintake: the bound on a hold is the time that has passed

Cause: a held request waited for a read or a timer. A process that stood still finds both at their ends, and select takes either: the request was then decided by what the read had brought, however long it had waited.

Change: after the wait the clock decides; it counts suspension too.

--- a/msintake/view.go
+++ b/msintake/view.go
@@ -58,6 +58,10 @@
 	if err := in.confirm(ctx, v, arrived); err != nil {
 		return g, err
 	}
+	// A process that stood still finds its timer and its read at their ends together.
+	if held := in.Clock.Now().Sub(arrived); held > in.maxHold() {
+		return g, in.unconfirmed(&Error{Kind: NotReady, Reason: "the request was held for " + held.String()})
+	}
 	g, err = in.authorize(in.view(), host, path, key)
 	return g, err.orNil()
 }
