msintake: no request is allowed by a site that may be replaced for too long

Cause: an old view was a reason to refuse keys, but nothing else. An entry whose reads of op were answered and never complete had no bound on how old a site it decides by.

Change: a Follower says when the latest read was sent that the log has begun to answer. While the log answers nothing, or refuses, operators can't store a configuration either, and requests are decided by the last one as before.

Evidence: TestNoRequestIsAcceptedByASiteThatMayBeReplaced failed before and passes.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -261,9 +261,9 @@
 	n.intake = &msintake.Intake{
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
 		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf, Operators: n.operators,
-		RollbackSlack: set.Bounds.RollbackSlack,
-		ReadPause:     func() time.Duration { return n.pacer.Pause(slowReaderPause) },
-		Metrics:       msintake.NewMetrics(n.reg),
+		RollbackSlack: set.Bounds.RollbackSlack, SiteLimit: set.Bounds.ConfigApply,
+		ReadPause: func() time.Duration { return n.pacer.Pause(slowReaderPause) },
+		Metrics:   msintake.NewMetrics(n.reg),
 	}
 	n.intake.Streams = &msintake.Streams{
 		Clock: n.clock, Logger: n.log, Jobs: &n.jobs, Shared: n.writer, Writers: n.streamWriters,
--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -126,6 +126,9 @@
 	// RollbackSlack is how much later than a request that a site has allowed another one may
 	// still be handled by an older site. It is defaultRollbackSlack if 0.
 	RollbackSlack time.Duration
+	// SiteLimit is the time within which a new site has to be in force. It is defaultSiteLimit
+	// if 0.
+	SiteLimit time.Duration
 	// ReadPause, if set, returns by how much the entry's reads of the log are slowed down.
 	ReadPause func() time.Duration
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
--- a/msintake/view.go
+++ b/msintake/view.go
@@ -10,8 +10,12 @@
 	"marjoramspan/mssite"
 )
 
-// defaultRollbackSlack is the default of Intake.RollbackSlack.
-const defaultRollbackSlack = 250 * time.Millisecond
+const (
+	// defaultRollbackSlack is the default of Intake.RollbackSlack, defaultSiteLimit that of
+	// Intake.SiteLimit.
+	defaultRollbackSlack = 250 * time.Millisecond
+	defaultSiteLimit     = 2 * time.Second
+)
 
 // maxHold is how long a request may wait until the operators' records are read. Those that
 // arrive meanwhile are handled by the older site.
@@ -46,14 +50,20 @@
 // Authorize returns the queue for a host and path, and checks the key unless the queue is
 // open. Callers don't repeat a request without a queue or a valid key, and an earlier one may
 // have been allowed by a newer site, so such an error needs a view that is at most
-// maxRefusalAge old when the request arrives. Otherwise the operators' records are read first.
-// If that takes longer than maxHold, the error is NotReady.
+// maxRefusalAge old when the request arrives. Otherwise the operators' records are read first,
+// as they are before a request is allowed by a site that may have been replaced for too long. If
+// that takes longer than maxHold, the error is NotReady.
 func (in *Intake) Authorize(ctx context.Context, host, path, key string) (Grant, error) {
 	arrived := in.Clock.Now()
 	v := in.view()
 	g, err := in.authorize(v, host, path, key)
-	if err == nil || err.Kind == NotReady || in.mayRefuse(v, arrived) {
-		return g, err.orNil()
+	switch {
+	case err == nil && !in.maybeReplaced(v):
+		return g, nil
+	case err != nil && (err.Kind == NotReady || in.mayRefuse(v, arrived)):
+		return g, err
+	case err != nil && in.Operators.Failing():
+		return g, in.unconfirmed(nil)
 	}
 	if err := in.confirm(ctx, v, arrived); err != nil {
 		return g, err
@@ -71,12 +81,21 @@
 	return in.Operators == nil || !v.behind && arrived.Sub(v.asOf) <= in.maxRefusalAge()
 }
 
+// maybeReplaced reports whether a view must not allow a request: the log has begun to answer a
+// read of the operators' records that was sent so much later that another site may have been in
+// force for longer than a change may take, and the answer hasn't arrived. While the log
+// doesn't answer at all, operators can't store a site either, and requests are decided by the
+// last one.
+func (in *Intake) maybeReplaced(v siteView) bool {
+	return in.Operators != nil && in.Operators.ReachedAt().Sub(v.asOf) > cmp.Or(in.SiteLimit, defaultSiteLimit)
+}
+
 // confirm reads the operators' records until the site is as new as the refusal of a request
 // that arrived at a time needs. Requests share these reads: one begins maxRefusalAge after
 // another at the earliest, and later after a failed one and while the log refuses reads for
 // their number, whatever callers send.
 func (in *Intake) confirm(ctx context.Context, v siteView, arrived time.Time) *Error {
-	if in.Operators.Failing() || !in.reads.allowed(arrived, in.maxRefusalAge()) {
+	if !in.reads.allowed(arrived, in.maxRefusalAge()) {
 		return in.unconfirmed(nil)
 	}
 	holdCtx, cancel := context.WithTimeout(ctx, in.maxHold())
--- a/msintake/view_test.go
+++ b/msintake/view_test.go
@@ -75,8 +75,8 @@
 	require.NoError(t, err)
 }
 
-// An entry that went on reading jobs, but not the operators' records, accepted requests by a site
-// that had been replaced for longer than a change may take.
+// An entry whose reads of the operators' records were answered, but never in time, accepted
+// requests by a site that had been replaced for longer than a change may take.
 func TestNoRequestIsAcceptedByASiteThatMayBeReplaced(t *testing.T) {
 	const siteLimit = 2 * time.Second
 	var log msstandin.JobLog
@@ -89,15 +89,35 @@
 		_, err := in.Authorize(t.Context(), "h", "/dropped/1", "")
 		return err
 	}
+	read := in.Operators.Log.Read
+	answersBegin := false
+	in.Operators.Log.Read = func(ctx context.Context, _ string, _ int64, _ time.Duration) (msjournal.Batch, error) {
+		if answersBegin {
+			msjournal.ReportProgress(ctx, 0, 1<<20)
+		}
+		return msjournal.Batch{}, &msjournal.Error{Kind: msjournal.Unknown, Op: "read"}
+	}
+	clock.Advance(2 * siteLimit)
+	require.Error(t, in.Operators.Sync(t.Context()))
+	require.NoError(t, authorize(), "the log is away")
+	failing := in.Operators.Log.Read
+	in.Operators.Log.Read = read
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	in.Operators.Log.Read = failing
 	log.Put("op", "other", []byte("{}"))
+	answersBegin = true
 	clock.Advance(siteLimit)
-	require.NoError(t, in.Journal.Sync(t.Context()))
+	require.Error(t, in.Operators.Sync(t.Context()))
 	require.NoError(t, authorize(), "a change may take as long")
 	clock.Advance(time.Millisecond)
-	require.NoError(t, in.Journal.Sync(t.Context()))
-	require.Equal(t, NotReady, kindOf(t, authorize()), "the entry reaches the log")
+	require.Error(t, in.Operators.Sync(t.Context()))
+	require.Equal(t, NotReady, kindOf(t, authorize()))
+	answersBegin = false
 	clock.Advance(2 * siteLimit)
-	require.NoError(t, authorize(), "the log is away")
+	require.Equal(t, NotReady, kindOf(t, authorize()), "nothing was read since")
+	clock.Advance(siteLimit)
+	in.Operators.Log.Read = read
+	require.Equal(t, NoQueue, kindOf(t, authorize()), "the operators' records are read first")
 }
 
 // Callers with bad keys or paths must not make an entry read the log more often than it bears.
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -56,6 +56,8 @@
 	nextOffset  int64
 	loaded      bool
 	currentAsOf time.Time
+	// reachedAt is when the latest read was sent whose answer has begun to arrive.
+	reachedAt time.Time
 	// loadedOffsets holds the offset of each key of the last load. It is cleared once
 	// reads have passed lastLoadedOffset.
 	loadedOffsets    map[string]int64
@@ -202,6 +204,7 @@
 	sentAt := f.Clock.Now()
 	readCtx, cancel := withAnswerTimeout(ctx, timeout)
 	defer cancel()
+	readCtx = f.withReached(readCtx, sentAt)
 	batch, err := f.Log.Read(readCtx, f.Stream, from, wait)
 	if KindOf(err) == Expired && err != nil {
 		f.mu.Lock()
@@ -270,7 +273,7 @@
 	after := ""
 	for {
 		readCtx, cancel := withAnswerTimeout(ctx, defaultReadWait+readTimeoutMargin)
-		page, err := f.Log.Newest(readCtx, f.Stream, after)
+		page, err := f.Log.Newest(f.withReached(readCtx, f.Clock.Now()), f.Stream, after)
 		cancel()
 		if err != nil {
 			return err
@@ -304,6 +307,27 @@
 	return nil
 }
 
+// withReached returns a context for a call that is sent at a time, which notes that the log has
+// begun to answer it.
+func (f *Follower) withReached(ctx context.Context, sentAt time.Time) context.Context {
+	return WithProgress(ctx, func(int64, int64) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if sentAt.After(f.reachedAt) {
+			f.reachedAt = sentAt
+		}
+	})
+}
+
+// ReachedAt returns the sending time of the latest read that the log has begun to answer with
+// records. If it is much later than CurrentAsOf, there may be records that the answers don't
+// bring in time.
+func (f *Follower) ReachedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachedAt
+}
+
 // CurrentAsOf returns the time as of which the applied state is complete: every record
 // appended before it has been applied. It is zero before the first load.
 func (f *Follower) CurrentAsOf() time.Time {
