msintake: requests that waited through a stall are decided by one version

Cause: when a process goes on after it stood still, the requests that have arrived meanwhile are read in any order. A configuration that comes into force in these milliseconds divides them: a later one may be refused by the old version, and an earlier one allowed by the new one.

Change: within half of the rollback slack after a stall of as much, all requests are decided by the version that the first was decided by; the others get 503 with Retry-After. The entry sees a stall by its own clock.

Evidence: TestRequestsOfOneStallAreDecidedByOneVersion fails without the check and passes with it.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -262,6 +262,7 @@
 		Clock: n.clock, Logger: n.log, Sites: &n.sites, Jobs: &n.jobs,
 		Journal: n.records, Writer: n.writer, SiteCurrent: n.operators.CurrentAsOf, Operators: n.operators,
 		RollbackSlack: set.Bounds.RollbackSlack, SiteLimit: set.Bounds.ConfigApply,
+		LastStall: n.stalls.Last,
 		ReadPause: func() time.Duration { return n.pacer.Pause(slowReaderPause) },
 		Metrics:   msintake.NewMetrics(n.reg),
 	}
--- a/msintake/intake.go
+++ b/msintake/intake.go
@@ -129,6 +129,8 @@
 	// SiteLimit is the time within which a new site has to be in force. It is defaultSiteLimit
 	// if 0.
 	SiteLimit time.Duration
+	// LastStall, if set, returns when the process last stood still, or zero times.
+	LastStall func() (began, ended time.Time)
 	// ReadPause, if set, returns by how much the entry's reads of the log are slowed down.
 	ReadPause func() time.Duration
 	// SiteLease is the maximum time since then for keys to be accepted; 0 means no
@@ -141,6 +143,7 @@
 
 	unsettled unsettled
 	reads     confirmingReads
+	stall     stallVersion
 }
 
 // Submit stores a job and returns nil once it is stored. It also returns nil for a job
--- a/msintake/view.go
+++ b/msintake/view.go
@@ -58,10 +58,10 @@
 	v := in.view()
 	g, err := in.authorize(v, host, path, key)
 	switch {
-	case err == nil && !in.maybeReplaced(v):
-		return g, nil
-	case err != nil && (err.Kind == NotReady || in.mayRefuse(v, arrived)):
+	case err != nil && err.Kind == NotReady:
 		return g, err
+	case err == nil && !in.maybeReplaced(v), err != nil && in.mayRefuse(v, arrived):
+		return g, in.afterStall(v, arrived, err).orNil()
 	case err != nil && in.Operators.Failing():
 		return g, in.unconfirmed(nil)
 	}
@@ -70,10 +70,43 @@
 	}
 	// A process that stood still finds its timer and its read at their ends together.
 	if held := in.Clock.Now().Sub(arrived); held > in.maxHold() {
-		return g, in.unconfirmed(&Error{Kind: NotReady, Reason: "the request was held for " + held.String()})
+		return g, &Error{Kind: NotReady, Reason: "the request was held for " + held.String(), RetryAfter: storeRetryAfter}
+	}
+	v = in.view()
+	g, err = in.authorize(v, host, path, key)
+	return g, in.afterStall(v, arrived, err).orNil()
+}
+
+// afterStall returns err, the decision of a request by a view, or NotReady just after the process
+// has stood still: requests that have waited unseen meanwhile arrive in any order, so all are
+// decided by the version that the first one was decided by.
+func (in *Intake) afterStall(v siteView, arrived time.Time, err *Error) *Error {
+	if in.LastStall == nil || v.site == nil || err != nil && err.Kind == NotReady {
+		return err
+	}
+	_, ended := in.LastStall()
+	if ended.IsZero() || arrived.Sub(ended) > in.maxHold() || in.stall.decides(ended, v.site.Version) {
+		return err
+	}
+	return &Error{Kind: NotReady, Reason: "another version came into force after the process stood still", RetryAfter: storeRetryAfter}
+}
+
+// stallVersion is the version by which requests are decided after a stall. The zero value is
+// ready for use. It is safe for concurrent use.
+type stallVersion struct {
+	mu      sync.Mutex
+	ended   time.Time
+	version int64
+}
+
+// decides reports whether a version decides requests after the stall that ended at a time.
+func (s *stallVersion) decides(ended time.Time, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ended.Equal(s.ended) {
+		s.ended, s.version = ended, version
 	}
-	g, err = in.authorize(in.view(), host, path, key)
-	return g, err.orNil()
+	return version == s.version
 }
 
 // mayRefuse reports whether a request that arrived at a time may be refused by a view.
--- a/msintake/view_test.go
+++ b/msintake/view_test.go
@@ -120,6 +120,32 @@
 	require.Equal(t, NoQueue, kindOf(t, authorize()), "the operators' records are read first")
 }
 
+// Requests that had waited unseen while the process stood still were read in any order. The
+// first was refused by a site, and one that was sent before it allowed by the next site.
+func TestRequestsOfOneStallAreDecidedByOneVersion(t *testing.T) {
+	var log msstandin.JobLog
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	in := newIntake(t, &log, clock)
+	followQueues(in, &log)
+	stalls := msclock.StallDetector{Clock: clock, Min: rollbackSlack / 2}
+	in.LastStall = stalls.Last
+	authorize := func(path string) error {
+		_, err := in.Authorize(t.Context(), "h", path, "")
+		return err
+	}
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	require.NoError(t, authorize("/open/1"))
+	clock.Advance(3 * rollbackSlack)
+	require.Equal(t, NoQueue, kindOf(t, authorize("/new/1")))
+	log.Put("op", "new", []byte("{}"))
+	clock.Advance(time.Millisecond)
+	require.NoError(t, in.Operators.Sync(t.Context()))
+	require.Equal(t, NotReady, kindOf(t, authorize("/new/1")))
+	require.Equal(t, NotReady, kindOf(t, authorize("/open/1")))
+	clock.Advance(rollbackSlack / 2)
+	require.NoError(t, authorize("/new/1"))
+}
+
 // Callers with bad keys or paths must not make an entry read the log more often than it bears.
 func TestRefusalsReadTheLogAtABoundedRate(t *testing.T) {
 	for _, readsPerSecond := range []int{0, 5} {
