msscheduler: a pass decides by one site

Cause: the order of jobs, and the places of their tasks, were decided by a site each, and so were the sizes and the demand of pools; a configuration that came into force in between divided a pass.

Change: place and measurePools take the site once.

Measured: the tests of msscheduler pass, as do those of mssite and msintake.

--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -11,6 +11,7 @@
 
 	"marjoramspan/mscapacity"
 	"marjoramspan/msjob"
+	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 	"marjoramspan/mszone"
 )
@@ -60,7 +61,7 @@
 			p.VMMilliCores = totalCPU[name] / int64(total[name])
 		}
 	}
-	e.addDemand(by)
+	e.addDemand(by, site)
 	for name, p := range by {
 		p.Demand = max(p.Demand, e.pools.arrivals.Rate(name, now))
 	}
@@ -120,8 +121,7 @@
 const lateDemandDivisor = 4
 
 // addDemand adds the CPU of the tasks that run and of those that could start now.
-func (e *Engine) addDemand(by map[string]*mscapacity.Pool) {
-	site := e.Sites.Site()
+func (e *Engine) addDemand(by map[string]*mscapacity.Pool, site *mssite.Site) {
 	wall := e.Wall.Now()
 	for _, j := range e.active {
 		p := by[j.poolIn(site)]
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -96,12 +96,12 @@
 	if !e.Term.Valid() || !e.initialReportsReceived(now) || !e.operatorsCurrent(now) {
 		return nil
 	}
-	jobs, candidates := e.queue(now)
+	site := e.Sites.Site()
+	jobs, candidates := e.queue(site, now)
 	if len(jobs) == 0 {
 		return nil
 	}
 	snapshots := e.snapshotPools(now)
-	site := e.Sites.Site()
 	for name, pool := range snapshots {
 		pool.maxIsolated = len(pool.workers)
 		if e.othersWait[name] {
@@ -144,11 +144,10 @@
 	return len(e.workers) > 0
 }
 
-// queue returns the jobs with tasks that may be placed, in the order of placement, and
-// what they were ordered by. The results are valid until the next call.
-func (e *Engine) queue(now time.Time) ([]*job, []*msplace.Candidate) {
+// queue returns the jobs with tasks that may be placed by a site, in the order of placement,
+// and what they were ordered by. The results are valid until the next call.
+func (e *Engine) queue(site *mssite.Site, now time.Time) ([]*job, []*msplace.Candidate) {
 	wall := e.Wall.Now()
-	site := e.Sites.Site()
 	defaultWeight := meanWeight(site)
 	jobs, candidates := e.queued[:0], e.candidates[:0]
 	for _, j := range e.activeJobs() {
