--- a/msintake/view.go
+++ b/msintake/view.go
@@ -91,24 +91,6 @@
 	return &Error{Kind: NotReady, Reason: "another version came into force after the process stood still", RetryAfter: storeRetryAfter}
 }
 
-// stallVersion is the version by which requests are decided after a stall. The zero value is
-// ready for use. It is safe for concurrent use.
-type stallVersion struct {
-	mu      sync.Mutex
-	ended   time.Time
-	version int64
-}
-
-// decides reports whether a version decides requests after the stall that ended at a time.
-func (s *stallVersion) decides(ended time.Time, version int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !ended.Equal(s.ended) {
-		s.ended, s.version = ended, version
-	}
-	return version == s.version
-}
-
 // mayRefuse reports whether a request that arrived at a time may be refused by a view.
 func (in *Intake) mayRefuse(v siteView, arrived time.Time) bool {
 	return in.Operators == nil || !v.behind && arrived.Sub(v.asOf) <= in.maxRefusalAge()
@@ -153,28 +135,7 @@
 	return nil
 }
 
-// confirmingReads delays reads for refusals after one that failed. The zero value is ready for
-// use. It is safe for concurrent use.
-type confirmingReads struct {
-	mu       sync.Mutex
-	failedAt time.Time
-	pause    time.Duration
-}
-
-// allowed reports whether a read may begin, if reads are at least interval apart.
-func (c *confirmingReads) allowed(now time.Time, interval time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Sub(c.failedAt) >= interval+c.pause
-}
-
-// failed notes a read that failed. The next one begins pause later than it otherwise would.
-func (c *confirmingReads) failed(now time.Time, pause time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.failedAt, c.pause = now, pause
-}
-
+// unconfirmed returns the error of a request that needs a newer view than there is.
 func (in *Intake) unconfirmed(err error) *Error {
 	return &Error{Kind: NotReady, Reason: "the configuration can't be read", RetryAfter: storeRetryAfter, Err: err}
 }
@@ -207,3 +168,43 @@
 func describe(site *mssite.Site, age time.Duration) string {
 	return "version " + strconv.FormatInt(site.Version, 10) + ", confirmed " + age.Round(time.Millisecond).String() + " ago"
 }
+
+// confirmingReads delays reads for refusals after one that failed. The zero value is ready for
+// use. It is safe for concurrent use.
+type confirmingReads struct {
+	mu       sync.Mutex
+	failedAt time.Time
+	pause    time.Duration
+}
+
+// allowed reports whether a read may begin, if reads are at least interval apart.
+func (c *confirmingReads) allowed(now time.Time, interval time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.failedAt) >= interval+c.pause
+}
+
+// failed notes a read that failed. The next one begins pause later than it otherwise would.
+func (c *confirmingReads) failed(now time.Time, pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt, c.pause = now, pause
+}
+
+// stallVersion is the version by which requests are decided after a stall. The zero value is
+// ready for use. It is safe for concurrent use.
+type stallVersion struct {
+	mu      sync.Mutex
+	ended   time.Time
+	version int64
+}
+
+// decides reports whether a version decides requests after the stall that ended at a time.
+func (s *stallVersion) decides(ended time.Time, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ended.Equal(s.ended) {
+		s.ended, s.version = ended, version
+	}
+	return version == s.version
+}
--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -194,9 +194,8 @@
 	}
 }
 
-// read reads once from the next offset and applies the records. Its answer has to begin within
-// timeout. If the
-// records there have expired, it loads the stream again.
+// read reads once from the next offset and applies the records. The answer has to begin within
+// timeout. If the records there have expired, read loads the stream again.
 func (f *Follower) read(ctx context.Context, wait, timeout time.Duration) error {
 	f.mu.Lock()
 	from := f.nextOffset
