mswait, msscheduler: why a job that could run has no worker

Callers' jobs had nothing running for seconds beside free workers, and no line said why: pool full is written whatever the reason is, and names one job a second and pool.

A pass now notes why it gave a job no worker. While less than half of the job's pool is in use, a reason that lasts for 0.5 s is logged as it begins and as it ends, at most 20 a second begin, and marjoramspan_wait_beside_free_workers_seconds has the longest wait by reason. The load record has the 16 longest waits of over a second, so that why job says the reason while it lasts.

--- a/cmd/marjoramspan/jobs.go
+++ b/cmd/marjoramspan/jobs.go
@@ -11,6 +11,7 @@
 	"marjoramspan/msclock"
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
+	"marjoramspan/mswait"
 	"marjoramspan/platform"
 )
 
@@ -164,6 +165,9 @@
 		fmt.Fprintf(&b, "%s\n", e.Status.Reason)
 	}
 	if e.Progress == nil {
+		if w, ok := l.Waits[j.ID]; ok && !e.State().Final() {
+			fmt.Fprintf(&b, "%s\n", whyWaits(w, now))
+		}
 		if !e.State().Final() {
 			fmt.Fprintf(&b, "the scheduler has stored nothing of it yet\n")
 		}
@@ -172,6 +176,9 @@
 	if p, ok := l.Pools[j.Pool]; ok && !e.State().Final() {
 		fmt.Fprintf(&b, "pool %s has %d cores for %.0f core-seconds ahead\n", j.Pool, p.MilliCores/1000, p.Backlog)
 	}
+	if w, ok := l.Waits[j.ID]; ok {
+		fmt.Fprintf(&b, "%s\n", whyWaits(w, now))
+	}
 	for k, round := range e.Progress.Occurrences {
 		for s, tasks := range round.Steps {
 			for i, task := range tasks {
@@ -182,6 +189,34 @@
 	return b.String()
 }
 
+// waitTexts has what operators read of the reasons of mswait.
+var waitTexts = map[mswait.Reason]string{
+	mswait.Full:          "the workers that could run it have no room",
+	mswait.NoWorker:      "no worker could run it, by its label, its size or the tasks of its step that run there",
+	mswait.Unsettled:     "the workers that could run it have restarted, or run attempts of jobs that are no longer known",
+	mswait.Gang:          "there is room for some of its gang only",
+	mswait.Paused:        "the workers with room are paused, as tasks failed or stalled there or starts were rejected",
+	mswait.HeldForWide:   "the worker with room is kept for a wide job",
+	mswait.BehindUseful:  "it is late beyond use, and jobs that aren't wait for room",
+	mswait.KeptForTrials: "the workers with room are kept for tasks that may have crashed others",
+	mswait.OnTrial:       "it may have crashed a worker and has to start apart from others",
+	mswait.TeamLimit:     "its team runs as much as its limit allows",
+	mswait.Ticket:        "the advisor has named no worker yet",
+	mswait.RetryDelay:    "it is delayed after starts that failed",
+	mswait.NewerSite:     "it was accepted by a newer version of the site than the leader has read",
+	mswait.StaleRecords:  "the leader's view of the operators' records is too old to start tasks",
+	mswait.StartOfTerm:   "the leader waits for the first reports of its workers",
+	mswait.NoTerm:        "the leader can't renew its term",
+}
+
+func whyWaits(w msjob.Wait, now time.Time) string {
+	text := waitTexts[mswait.Reason(w.Reason)]
+	if text == "" {
+		text = w.Reason
+	}
+	return fmt.Sprintf("waits beside free workers for %s: %s", now.Sub(time.Unix(w.Since, 0)).Round(time.Second), text)
+}
+
 func whyTask(j *msjob.Job, round *msjob.OccurrenceProgress, step int, t msjob.Task) string {
 	tried := fmt.Sprintf("attempt %d, %d failed", t.Attempt, t.Failures)
 	switch {
--- a/cmd/marjoramspan/jobs_test.go
+++ b/cmd/marjoramspan/jobs_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mswait"
 )
 
 func TestWhyJobNamesWhatEachTaskWaitsFor(t *testing.T) {
@@ -29,6 +30,8 @@
 	} {
 		require.Contains(t, got, want)
 	}
+	got = whyJob(e, msjob.Load{Waits: map[string]msjob.Wait{"a": {Reason: string(mswait.TeamLimit), Since: 100}}}, accepted.Add(4*time.Second))
+	require.Contains(t, got, "waits beside free workers for 4s: its team runs as much as its limit allows")
 	row := newJobRow(e, accepted)
 	require.Equal(t, [3]int{1, 1, 2}, [3]int{row.Done, row.Assigned, row.Waiting})
 }
--- a/msjob/table.go
+++ b/msjob/table.go
@@ -54,6 +54,14 @@
 	// Streams is the number of additional streams from which the scheduler takes jobs and
 	// cancels. It is absent in the records of versions that read stream 0 only.
 	Streams int `json:"streams,omitempty"`
+	// Waits has jobs that wait beside free workers, by ID.
+	Waits map[string]Wait `json:"waits,omitempty"`
+}
+
+// Wait is why a job waits beside free workers, and since when, in Unix seconds.
+type Wait struct {
+	Reason string `json:"reason"`
+	Since  int64  `json:"since"`
 }
 
 // PoolLoad is the load of one pool.
--- /dev/null
+++ b/msplace/blocker.go
@@ -0,0 +1,48 @@
+package msplace
+
+// Blocker is why no worker is chosen for a task.
+type Blocker int
+
+const (
+	// BlockedByNothing is for tasks that a worker can run.
+	BlockedByNothing Blocker = iota
+	// BlockedByLoad says that the workers that could run the task have no room.
+	BlockedByLoad
+	// BlockedByWorkers says that no worker could run the task if it were idle.
+	BlockedByWorkers
+	// BlockedByWithheld says that workers with room are withheld.
+	BlockedByWithheld
+	// BlockedByIsolation says that workers with room are kept for tasks that start apart, or
+	// that the task has to start apart and there is no worker for that yet.
+	BlockedByIsolation
+)
+
+// FindBlocker returns why Choose finds no worker. Of several causes it is the one that alone
+// keeps the task from a worker with room.
+func FindBlocker(want Requirements, workers []Worker) Blocker {
+	found, mayIsolate := BlockedByWorkers, want.Group == "" || mayIsolate(want, workers)
+	for i := range workers {
+		w := workers[i]
+		if CanRun(want, &w) && (mayIsolate || w.Isolated) {
+			return BlockedByNothing
+		}
+		free := w
+		free.Withheld, free.Isolated, free.IsolatedFor, free.Recent, free.Suspects = false, false, "", 0, 0
+		idle := free
+		idle.Free = w.Capacity
+		switch {
+		case !CanRun(want, &idle):
+		case !CanRun(want, &free):
+			if found == BlockedByWorkers {
+				found = BlockedByLoad
+			}
+		case w.Withheld:
+			if found != BlockedByIsolation {
+				found = BlockedByWithheld
+			}
+		default:
+			found = BlockedByIsolation
+		}
+	}
+	return found
+}
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -26,6 +26,8 @@
 	// their group, or empty if none of them has started yet.
 	Isolated    bool
 	IsolatedFor string
+	// Withheld keeps all tasks away.
+	Withheld bool
 }
 
 // Requirements describes what a task requires of its worker, and where related tasks run.
@@ -123,7 +125,7 @@
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
-	if !s.Reserved().Fits(w.Free) {
+	if w.Withheld || !s.Reserved().Fits(w.Free) {
 		return false
 	}
 	if want.Group != "" {
--- a/msplace/shares.go
+++ b/msplace/shares.go
@@ -137,8 +137,8 @@
 	return max(0, amount) / float64(capacity)
 }
 
-// dominantPart returns the largest fraction of the capacity's resources that r takes.
-func dominantPart(r, capacity msjob.Resources) float64 {
+// DominantPart returns the largest fraction of the capacity's resources that r takes.
+func DominantPart(r, capacity msjob.Resources) float64 {
 	return max(part(float64(r.CPU), capacity.CPU), part(float64(r.Memory), capacity.Memory), part(float64(r.GPUs), capacity.GPUs))
 }
 
@@ -287,7 +287,7 @@
 // take counts a job that is ranked next in the share of its team.
 func (w *teamWork) take(c *Candidate, capacity msjob.Resources) *Candidate {
 	c.Share = w.share
-	w.share += dominantPart(c.Wanted, capacity)
+	w.share += DominantPart(c.Wanted, capacity)
 	return c
 }
 
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -23,6 +23,7 @@
 	"marjoramspan/msplace"
 	"marjoramspan/msruntime"
 	"marjoramspan/mssite"
+	"marjoramspan/mswait"
 	"marjoramspan/msworker"
 )
 
@@ -165,6 +166,9 @@
 	sharesReportedAt time.Time
 	// fullPools has when the order in each pool was last logged.
 	fullPools map[string]time.Time
+	// waits tracks the jobs that wait beside free workers.
+	waits           mswait.Tracker
+	waitsReportedAt time.Time
 	// readingSite is set while readSite reads.
 	readingSite bool
 	// teamLimiter decides which jobs are within their team's share.
@@ -204,6 +208,8 @@
 	// wide jobs are among the largest tenth of their queue. outcomeKnown is set once the job
 	// is counted as in time or late in Engine.wideJobs.
 	wide, outcomeKnown bool
+	// blocker is why the latest pass placed no task of the job, or not all.
+	blocker mswait.Reason
 	// useless is set if the latest pass expected the job to end after callers have a use
 	// for its result.
 	useless bool
@@ -238,6 +244,7 @@
 func (e *Engine) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer e.Metrics.resetShares()
+	defer e.Metrics.setWaits(nil)
 	defer e.Metrics.interfering(0)
 	defer e.group.Wait()
 	defer cancel()
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -24,7 +24,7 @@
 	r, err := msjob.LoadRecord(&l)
 	if limit := e.Log.Limits.RecordBytes; limit > 0 && len(r.Key)+len(r.Value) >= limit {
 		// The learned run times grow with the number of queues. Entries need the rest more.
-		l.Ratios = nil
+		l.Ratios, l.Waits = nil, nil
 		r, err = msjob.LoadRecord(&l)
 	}
 	e.enqueue(err, r)
@@ -34,12 +34,13 @@
 func (e *Engine) measureLoad(now time.Time) msjob.Load {
 	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}, Ratios: e.runtimes.Factors(), Streams: len(e.JobJournals)}
 	for _, w := range e.workers {
-		if w.usable(now) {
+		if w.usable(now) && !w.paused(now) {
 			p := l.Pools[w.Pool]
 			p.MilliCores += w.countedCPU(now)
 			l.Pools[w.Pool] = p
 		}
 	}
+	l.Waits = e.publishedWaits(now)
 	site := e.Sites.Site()
 	wall := e.Wall.Now()
 	for _, j := range e.active {
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mswait"
 	"marjoramspan/msworker"
 )
 
@@ -36,6 +37,8 @@
 	// placements for which that mattered.
 	interferingPairs prometheus.Gauge
 	apart            *prometheus.CounterVec
+	// waits has the longest wait of a job beside free workers, by reason.
+	waits *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -102,7 +105,10 @@
 	m.apart = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marjoramspan_interference_placements_total", Help: "Placements that avoided an image that interferes, or had to be beside one.",
 	}, []string{"outcome"})
-	reg.MustRegister(m.interferingPairs, m.apart)
+	m.waits = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_wait_beside_free_workers_seconds", Help: "Longest time for which a job that could run has had nothing running beside free workers, by reason.",
+	}, []string{"reason"})
+	reg.MustRegister(m.interferingPairs, m.apart, m.waits)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.delayedRestarts, m.newerSites, m.teamCores, m.teamShare)
 	return m
 }
@@ -218,6 +224,17 @@
 	}
 }
 
+// setWaits sets the longest waits beside free workers.
+func (m *Metrics) setWaits(longest map[mswait.Reason]time.Duration) {
+	if m == nil {
+		return
+	}
+	m.waits.Reset()
+	for r, d := range longest {
+		m.waits.WithLabelValues(string(r)).Set(d.Seconds())
+	}
+}
+
 func (m *Metrics) interfering(pairs int) {
 	if m != nil {
 		m.interferingPairs.Set(float64(pairs))
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -8,6 +8,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
+	"marjoramspan/mswait"
 	"marjoramspan/msworker"
 )
 
@@ -16,8 +17,12 @@
 type poolSnapshot struct {
 	workers   []*worker
 	placement []msplace.Worker
-	// size is the number of usable workers of the whole pool.
+	// size is the number of usable workers of the whole pool that aren't paused.
 	size int
+	// capacity is what the usable workers have, used what tasks reserve there.
+	capacity, used msjob.Resources
+	// unsettled is set if there are workers whose state isn't known.
+	unsettled bool
 	// maxIsolated bounds the workers that are isolated at a time for suspect tasks.
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
@@ -50,7 +55,8 @@
 	}
 	medians := e.medians
 	for _, w := range e.workersByID() {
-		if !w.usable(now) {
+		usable, unsettled := w.usable(now), w.unsettled(now)
+		if !usable && !unsettled {
 			continue
 		}
 		r := all[w.Pool]
@@ -58,18 +64,27 @@
 			r = &poolSnapshot{}
 			all[w.Pool] = r
 		}
+		r.unsettled = r.unsettled || unsettled
+		if !usable {
+			continue
+		}
+		paused := w.paused(now)
+		if !paused {
+			r.size++
+		}
+		r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
 		n := w.attemptCounts()
 		v := msplace.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
+			Withheld: paused,
 		}
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
 	}
 	for name, r := range all {
-		r.size = len(r.workers)
-		if r.size == 0 {
+		if len(r.workers) == 0 && !r.unsettled {
 			delete(all, name)
 			continue
 		}
@@ -93,7 +108,9 @@
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
 	e.reportShares(now)
-	if !e.Term.Valid() || !e.initialReportsReceived(now) || !e.operatorsCurrent(now) {
+	defer e.reportWaits(now)
+	if r := e.placesNothing(now); r != mswait.None {
+		e.noteAllWaits(r, now)
 		return nil
 	}
 	site := e.Sites.Site()
@@ -103,15 +120,17 @@
 	}
 	snapshots := e.snapshotPools(now)
 	for name, pool := range snapshots {
-		pool.maxIsolated = len(pool.workers)
+		pool.maxIsolated = pool.size
 		if e.othersWait[name] {
 			// Half of the workers are left to the tasks that are not suspect.
-			pool.maxIsolated = max(1, len(pool.workers)/2)
+			pool.maxIsolated = max(1, pool.size/2)
 		}
 	}
 	var placed []*run
 	for _, j := range jobs {
+		j.blocker = mswait.None
 		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
+		e.noteWait(j, snapshots[j.poolIn(site)], now)
 	}
 	for name, pool := range snapshots {
 		e.othersWait[name] = pool.othersWait
@@ -126,6 +145,19 @@
 	return placed
 }
 
+// placesNothing returns why nothing is placed in this pass, or None.
+func (e *Engine) placesNothing(now time.Time) mswait.Reason {
+	switch {
+	case !e.Term.Valid():
+		return mswait.NoTerm
+	case !e.initialReportsReceived(now):
+		return mswait.StartOfTerm
+	case !e.operatorsCurrent(now):
+		return mswait.StaleRecords
+	}
+	return mswait.None
+}
+
 // initialReportWait is how long a new leader waits for the first reports of workers;
 // earlier placements would all go to the few that answered first.
 const initialReportWait = 200 * time.Millisecond
@@ -154,6 +186,10 @@
 		t, ok := j.candidate(wall)
 		j.inQueue = ok && !e.awaitsSite(j, site)
 		if !j.inQueue {
+			if ok {
+				j.blocker = mswait.NewerSite
+				e.noteWait(j, nil, now)
+			}
 			continue
 		}
 		t.Starved = j.wide && e.wideJobs.Starved(j.def.Queue)
@@ -250,7 +286,12 @@
 
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
 	pool := snapshots[j.poolIn(site)]
-	if pool == nil || j.useless && pool.usefulWait {
+	if pool == nil {
+		j.blocker = mswait.NoWorker
+		return nil
+	}
+	if j.useless && pool.usefulWait {
+		j.blocker = mswait.BehindUseful
 		return nil
 	}
 	var placed []*run
@@ -284,9 +325,11 @@
 	}
 	e.waitingTasks = waiting
 	if len(waiting) == 0 || step.Gang && (len(waiting) < step.Count || j.gangRunning(k, s)) {
+		j.blocker = mswait.RetryDelay
 		return nil
 	}
 	if n := e.teamHeadroom(j.def.Team, step.Need, site); n < len(waiting) {
+		j.blocker = mswait.TeamLimit
 		if step.Gang {
 			return nil
 		}
@@ -297,6 +340,7 @@
 	if q := j.queueIn(site); q != nil && q.Advisor != nil {
 		a := e.adviceFor(stepKey{j.def.ID, k, s}, q, pool, now)
 		if a == nil {
+			j.blocker = mswait.Ticket
 			return nil
 		}
 		tickets = a.tickets
@@ -319,8 +363,10 @@
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n := -1
-		if want.Group != "" || !pool.isFull(step) {
-			n = msplace.Choose(want, pool.placement)
+		if reason, full := pool.isFull(step); want.Group == "" && full {
+			j.blocker = reason
+		} else if n = msplace.Choose(want, pool.placement); n < 0 {
+			e.noteBlocker(j, want, pool)
 		}
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
@@ -329,7 +375,7 @@
 		}
 		if n < 0 {
 			whole.othersWait = true
-			pool.noteFull(step)
+			pool.noteFull(step, j.blocker)
 			whole.usefulWait = whole.usefulWait || j.canBecomeUseless()
 			break
 		}
@@ -345,6 +391,9 @@
 		for _, r := range placed {
 			e.unreserve(r, pool)
 		}
+		if len(placed) > 0 {
+			j.blocker = mswait.Gang
+		}
 		placed = nil
 	}
 	if len(placed) < len(waiting) {
@@ -417,6 +466,7 @@
 	e.addRun(r)
 	now := e.Clock.Now()
 	e.countStart(w, now)
+	pool.used = pool.used.Plus(r.need)
 	v := &pool.placement[n]
 	v.Free = e.offered(w, pool.size, now)
 	v.Recent++
@@ -435,6 +485,7 @@
 
 func (e *Engine) unreserve(r *run, pool *poolSnapshot) {
 	e.dropRun(r)
+	pool.used = pool.used.Minus(r.need)
 	pool.full = pool.full[:0]
 	for n, w := range pool.workers {
 		if w == r.w {
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -8,6 +8,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
+	"marjoramspan/mswait"
 )
 
 // This file has what a pass derives from jobs and workers and keeps until they change. It
@@ -271,42 +272,49 @@
 type roomRequest struct {
 	need  msjob.Resources
 	label string
+	// reason is why none of them has it.
+	reason mswait.Reason
 }
 
 // isFull reports whether an earlier search has shown that no worker has room for a task of
-// the step. Capacity that is free only shrinks while a pass places tasks, so what had no
-// room has none until the end of the pass.
-func (p *poolSnapshot) isFull(step *msjob.Step) bool {
+// the step, and why. Capacity that is free only shrinks while a pass places tasks, so what had
+// no room has none until the end of the pass.
+func (p *poolSnapshot) isFull(step *msjob.Step) (mswait.Reason, bool) {
 	for _, f := range p.full {
 		if f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) {
-			return true
+			return f.reason, true
 		}
 	}
-	return false
+	return mswait.None, false
 }
 
 // findsNoRoom reports whether a search for workers for a ready step would find none, as
 // it has found none for one that needs no more.
 func (e *Engine) findsNoRoom(j *job, r *readyStep, pool *poolSnapshot, site *mssite.Site) bool {
 	step := &j.def.Steps[r.step]
-	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 || !pool.isFull(step) {
+	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 {
 		return false
 	}
+	reason, full := pool.isFull(step)
+	if !full {
+		return false
+	}
+	j.blocker = reason
 	q := j.queueIn(site)
 	return (q == nil || q.Advisor == nil) && e.teamHeadroom(j.def.Team, step.Need, site) > 0
 }
 
-// noteFull remembers a step for which no worker has room, if that is so: a task may also
-// have been given no worker for another reason.
-func (p *poolSnapshot) noteFull(step *msjob.Step) {
+// noteFull remembers a step for which no worker has room, if that is so, and why: a task may
+// also have been given no worker for another reason.
+func (p *poolSnapshot) noteFull(step *msjob.Step, reason mswait.Reason) {
 	need := step.Reserved()
 	for i := range p.placement {
 		w := &p.placement[i]
-		if need.Fits(w.Free) && (step.Label == "" || slices.Contains(w.Labels, step.Label)) {
+		if !w.Withheld && need.Fits(w.Free) && (step.Label == "" || slices.Contains(w.Labels, step.Label)) {
 			return
 		}
 	}
-	if !p.isFull(step) {
-		p.full = append(p.full, roomRequest{need: need, label: step.Label})
+	if _, full := p.isFull(step); !full {
+		p.full = append(p.full, roomRequest{need: need, label: step.Label, reason: reason})
 	}
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -142,10 +142,24 @@
 	return w.Capacity.Minus(w.used)
 }
 
-// usable reports whether new tasks may be placed on the worker.
+// usable reports whether new tasks may be placed on the worker once it isn't paused.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated &&
-		w.unknownRuns == 0 && !w.outdated(now) && !now.Before(w.blockedUntil)
+	return w.stays() && !w.unsettled(now)
+}
+
+// stays reports whether the worker is up and nothing calls for it to be empty.
+func (w *worker) stays() bool {
+	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated
+}
+
+// unsettled reports whether the worker stays, but what it has room for isn't known.
+func (w *worker) unsettled(now time.Time) bool {
+	return w.stays() && (w.unknownRuns > 0 || w.outdated(now))
+}
+
+// paused reports whether the worker gets no new tasks for a time.
+func (w *worker) paused(now time.Time) bool {
+	return now.Before(w.blockedUntil)
 }
 
 // outdated reports whether the registry still has an earlier life of a worker that has
--- /dev/null
+++ b/mswait/wait.go
@@ -0,0 +1,167 @@
+// Package mswait keeps track of the jobs that wait beside free workers: why, and for how long.
+// It does no I/O and starts no goroutines.
+package mswait
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Reason is why a job that could run has nothing running.
+type Reason string
+
+const (
+	// None is the reason of jobs that don't wait.
+	None Reason = ""
+	// Full says that no worker that could run the task has room.
+	Full Reason = "full"
+	// NoWorker says that no worker could run the task, however idle: for its label, its size or
+	// the tasks of its step that run there.
+	NoWorker Reason = "no-worker"
+	// Unsettled says the same, while there are workers whose state isn't known: they have
+	// restarted and their entry has not, or they run attempts of jobs that are no longer known.
+	Unsettled Reason = "unsettled"
+	// Gang says that there is room for some of a gang only.
+	Gang Reason = "gang"
+	// Paused says that workers with room get no tasks, as others failed or stalled there.
+	Paused Reason = "paused"
+	// HeldForWide says that the worker with room is kept for a wide job.
+	HeldForWide Reason = "held-for-wide"
+	// BehindUseful says that the job is late beyond use and others wait that aren't.
+	BehindUseful Reason = "behind-useful"
+	// KeptForTrials says that workers with room are kept for tasks that start apart.
+	KeptForTrials Reason = "kept-for-trials"
+	// OnTrial says that the task may have crashed a worker, and has to start apart from others.
+	OnTrial Reason = "on-trial"
+	// TeamLimit says that the job's team runs as much as it may.
+	TeamLimit Reason = "team-limit"
+	// Ticket says that the advisor has named no worker yet.
+	Ticket Reason = "ticket"
+	// RetryDelay says that the task is delayed after failed starts or crashes.
+	RetryDelay Reason = "retry-delay"
+	// NewerSite says that the job was accepted by a newer site than the leader has.
+	NewerSite Reason = "newer-site"
+	// StaleRecords says that the leader's view of the operators' records is too old.
+	StaleRecords Reason = "stale-records"
+	// StartOfTerm says that the leader waits for the first reports of the workers.
+	StartOfTerm Reason = "start-of-term"
+	// NoTerm says that the leader can't renew its term.
+	NoTerm Reason = "no-term"
+)
+
+// Wait is a job that waits beside free workers.
+type Wait struct {
+	Job, Pool string
+	Reason    Reason
+	// Since is when the job began to wait beside free workers, ReasonSince since when it is for
+	// this reason.
+	Since, ReasonSince time.Time
+
+	round  int
+	logged bool
+}
+
+// Change is a wait whose reason has begun or ended.
+type Change struct {
+	Wait
+	// Ended is set if the reason has ended; For is how long it has lasted.
+	Ended bool
+	For   time.Duration
+}
+
+const (
+	// MinLogged is how long a reason has to last for it to be a Change. Starts are placed some
+	// hundred milliseconds after the end of others.
+	MinLogged = 500 * time.Millisecond
+	// maxChanges bounds the begins in changesInterval. A wait that lasts has its turn later.
+	maxChanges      = 20
+	changesInterval = time.Second
+)
+
+// Tracker tracks waits in rounds: those that aren't noted in a round have ended. The zero value
+// is empty.
+type Tracker struct {
+	waits   map[string]*Wait
+	round   int
+	changes []Change
+	// begun is when the interval began in which n changes were returned.
+	begun time.Time
+	n     int
+}
+
+// Note says that a job waits beside free workers in this round.
+func (t *Tracker) Note(job, pool string, r Reason, now time.Time) {
+	w := t.waits[job]
+	if w == nil {
+		if t.waits == nil {
+			t.waits = map[string]*Wait{}
+		}
+		w = &Wait{Job: job, Since: now}
+		t.waits[job] = w
+	}
+	if w.Reason != r {
+		t.end(w, now)
+		w.Reason, w.ReasonSince = r, now
+	}
+	w.Pool, w.round = pool, t.round
+	if !w.logged && now.Sub(w.ReasonSince) >= MinLogged {
+		w.logged = t.add(Change{Wait: *w, For: now.Sub(w.ReasonSince)}, now)
+	}
+}
+
+func (t *Tracker) end(w *Wait, now time.Time) {
+	if w.logged {
+		t.add(Change{Wait: *w, Ended: true, For: now.Sub(w.ReasonSince)}, now)
+		w.logged = false
+	}
+}
+
+// add adds a change, and reports whether there was room for it.
+func (t *Tracker) add(c Change, now time.Time) bool {
+	if now.Sub(t.begun) >= changesInterval {
+		t.begun, t.n = now, 0
+	}
+	if t.n >= maxChanges && !c.Ended {
+		return false
+	}
+	t.n++
+	t.changes = append(t.changes, c)
+	return true
+}
+
+// EndRound ends the waits that were not noted in the round, and returns what has changed in
+// it. The changes are valid until the next call of Note.
+func (t *Tracker) EndRound(now time.Time) []Change {
+	for job, w := range t.waits {
+		if w.round != t.round {
+			t.end(w, now)
+			delete(t.waits, job)
+		}
+	}
+	t.round++
+	all := t.changes
+	t.changes = t.changes[:0]
+	return all
+}
+
+// Longest returns how long the longest wait for each reason has lasted.
+func (t *Tracker) Longest(now time.Time) map[Reason]time.Duration {
+	longest := map[Reason]time.Duration{}
+	for _, w := range t.waits {
+		longest[w.Reason] = max(longest[w.Reason], now.Sub(w.Since))
+	}
+	return longest
+}
+
+// Over returns the waits that have lasted for d, the n longest of them, longest first.
+func (t *Tracker) Over(d time.Duration, n int, now time.Time) []Wait {
+	var all []Wait
+	for _, w := range t.waits {
+		if now.Sub(w.Since) >= d {
+			all = append(all, *w)
+		}
+	}
+	slices.SortFunc(all, func(a, b Wait) int { return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Job, b.Job)) })
+	return all[:min(n, len(all))]
+}
