msscheduler: failing tests of jobs that wait beside idle workers

Four tests with idle workers and jobs that can run, each of which must be done within the 3 s for which a job may have nothing running beside free workers. Tasks of the stand-in's workers can show no progress.

--- /dev/null
+++ b/msscheduler/paused_test.go
@@ -0,0 +1,100 @@
+package msscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+)
+
+// maxIdleWait is the longest time for which a job may have nothing running although there is
+// room for it twice over.
+const maxIdleWait = 3 * time.Second
+
+// awaitWithin waits until a job is in the wanted state, which must be in less time than a job
+// may wait beside free capacity.
+func (w *testCluster) awaitWithin(e *entry, id string, want msjob.State) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		got, ok := e.jobs.Job(id)
+		return ok && got.State() == want
+	}, maxIdleWait, 5*time.Millisecond, "job %s is not %s", id, want)
+}
+
+// Three tasks failed once each, and their only worker got no task for 6 s.
+func TestRetriesDontWaitForTheOnlyWorker(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	e := w.entry("a")
+	for i := range 3 {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("%016x", i), Spec: "run=50ms fail=1", Steps: []msjob.Step{step(1)}})
+	}
+	for i := range 3 {
+		w.awaitWithin(e, fmt.Sprintf("%016x", i), msjob.Completed)
+	}
+}
+
+// Jobs that always fail paused all workers of their pool, and no other job could start.
+func TestFailingJobsDontStopTheirPool(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	for i := range 4 {
+		w.submit(&msjob.Job{ID: fmt.Sprintf("ff%014x", i), Spec: "run=20ms fail=9", Steps: []msjob.Step{step(2)}})
+	}
+	for i := range 4 {
+		w.await(e, fmt.Sprintf("ff%014x", i), msjob.Failed)
+	}
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.awaitWithin(e, "0000000000000001", msjob.Completed)
+}
+
+// Tasks that show no progress paused all workers of their pool, and no other job could start.
+func TestTasksWithoutProgressDontStopTheirPool(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "ff00000000000000", Spec: "run=30s stuck", Steps: []msjob.Step{step(4)}})
+	require.Eventually(t, func() bool {
+		stopped := 0
+		for _, r := range w.journal.Runs() {
+			stopped += boolToInt(!r.End.IsZero())
+		}
+		return stopped >= 8
+	}, eventually, 5*time.Millisecond, "not all tasks were stopped on both workers")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.awaitWithin(e, "0000000000000001", msjob.Completed)
+}
+
+// A job that was late beyond use got no worker for as long as a job that could be in time found
+// none, although it would not have taken anything from it.
+func TestUselessJobStartsBesideOneThatCantStart(t *testing.T) {
+	t.Parallel()
+	labelled, wide := step(1), step(20)
+	labelled.Label, wide.Gang = "gpu", true
+	for name, waiting := range map[string]msjob.Step{"label that no worker has": labelled, "gang wider than the pool": wide} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, 2)
+			w.submitWithObjective("0000000000000001", time.Now(), time.Hour, waiting)
+			w.submitWithObjective("0000000000000002", time.Now().Add(-time.Hour), time.Second, step(1))
+			e := w.entry("a")
+			w.awaitWithin(e, "0000000000000002", msjob.Completed)
+		})
+	}
+}
+
+// submitWithObjective stores a job with a latency objective of at least slack.
+func (w *testCluster) submitWithObjective(id string, accepted time.Time, slack time.Duration, s msjob.Step) {
+	w.t.Helper()
+	j := &msjob.Job{
+		ID: id, Queue: "plan", Pool: "booth", Spec: "run=50ms", Attempts: 3, Accepted: accepted.UTC(),
+		Stretch: 1.5, Slack: slack, Steps: []msjob.Step{s},
+	}
+	r, err := msjob.JobRecord(j)
+	require.NoError(w.t, err)
+	w.log.Put("jobs", r.Key, r.Value)
+}
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -19,7 +19,7 @@
 // job's spec: "run=300ms" is how long it takes, "fail=2" lets the first two attempts
 // of every task fail, and "crash=1" lets the task with index 1 of every step crash its
 // worker, "crash-after=1s" how long after its start. With "unanswered", the start that
-// crashes the worker gets no answer. With "checkpoints", each attempt has checkpoints of its
+// crashes the worker gets no answer. With "stuck", attempts show no progress. With "checkpoints", each attempt has checkpoints of its
 // own, which differ from report to report. The fields are set before use.
 type JobWorker struct {
 	Worker msworker.Worker
@@ -57,8 +57,8 @@
 	lasting  bool
 	percent  int
 	stopping bool
-	// checkpoints says that the attempt has checkpoints.
-	checkpoints bool
+	// checkpoints says that the attempt has checkpoints, stuck that it shows no progress.
+	checkpoints, stuck bool
 }
 
 // checkpoint returns a checkpoint of an attempt on a worker, or "" if it has none.
@@ -74,6 +74,9 @@
 	if r.lasting || r.takes <= 0 {
 		return r.percent
 	}
+	if r.stuck {
+		return 0
+	}
 	return int(min(99, 100*now.Sub(r.begun)/r.takes))
 }
 
@@ -277,6 +280,7 @@
 	r := &running{begun: w.now(), percent: 100}
 	r.takes, r.fails, r.lasting = parseSpec(s.Spec, s.Attempt)
 	r.checkpoints = slices.Contains(strings.Fields(s.Spec), "checkpoints")
+	r.stuck = slices.Contains(strings.Fields(s.Spec), "stuck")
 	w.running[k] = r
 	w.Journal.start(k, w.Worker.ID, s.Checkpoint, r.begun)
 	return nil
