mspause, msscheduler: failures of tasks don't stop a pool

Callers' jobs waited for up to 6 s, again and again, beside idle workers.

Three failures in a row paused a worker, whatever jobs they were of, and nothing asked how much of the pool was left. Jobs that can never be done took worker after worker away from all others, and a short pause ended a longer one.

A worker is now paused if its failures are unlikely on a worker like the others of its pool: the failures of jobs that fail elsewhere too, and of all jobs where all workers have failures, say little. One that fails all its tasks is still found after three. At most half of a pool is paused, whatever the reasons, and pauses end with the longest. The pause of a worker is logged, marjoramspan_paused_workers counts them by reason.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -20,6 +20,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/msjournal"
 	"marjoramspan/msleader"
+	"marjoramspan/mspause"
 	"marjoramspan/msplace"
 	"marjoramspan/msruntime"
 	"marjoramspan/mssite"
@@ -208,6 +209,8 @@
 	// wide jobs are among the largest tenth of their queue. outcomeKnown is set once the job
 	// is counted as in time or late in Engine.wideJobs.
 	wide, outcomeKnown bool
+	// ends has how the job's tasks ended lately, on all workers.
+	ends mspause.Counts
 	// blocker is why the latest pass placed no task of the job, or not all.
 	blocker mswait.Reason
 	// useless is set if the latest pass expected the job to end after callers have a use
@@ -245,6 +248,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer e.Metrics.resetShares()
 	defer e.Metrics.setWaits(nil)
+	defer e.Metrics.setPaused(nil)
 	defer e.Metrics.interfering(0)
 	defer e.group.Wait()
 	defer cancel()
--- a/msscheduler/interference.go
+++ b/msscheduler/interference.go
@@ -105,7 +105,7 @@
 
 // usual reports whether a worker is about as fast as its pool and has not failed lately.
 func (e *Engine) usual(w *worker, now time.Time) bool {
-	return w.score.risk(now) == 0 && w.slowness(e.medians[w.Pool]) == 0
+	return w.failures.Risk(now) == 0 && w.slowness(e.medians[w.Pool]) == 0
 }
 
 // noteInterference learns from an attempt that has succeeded. On a worker that is slow or has
--- a/msscheduler/interference_test.go
+++ b/msscheduler/interference_test.go
@@ -65,7 +65,7 @@
 		w := e.workerFor("w-0000")
 		now := e.Clock.Now()
 		if failed {
-			w.score = failureScore{failures: 1, lastFailure: now.Add(time.Minute)}
+			w.failures.Fail("j", now.Add(time.Minute))
 		}
 		second := 0
 		var j *job
--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 	"marjoramspan/mswait"
 	"marjoramspan/msworker"
 )
@@ -39,6 +40,8 @@
 	apart            *prometheus.CounterVec
 	// waits has the longest wait of a job beside free workers, by reason.
 	waits *prometheus.GaugeVec
+	// paused counts the paused workers, by reason.
+	paused *prometheus.GaugeVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -108,7 +111,10 @@
 	m.waits = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "marjoramspan_wait_beside_free_workers_seconds", Help: "Longest time for which a job that could run has had nothing running beside free workers, by reason.",
 	}, []string{"reason"})
-	reg.MustRegister(m.interferingPairs, m.apart, m.waits)
+	m.paused = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "marjoramspan_paused_workers", Help: "Workers that get no new tasks for a time, by reason.",
+	}, []string{"reason"})
+	reg.MustRegister(m.interferingPairs, m.apart, m.waits, m.paused)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.delayedRestarts, m.newerSites, m.teamCores, m.teamShare)
 	return m
 }
@@ -235,6 +241,19 @@
 	}
 }
 
+// setPaused sets how many workers are paused.
+func (m *Metrics) setPaused(n map[mspause.Reason]int) {
+	if m == nil {
+		return
+	}
+	m.paused.Reset()
+	for r, n := range n {
+		if r != mspause.None {
+			m.paused.WithLabelValues(r.String()).Set(float64(n))
+		}
+	}
+}
+
 func (m *Metrics) interfering(pairs int) {
 	if m != nil {
 		m.interferingPairs.Set(float64(pairs))
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msclock"
+	"marjoramspan/mspause"
 	"marjoramspan/msworker"
 )
 
@@ -180,9 +181,9 @@
 			return false
 		}
 	case msworker.NoCapacity:
-		r.w.blockedUntil = now.Add(noCapacityPause)
+		r.w.pauses.Add(mspause.NoRoom, now, noCapacityPause)
 	case msworker.Unhealthy:
-		r.w.blockedUntil = now.Add(unhealthyPause)
+		r.w.pauses.Add(mspause.Unhealthy, now, unhealthyPause)
 	case msworker.NoTicket:
 		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
 	case msworker.Invalid:
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -9,7 +9,6 @@
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
 	"marjoramspan/mswait"
-	"marjoramspan/msworker"
 )
 
 // poolSnapshot has the usable workers of a pool and their state as the placement sees
@@ -68,17 +67,16 @@
 		if !usable {
 			continue
 		}
-		paused := w.paused(now)
-		if !paused {
+		if !w.paused() {
 			r.size++
 		}
 		r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
 		n := w.attemptCounts()
 		v := msplace.Worker{
-			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.score.risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.failures.Risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
-			Withheld: paused,
+			Withheld: w.paused(),
 		}
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
@@ -108,6 +106,7 @@
 // be sent once the progress is stored. The caller holds mu.
 func (e *Engine) place(now time.Time) []*run {
 	e.reportShares(now)
+	e.pauseWorkers(now)
 	defer e.reportWaits(now)
 	if r := e.placesNothing(now); r != mswait.None {
 		e.noteAllWaits(r, now)
@@ -525,39 +524,3 @@
 	}
 	return int(n)
 }
-
-// failureScore counts the failures on a worker since an attempt last succeeded there.
-type failureScore struct {
-	failures int
-	// lastFailure is when the latest failure was recorded.
-	lastFailure time.Time
-}
-
-const (
-	// suspectFailures consecutive failures make a worker suspect: most tasks fail once
-	// in hundreds of attempts.
-	suspectFailures = 3
-	// suspectDuration is how long a suspect worker gets no new tasks.
-	suspectDuration = 6 * time.Second
-)
-
-func (w *worker) recordEnd(reason msworker.EndReason, now time.Time) {
-	switch reason {
-	case msworker.EndDone:
-		w.score = failureScore{}
-	case msworker.EndFailed:
-		w.score.failures++
-		w.score.lastFailure = now
-		if w.score.failures >= suspectFailures {
-			w.blockedUntil = now.Add(suspectDuration)
-		}
-	}
-}
-
-// risk is the failure risk of the worker, from 0 to 1.
-func (s failureScore) risk(now time.Time) float64 {
-	if s.failures == 0 || now.Sub(s.lastFailure) > 2*suspectDuration {
-		return 0
-	}
-	return min(1, float64(s.failures)/suspectFailures)
-}
--- a/msscheduler/progress.go
+++ b/msscheduler/progress.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 )
 
 const (
@@ -51,7 +52,7 @@
 			if r.state == runStarted && e.isStalled(r, now) {
 				e.Logger.Info("attempt stalled", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
 					zap.String("worker", w.ID), zap.Int("percent", r.percent), zap.Duration("since", now.Sub(r.progressedAt)))
-				w.blockedUntil = now.Add(stalledPause)
+				w.pauses.Add(mspause.Stalled, now, stalledPause)
 				r.job.avoidWorker(r.task, w.ID)
 				e.stop(r)
 			}
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -37,7 +37,7 @@
 func (e *Engine) poolCapacities(now time.Time) map[string]msjob.Resources {
 	all := map[string]msjob.Resources{}
 	for _, w := range e.workers {
-		if w.usable(now) && !w.paused(now) {
+		if w.usable(now) && !w.paused() {
 			all[w.Pool] = all[w.Pool].Plus(w.Capacity)
 		}
 	}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -251,7 +251,7 @@
 	}
 	isNew := t.RecordEnd(end.Attempt)
 	if isNew {
-		w.recordEnd(end.Reason, now)
+		recordEnd(w, j, end.Reason, now)
 	}
 	if j.p.State.Final() {
 		return
--- a/msscheduler/view_test.go
+++ b/msscheduler/view_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 	"marjoramspan/msworker"
 )
 
@@ -28,7 +29,7 @@
 		e.mu.Lock()
 		now := e.Clock.Now()
 		for _, w := range e.workersByID() {
-			w.blockedUntil = now
+			w.pauses, w.failures = mspause.Pauses{}, mspause.Failures{}
 			var ends []msworker.End
 			var running []msworker.Run
 			for k, r := range w.runs {
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -9,6 +9,7 @@
 	"marjoramspan/msclock"
 	"marjoramspan/msinterfere"
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 	"marjoramspan/msplace"
 	"marjoramspan/msworker"
 	"marjoramspan/mszone"
@@ -77,10 +78,14 @@
 	crashed bool
 	// reportRequestedAt is when the latest report was requested.
 	reportRequestedAt time.Time
-	// blockedUntil is until when the worker gets no new tasks.
-	blockedUntil time.Time
-	cancel       context.CancelFunc
-	score        failureScore
+	// pauses are the times for which the worker gets no new tasks, failures what speaks for
+	// another. pausedFor is why the latest pass has paused it.
+	pauses    mspause.Pauses
+	failures  mspause.Failures
+	pausedFor mspause.Reason
+	// pauseLoggedAt is when pausedFor was last logged.
+	pauseLoggedAt time.Time
+	cancel        context.CancelFunc
 	// runtimeRatio is the moving average of its attempts' run times, as a multiple of
 	// their estimates.
 	runtimeRatio float64
@@ -157,11 +162,6 @@
 	return w.stays() && (w.unknownRuns > 0 || w.outdated(now))
 }
 
-// paused reports whether the worker gets no new tasks for a time.
-func (w *worker) paused(now time.Time) bool {
-	return now.Before(w.blockedUntil)
-}
-
 // outdated reports whether the registry still has an earlier life of a worker that has
 // restarted under its ID. The capacity and labels of the present one may differ.
 func (w *worker) outdated(now time.Time) bool {
@@ -452,7 +452,7 @@
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
-	w.score = failureScore{}
+	w.failures = mspause.Failures{}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
