mspause, msscheduler: tasks that stall everywhere pause no worker

A task without progress paused each worker that it was tried on for 5 s, so that a job of such tasks took two workers a task from all others.

The stall of a task speaks against its worker only while the task has not failed or stalled elsewhere too; a pause for it ends then. On a worker that hangs, the stall of any task still pauses it.

--- a/msscheduler/pause.go
+++ b/msscheduler/pause.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"marjoramspan/msjob"
 	"marjoramspan/mspause"
 	"marjoramspan/msworker"
 )
@@ -16,7 +17,7 @@
 
 // mayPause reports whether there may be a reason to pause the worker.
 func (w *worker) mayPause(now time.Time) bool {
-	return w.pauses.Reason(now) != mspause.None || w.failures.MayPause(now)
+	return w.pauses.Reason(now) != mspause.None || w.failures.MayPause(now) || w.stalls.MayPause()
 }
 
 // pauseWorkers decides which workers are paused until the next pass. The caller holds mu.
@@ -54,13 +55,28 @@
 // pauseOf returns why a worker should be paused. ends has the ends on all workers of its pool.
 func (e *Engine) pauseOf(w *worker, ends mspause.Counts, now time.Time) mspause.Worker {
 	p := mspause.Worker{ID: w.ID, Capacity: w.Capacity.CPU, Reason: w.pauses.Reason(now), Until: w.pauses.Until()}
-	fails := w.failures.Pause(ends.Minus(w.failures.Counts, now), e.endsOf, now)
-	if until := w.failures.Until(); fails && (p.Reason == mspause.None || until.After(p.Until)) {
-		p.Reason, p.Until = mspause.Failing, until
+	note := func(r mspause.Reason, until time.Time) {
+		if now.Before(until) && (p.Reason == mspause.None || until.After(p.Until)) {
+			p.Reason, p.Until = r, until
+		}
+	}
+	if w.failures.Pause(ends.Minus(w.failures.Counts, now), e.endsOf, now) {
+		note(mspause.Failing, w.failures.Until())
 	}
+	note(mspause.Stalled, w.stalls.Until(func(task msjob.TaskID) bool { return e.failedElsewhere(task, w) }, now))
 	return p
 }
 
+// failedElsewhere reports whether a task has failed or stalled on another worker.
+func (e *Engine) failedElsewhere(task msjob.TaskID, w *worker) bool {
+	j := e.jobs[task.Job]
+	if j == nil {
+		return false
+	}
+	avoid := j.avoid[task]
+	return len(avoid) > 1 || len(avoid) == 1 && !avoid[w.ID]
+}
+
 // endsOf returns how the tasks of a job ended lately.
 func (e *Engine) endsOf(id string) mspause.Counts {
 	if j := e.jobs[id]; j != nil {
--- a/msscheduler/progress.go
+++ b/msscheduler/progress.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msjob"
-	"marjoramspan/mspause"
 )
 
 const (
@@ -24,8 +23,6 @@
 	// maxStalls is on how many workers a task is stopped as stalled. One that advances
 	// nowhere may just not report progress.
 	maxStalls = 2
-	// stalledPause is how long a worker on which an attempt stalled gets no new tasks.
-	stalledPause = 5 * time.Second
 	// runtimeWeight is the weight of the latest attempt in a worker's average run time.
 	runtimeWeight = 0.3
 	// minSlowRatio and maxSlowRatio are the ratios of a worker's average run time to the
@@ -52,7 +49,7 @@
 			if r.state == runStarted && e.isStalled(r, now) {
 				e.Logger.Info("attempt stalled", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
 					zap.String("worker", w.ID), zap.Int("percent", r.percent), zap.Duration("since", now.Sub(r.progressedAt)))
-				w.pauses.Add(mspause.Stalled, now, stalledPause)
+				w.stalls.Add(r.task, now)
 				r.job.avoidWorker(r.task, w.ID)
 				e.stop(r)
 			}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -78,10 +78,11 @@
 	crashed bool
 	// reportRequestedAt is when the latest report was requested.
 	reportRequestedAt time.Time
-	// pauses are the times for which the worker gets no new tasks, failures what speaks for
-	// another. pausedFor is why the latest pass has paused it.
+	// pauses are the times for which the worker gets no new tasks, failures and stalls what
+	// speaks for another. pausedFor is why the latest pass has paused it.
 	pauses    mspause.Pauses
 	failures  mspause.Failures
+	stalls    mspause.Stalls
 	pausedFor mspause.Reason
 	// pauseLoggedAt is when pausedFor was last logged.
 	pauseLoggedAt time.Time
@@ -452,7 +453,7 @@
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
-	w.failures = mspause.Failures{}
+	w.failures, w.stalls = mspause.Failures{}, mspause.Stalls{}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
