msscheduler: useless jobs wait only behind tasks that could take their room

A job that is late beyond use got no worker while any useful job had found none, whatever the reason: a label that no worker has, or a gang wider than the pool. Half or all of a pool stood idle for as long as that job could be in time.

A task holds useless jobs back only if idle workers could run it, or its whole gang.

--- a/mspause/pause.go
+++ b/mspause/pause.go
@@ -23,7 +23,7 @@
 	None Reason = iota
 	// Failing workers fail their tasks while others don't.
 	Failing
-	// Stalled workers have a task that showed no progress.
+	// Stalled workers had a task that showed no progress.
 	Stalled
 	// Unhealthy workers rejected a start as unhealthy.
 	Unhealthy
--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -1,5 +1,7 @@
 package msplace
 
+import "marjoramspan/msjob"
+
 // Blocker is why no worker is chosen for a task.
 type Blocker int
 
@@ -46,3 +48,31 @@
 	}
 	return found
 }
+
+// Slots returns how many tasks with these requirements idle workers could run.
+func Slots(want Requirements, workers []Worker) int {
+	n := 0
+	for i := range workers {
+		idle := workers[i]
+		idle.Free, idle.Recent, idle.Suspects = idle.Capacity, 0, 0
+		idle.Withheld, idle.Isolated, idle.IsolatedFor = false, false, ""
+		if CanRun(want, &idle) {
+			n += slotsOn(want.Step, &idle)
+		}
+	}
+	return n
+}
+
+// slotsOn returns how many tasks of a step an idle worker has room for.
+func slotsOn(s *msjob.Step, w *Worker) int {
+	n, need := int64(s.Count), s.Reserved()
+	if s.MaxPerWorker > 0 {
+		n = min(n, int64(s.MaxPerWorker))
+	}
+	for _, r := range [...][2]int64{{w.Free.CPU, need.CPU}, {w.Free.Memory, need.Memory}, {w.Free.GPUs, need.GPUs}} {
+		if room, need := r[0], r[1]; need > 0 {
+			n = min(n, room/need)
+		}
+	}
+	return int(n)
+}
--- a/msplace/shares_test.go
+++ b/msplace/shares_test.go
@@ -181,7 +181,7 @@
 			}
 		}
 		for i := range workers {
-			workers[i].Free = free[i]
+			workers[i].Free, workers[i].Withheld = free[i], false
 		}
 	}
 	var result overload
--- a/msplace/wide.go
+++ b/msplace/wide.go
@@ -1,10 +1,6 @@
 package msplace
 
-import (
-	"sort"
-
-	"marjoramspan/msjob"
-)
+import "sort"
 
 // WideJobs finds the largest tenth of each queue's jobs and watches how often they can be
 // in time.
@@ -112,7 +108,7 @@
 	best := -1
 	for i := range workers {
 		w := &workers[i]
-		if w.Isolated || !want.Step.Reserved().Fits(w.Capacity) || want.Step.Label != "" && !hasLabel(w.Labels, want.Step.Label) {
+		if w.Isolated || w.Withheld || !want.Step.Reserved().Fits(w.Capacity) || want.Step.Label != "" && !hasLabel(w.Labels, want.Step.Label) {
 			continue
 		}
 		if best < 0 || freeShare(w) > freeShare(&workers[best]) {
@@ -120,7 +116,7 @@
 		}
 	}
 	if best >= 0 {
-		workers[best].Free = msjob.Resources{}
+		workers[best].Withheld = true
 	}
 	return best
 }
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -26,9 +26,9 @@
 	maxIsolated int
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
-	// usefulWait is set once a task has found no worker whose job is of use to callers only
-	// for some time and can still be. Jobs that never become useless don't set it: they may
-	// wait for ever, for example for a worker that doesn't exist.
+	// usefulWait is set once a task has found no room whose job is of use to callers only for
+	// some time and can still be. Jobs that never become useless don't set it, nor do tasks for
+	// which there is no worker, however idle: they may wait for ever.
 	usefulWait bool
 	// held is the worker that is kept free for a wide job in this pass, or nil.
 	held *worker
@@ -139,7 +139,6 @@
 		if pool.usefulWait {
 			e.logFullPool(name, pool.held, candidates, now)
 		}
-		pool.releaseHeld()
 	}
 	return placed
 }
@@ -302,7 +301,6 @@
 		}
 		if e.findsNoRoom(j, r, pool, site) {
 			pool.othersWait = true
-			pool.usefulWait = pool.usefulWait || j.canBecomeUseless()
 			continue
 		}
 		placed = append(placed, e.placeStep(j, j.p.Occurrences[r.occurrence], r.occurrence, r.step, pool, site, now)...)
@@ -361,12 +359,7 @@
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
-		n := -1
-		if reason, full := pool.isFull(step); want.Group == "" && full {
-			j.blocker = reason
-		} else if n = msplace.Choose(want, pool.placement); n < 0 {
-			e.noteBlocker(j, want, pool)
-		}
+		n := e.chooseWorker(j, want, pool, whole)
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
 			isolateWorker(want, pool, now)
@@ -374,8 +367,6 @@
 		}
 		if n < 0 {
 			whole.othersWait = true
-			pool.noteFull(step, j.blocker)
-			whole.usefulWait = whole.usefulWait || j.canBecomeUseless()
 			break
 		}
 		if tasks[i].Phase == msjob.Assigned {
@@ -405,6 +396,35 @@
 	return placed
 }
 
+// chooseWorker returns the index of the worker for a task in pool, which has all workers of
+// whole or some, or -1. It then notes why there is none.
+func (e *Engine) chooseWorker(j *job, want msplace.Requirements, pool, whole *poolSnapshot) int {
+	if f := pool.fullFor(want.Step); f != nil && want.Group == "" {
+		j.noteFull(f, whole)
+		return -1
+	}
+	n := msplace.Choose(want, pool.placement)
+	if n >= 0 {
+		return n
+	}
+	e.noteBlocker(j, want, pool)
+	if want.Group != "" {
+		return -1
+	}
+	slots := msplace.Slots(want, pool.placement)
+	couldRun := slots > 0 && (!want.Step.Gang || slots >= want.Step.Count)
+	f := roomRequest{need: want.Step.Reserved(), label: want.Step.Label, reason: j.blocker, couldRun: couldRun}
+	pool.addFull(f)
+	j.noteFull(&f, whole)
+	return -1
+}
+
+// noteFull notes why a task of the job found no room.
+func (j *job) noteFull(f *roomRequest, pool *poolSnapshot) {
+	j.blocker = f.reason
+	pool.usefulWait = pool.usefulWait || f.couldRun && j.canBecomeUseless()
+}
+
 // isolateWorker keeps new tasks away from a worker, so that the task can soon start there
 // apart from others.
 func isolateWorker(want msplace.Requirements, pool *poolSnapshot, now time.Time) {
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -156,13 +156,3 @@
 		pool.held = pool.workers[n]
 	}
 }
-
-// releaseHeld allows tasks on the worker that was held in this pass.
-func (p *poolSnapshot) releaseHeld() {
-	for i, w := range p.workers {
-		if w == p.held {
-			p.placement[i].Free = w.free()
-		}
-	}
-	p.held = nil
-}
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -272,20 +272,21 @@
 type roomRequest struct {
 	need  msjob.Resources
 	label string
-	// reason is why none of them has it.
-	reason mswait.Reason
+	// reason is why none of them has it, couldRun whether they could have it.
+	reason   mswait.Reason
+	couldRun bool
 }
 
-// isFull reports whether an earlier search has shown that no worker has room for a task of
-// the step, and why. Capacity that is free only shrinks while a pass places tasks, so what had
-// no room has none until the end of the pass.
-func (p *poolSnapshot) isFull(step *msjob.Step) (mswait.Reason, bool) {
-	for _, f := range p.full {
-		if f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) {
-			return f.reason, true
+// fullFor returns what an earlier search has shown if no worker has room for a task of the
+// step, or nil. Capacity that is free only shrinks while a pass places tasks, so what had no
+// room has none until the end of the pass.
+func (p *poolSnapshot) fullFor(step *msjob.Step) *roomRequest {
+	for i := range p.full {
+		if f := &p.full[i]; f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) {
+			return f
 		}
 	}
-	return mswait.None, false
+	return nil
 }
 
 // findsNoRoom reports whether a search for workers for a ready step would find none, as
@@ -295,26 +296,26 @@
 	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 {
 		return false
 	}
-	reason, full := pool.isFull(step)
-	if !full {
+	f := pool.fullFor(step)
+	if f == nil {
 		return false
 	}
-	j.blocker = reason
 	q := j.queueIn(site)
-	return (q == nil || q.Advisor == nil) && e.teamHeadroom(j.def.Team, step.Need, site) > 0
+	if q != nil && q.Advisor != nil || e.teamHeadroom(j.def.Team, step.Need, site) == 0 {
+		return false
+	}
+	j.noteFull(f, pool)
+	return true
 }
 
-// noteFull remembers a step for which no worker has room, if that is so, and why: a task may
-// also have been given no worker for another reason.
-func (p *poolSnapshot) noteFull(step *msjob.Step, reason mswait.Reason) {
-	need := step.Reserved()
+// addFull remembers what no worker has room for, if that is so: a task may also have been given
+// no worker for another reason.
+func (p *poolSnapshot) addFull(f roomRequest) {
 	for i := range p.placement {
 		w := &p.placement[i]
-		if !w.Withheld && need.Fits(w.Free) && (step.Label == "" || slices.Contains(w.Labels, step.Label)) {
+		if !w.Withheld && f.need.Fits(w.Free) && (f.label == "" || slices.Contains(w.Labels, f.label)) {
 			return
 		}
 	}
-	if _, full := p.isFull(step); !full {
-		p.full = append(p.full, roomRequest{need: need, label: step.Label, reason: reason})
-	}
+	p.full = append(p.full, f)
 }
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -6,13 +6,11 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 	"marjoramspan/msplace"
 	"marjoramspan/mswait"
 )
 
-// maxInUse is the part of a pool in use from which on tasks wait because it is full.
-const maxInUse = 0.5
-
 // inUse returns the part of the pool that tasks reserve, by the resource of which they reserve
 // most.
 func (p *poolSnapshot) inUse() float64 {
@@ -22,7 +20,7 @@
 // noteBlocker remembers why a task of the job was given no worker.
 func (e *Engine) noteBlocker(j *job, want msplace.Requirements, pool *poolSnapshot) {
 	j.blocker = mswait.Full
-	if pool.inUse() >= maxInUse && !want.Step.LongRunning {
+	if pool.inUse() >= mspause.MaxInUse && !want.Step.LongRunning {
 		return
 	}
 	switch msplace.FindBlocker(want, pool.placement) {
@@ -52,7 +50,7 @@
 	if j.blocker == mswait.None || len(j.runs) > 0 && !j.def.LongRunning() {
 		return
 	}
-	if pool != nil && pool.inUse() >= maxInUse && !j.def.LongRunning() {
+	if pool != nil && pool.inUse() >= mspause.MaxInUse && !j.def.LongRunning() {
 		return
 	}
 	e.waits.Note(j.def.ID, j.pool, j.blocker, now)
@@ -92,7 +90,7 @@
 const (
 	// minPublishedWait is how long a job has to wait beside free workers to be in the load
 	// record, maxPublishedWaits how many jobs are.
-	minPublishedWait  = time.Second
+	minPublishedWait  = mspause.MaxWait
 	maxPublishedWaits = 16
 )
 
