mspause, msscheduler: protections give way to jobs that have waited too long

Jobs waited for seconds beside workers that were paused, kept for tasks on trial or held for a wide job, and useless jobs beside idle workers while a gang waited for the whole pool. Each protection was decided per worker or per job, without a bound on what it costs the others.

A task that could run on paused workers only starts there at once.

--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -29,7 +29,7 @@
 			return BlockedByNothing
 		}
 		free := w
-		free.Withheld, free.Isolated, free.IsolatedFor, free.Recent, free.Suspects = false, false, "", 0, 0
+		free.Withheld, free.BarredAnyway, free.Isolated, free.IsolatedFor, free.Recent, free.Suspects = false, false, false, "", 0, 0
 		idle := free
 		idle.Free = w.Capacity
 		switch {
@@ -38,7 +38,7 @@
 			if found == BlockedByWorkers {
 				found = BlockedByLoad
 			}
-		case w.Withheld:
+		case w.Withheld, w.BarredAnyway:
 			if found != BlockedByIsolation {
 				found = BlockedByWithheld
 			}
@@ -49,18 +49,21 @@
 	return found
 }
 
-// Slots returns how many tasks with these requirements idle workers could run.
-func Slots(want Requirements, workers []Worker) int {
-	n := 0
+// Slots returns how many tasks with these requirements idle workers could run. onlyWithheld is
+// set if there are any, all on workers that are withheld.
+func Slots(want Requirements, workers []Worker) (n int, onlyWithheld bool) {
+	onlyWithheld = true
 	for i := range workers {
 		idle := workers[i]
 		idle.Free, idle.Recent, idle.Suspects = idle.Capacity, 0, 0
-		idle.Withheld, idle.Isolated, idle.IsolatedFor = false, false, ""
-		if CanRun(want, &idle) {
-			n += slotsOn(want.Step, &idle)
+		idle.Withheld, idle.BarredAnyway, idle.Isolated, idle.IsolatedFor = false, false, false, ""
+		if !CanRun(want, &idle) {
+			continue
 		}
+		n += slotsOn(want.Step, &idle)
+		onlyWithheld = onlyWithheld && workers[i].Withheld
 	}
-	return n
+	return n, n > 0 && onlyWithheld
 }
 
 // slotsOn returns how many tasks of a step an idle worker has room for.
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -26,8 +26,9 @@
 	// their group, or empty if none of them has started yet.
 	Isolated    bool
 	IsolatedFor string
-	// Withheld keeps all tasks away.
-	Withheld bool
+	// Withheld keeps tasks away that don't use withheld workers. BarredAnyway keeps those away
+	// as well.
+	Withheld, BarredAnyway bool
 }
 
 // Requirements describes what a task requires of its worker, and where related tasks run.
@@ -44,6 +45,9 @@
 	Group string
 	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
 	MaxIsolated int
+	// UseWithheld lets the task start on withheld workers, and on those that are isolated for
+	// others, if there is no other.
+	UseWithheld bool
 	// Beside has the tasks by worker of each image that slows the task's image or is slowed
 	// by it.
 	Beside []map[string]int
@@ -87,6 +91,8 @@
 	// scoreIsolated keeps the tasks of a group on few workers.
 	scoreIsolated            = 8.0
 	scoreSuspectFreeCapacity = 4.0
+	// scoreWithheld outweighs all others together.
+	scoreWithheld = -64.0
 )
 
 // Choose returns the index of the worker with the highest score, or -1 if none can run
@@ -125,14 +131,14 @@
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
-	if w.Withheld || !s.Reserved().Fits(w.Free) {
+	if w.Withheld && !want.UseWithheld || w.BarredAnyway || !s.Reserved().Fits(w.Free) {
 		return false
 	}
 	if want.Group != "" {
 		if !isolatedFor(want, w) && (w.Recent > 0 || w.Suspects > 0) {
 			return false
 		}
-	} else if w.Isolated {
+	} else if w.Isolated && !want.UseWithheld {
 		return false
 	}
 	if s.MaxPerWorker > 0 && want.OnWorker[w.ID] >= s.MaxPerWorker {
@@ -169,6 +175,9 @@
 	case w.Suspects > 0 || want.Suspect && w.Recent > 0:
 		score += scoreSuspect
 	}
+	if w.Withheld || w.Isolated && want.Group == "" {
+		score += scoreWithheld
+	}
 	if want.Suspect {
 		score += scoreSuspectFreeCapacity * freeShare(w)
 	}
--- a/msscheduler/advice.go
+++ b/msscheduler/advice.go
@@ -123,7 +123,7 @@
 
 // restrict returns a snapshot of only the workers that have a ticket.
 func (a *advice) restrict(pool *poolSnapshot) *poolSnapshot {
-	out := &poolSnapshot{maxIsolated: pool.maxIsolated, size: pool.size, capacity: pool.capacity, used: pool.used, held: pool.held}
+	out := &poolSnapshot{maxIsolated: pool.maxIsolated, size: pool.size, capacity: pool.capacity, used: pool.used, protects: pool.protects, held: pool.held}
 	for i, w := range pool.workers {
 		if a.tickets[w.ID] != "" {
 			out.workers = append(out.workers, w)
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -211,6 +211,10 @@
 	wide, outcomeKnown bool
 	// ends has how the job's tasks ended lately, on all workers.
 	ends mspause.Counts
+	// idleSince is since when the job could run and has had nothing running, givesWay whether
+	// the latest pass let it start in spite of protections.
+	idleSince time.Time
+	givesWay  bool
 	// blocker is why the latest pass placed no task of the job, or not all.
 	blocker mswait.Reason
 	// useless is set if the latest pass expected the job to end after callers have a use
--- a/msscheduler/paused_test.go
+++ b/msscheduler/paused_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 )
 
 // maxIdleWait is the longest time for which a job may have nothing running although there is
@@ -87,6 +88,66 @@
 	}
 }
 
+// A gang that could run in the idle pool held back all room from a job that was late beyond use,
+// while a single task ran there.
+func TestUselessJobStartsBesideAGangThatWaitsForRoom(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20s", Steps: []msjob.Step{step(1)}})
+	w.awaitRunning(1)
+	gang := step(8)
+	gang.Gang = true
+	w.submitWithObjective("0000000000000002", time.Now(), time.Hour, gang)
+	w.submitWithObjective("0000000000000003", time.Now().Add(-time.Hour), time.Second, step(1))
+	w.awaitWithin(e, "0000000000000003", msjob.Completed)
+}
+
+// The workers with a label were paused, and the tasks that need it waited beside them.
+func TestTasksStartOnPausedWorkersIfThereAreNoOthers(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 6)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	g := e.current()
+	g.mu.Lock()
+	n := 0
+	for id, entry := range w.reg.All() {
+		if n++; n <= 2 {
+			entry.Labels = []string{"gpu"}
+			w.reg.Set(entry)
+			g.workers[id].pauses.Add(mspause.Unhealthy, g.Clock.Now().Add(-time.Second), time.Hour)
+		}
+	}
+	g.mu.Unlock()
+	labelled := step(2)
+	labelled.Label = "gpu"
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=20ms", Steps: []msjob.Step{labelled}})
+	w.awaitWithin(e, "0000000000000002", msjob.Completed)
+}
+
+// All workers were kept for tasks on trial, and no other job could start until these had run for
+// long enough.
+func TestJobsDontWaitForTheTrialsOfOthers(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	apart := step(2)
+	apart.MaxPerWorker = 1
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20s", Steps: []msjob.Step{apart}})
+	w.awaitRunning(2)
+	g := e.current()
+	g.mu.Lock()
+	for _, r := range g.runs {
+		r.suspect, r.isolated, r.group, r.trialTime = true, true, r.task.Job, msjob.MaxTrialTime
+		r.w.attemptsChanged()
+	}
+	g.mu.Unlock()
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=20ms", Steps: []msjob.Step{step(1)}})
+	w.awaitWithin(e, "0000000000000002", msjob.Completed)
+}
+
 // submitWithObjective stores a job with a latency objective of at least slack.
 func (w *testCluster) submitWithObjective(id string, accepted time.Time, slack time.Duration, s msjob.Step) {
 	w.t.Helper()
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msjob"
+	"marjoramspan/mspause"
 	"marjoramspan/msplace"
 	"marjoramspan/mssite"
 	"marjoramspan/mswait"
@@ -30,6 +31,8 @@
 	// some time and can still be. Jobs that never become useless don't set it, nor do tasks for
 	// which there is no worker, however idle: they may wait for ever.
 	usefulWait bool
+	// protects is set if a worker is withheld or isolated.
+	protects bool
 	// held is the worker that is kept free for a wide job in this pass, or nil.
 	held *worker
 	// suspectsWait is set once a task that has to start apart has found no worker.
@@ -76,8 +79,9 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.failures.Risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
 			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
-			Withheld: w.paused(),
+			Withheld: w.paused(), BarredAnyway: w.paused() && w.pauses.HoldsAnyway(now),
 		}
+		r.protects = r.protects || v.Withheld || v.Isolated
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
 	}
@@ -128,6 +132,7 @@
 	var placed []*run
 	for _, j := range jobs {
 		j.blocker = mswait.None
+		j.noteIdle(now)
 		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
 		e.noteWait(j, snapshots[j.poolIn(site)], now)
 	}
@@ -184,7 +189,9 @@
 		t, ok := j.candidate(wall)
 		j.inQueue = ok && !e.awaitsSite(j, site)
 		if !j.inQueue {
-			if ok {
+			if !ok {
+				j.idleSince = time.Time{}
+			} else {
 				j.blocker = mswait.NewerSite
 				e.noteWait(j, nil, now)
 			}
@@ -288,7 +295,8 @@
 		j.blocker = mswait.NoWorker
 		return nil
 	}
-	if j.useless && pool.usefulWait {
+	j.givesWay = j.waitedTooLong(pool, now)
+	if j.useless && pool.usefulWait && !j.givesWay {
 		j.blocker = mswait.BehindUseful
 		return nil
 	}
@@ -358,8 +366,9 @@
 	var placed []*run
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
+		want.UseWithheld = j.givesWay && pool.protects
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
-		n := e.chooseWorker(j, want, pool, whole)
+		n := e.chooseWorker(j, &want, pool, whole)
 		if n < 0 && want.Group != "" {
 			whole.suspectsWait = true
 			isolateWorker(want, pool, now)
@@ -397,24 +406,33 @@
 }
 
 // chooseWorker returns the index of the worker for a task in pool, which has all workers of
-// whole or some, or -1. It then notes why there is none.
-func (e *Engine) chooseWorker(j *job, want msplace.Requirements, pool, whole *poolSnapshot) int {
-	if f := pool.fullFor(want.Step); f != nil && want.Group == "" {
+// whole or some, or -1. It then notes why there is none. Protections give way to a task that
+// could run on withheld workers only, as a worker on which tasks failed is better than none.
+func (e *Engine) chooseWorker(j *job, want *msplace.Requirements, pool, whole *poolSnapshot) int {
+	if f := pool.fullFor(want.Step); f != nil && want.Group == "" && !want.UseWithheld {
 		j.noteFull(f, whole)
 		return -1
 	}
-	n := msplace.Choose(want, pool.placement)
+	n := msplace.Choose(*want, pool.placement)
 	if n >= 0 {
 		return n
 	}
-	e.noteBlocker(j, want, pool)
+	slots, onlyWithheld := msplace.Slots(*want, pool.placement)
+	if onlyWithheld && pool.held == nil && !want.UseWithheld {
+		want.UseWithheld = true
+		if n = msplace.Choose(*want, pool.placement); n >= 0 {
+			return n
+		}
+	}
+	e.noteBlocker(j, *want, pool)
 	if want.Group != "" {
 		return -1
 	}
-	slots := msplace.Slots(want, pool.placement)
 	couldRun := slots > 0 && (!want.Step.Gang || slots >= want.Step.Count)
 	f := roomRequest{need: want.Step.Reserved(), label: want.Step.Label, reason: j.blocker, couldRun: couldRun}
-	pool.addFull(f)
+	if !want.UseWithheld {
+		pool.addFull(f)
+	}
 	j.noteFull(&f, whole)
 	return -1
 }
@@ -425,6 +443,26 @@
 	pool.usefulWait = pool.usefulWait || f.couldRun && j.canBecomeUseless()
 }
 
+// noteIdle notes since when the job has had nothing running. Each task of a long-running job
+// should run.
+func (j *job) noteIdle(now time.Time) {
+	switch {
+	case len(j.runs) > 0 && !j.def.LongRunning():
+		j.idleSince = time.Time{}
+	case j.idleSince.IsZero():
+		j.idleSince = now
+	}
+}
+
+// waitedTooLong reports whether protections give way to the job.
+func (j *job) waitedTooLong(pool *poolSnapshot, now time.Time) bool {
+	inUse := pool.inUse()
+	if j.def.LongRunning() {
+		inUse = 0
+	}
+	return !j.idleSince.IsZero() && mspause.GivesWay(now.Sub(j.idleSince), inUse)
+}
+
 // isolateWorker keeps new tasks away from a worker, so that the task can soon start there
 // apart from others.
 func isolateWorker(want msplace.Requirements, pool *poolSnapshot, now time.Time) {
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -153,6 +153,6 @@
 		return
 	}
 	if n := msplace.Hold(want, pool.placement); n >= 0 {
-		pool.held = pool.workers[n]
+		pool.held, pool.protects = pool.workers[n], true
 	}
 }
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -293,7 +293,7 @@
 // it has found none for one that needs no more.
 func (e *Engine) findsNoRoom(j *job, r *readyStep, pool *poolSnapshot, site *mssite.Site) bool {
 	step := &j.def.Steps[r.step]
-	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 {
+	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 || j.givesWay && pool.protects {
 		return false
 	}
 	f := pool.fullFor(step)
