msplace, msscheduler: no job starts beside a task whose trial has just begun

A job that starts beside a task on trial because it has waited too long is lost with the worker if the task crashes it, and has to be tried itself.

--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -29,7 +29,7 @@
 			return BlockedByNothing
 		}
 		free := w
-		free.Withheld, free.BarredAnyway, free.Isolated, free.IsolatedFor, free.Recent, free.Suspects = false, false, false, "", 0, 0
+		free.liftProtections()
 		idle := free
 		idle.Free = w.Capacity
 		switch {
@@ -55,8 +55,8 @@
 	onlyWithheld = true
 	for i := range workers {
 		idle := workers[i]
-		idle.Free, idle.Recent, idle.Suspects = idle.Capacity, 0, 0
-		idle.Withheld, idle.BarredAnyway, idle.Isolated, idle.IsolatedFor = false, false, false, ""
+		idle.Free = idle.Capacity
+		idle.liftProtections()
 		if !CanRun(want, &idle) {
 			continue
 		}
@@ -79,3 +79,9 @@
 	}
 	return int(n)
 }
+
+// liftProtections clears all that keeps tasks away but the worker's load.
+func (w *Worker) liftProtections() {
+	w.Withheld, w.BarredAnyway, w.Isolated, w.FreshTrial = false, false, false, false
+	w.IsolatedFor, w.Recent, w.Suspects = "", 0, 0
+}
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -26,6 +26,9 @@
 	// their group, or empty if none of them has started yet.
 	Isolated    bool
 	IsolatedFor string
+	// FreshTrial is set while the tasks that start apart there are most likely to crash the
+	// worker. No others start then.
+	FreshTrial bool
 	// Withheld keeps tasks away that don't use withheld workers. BarredAnyway keeps those away
 	// as well.
 	Withheld, BarredAnyway bool
@@ -138,7 +141,7 @@
 		if !isolatedFor(want, w) && (w.Recent > 0 || w.Suspects > 0) {
 			return false
 		}
-	} else if w.Isolated && !want.UseWithheld {
+	} else if w.Isolated && (!want.UseWithheld || w.FreshTrial) {
 		return false
 	}
 	if s.MaxPerWorker > 0 && want.OnWorker[w.ID] >= s.MaxPerWorker {
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -78,7 +78,7 @@
 		v := msplace.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.failures.Risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
-			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor,
+			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor, FreshTrial: n.freshTrial,
 			Withheld: w.paused(), BarredAnyway: w.paused() && w.pauses.HoldsAnyway(now),
 		}
 		r.protects = r.protects || v.Withheld || v.Isolated
@@ -529,7 +529,7 @@
 	v.Recent++
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
-		v.Isolated, v.IsolatedFor = true, want.Group
+		v.Isolated, v.IsolatedFor, v.FreshTrial = true, want.Group, true
 	}
 	w.isolatedUntil = time.Time{}
 	v.Serving += boolToInt(want.Step.TailLatencyTarget > 0)
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -235,7 +235,7 @@
 type attemptCounts struct {
 	serving, backfilling, longRunning int
 	recent, suspects                  int
-	isolated                          bool
+	isolated, freshTrial              bool
 	isolatedFor                       string
 }
 
@@ -256,6 +256,7 @@
 			n.suspects += boolToInt(r.suspect)
 			if r.isolated {
 				n.isolated, n.isolatedFor = true, r.group
+				n.freshTrial = n.freshTrial || r.confirmedRuntime() < msjob.MinTrialTime
 			}
 		}
 		if s := r.step(); s != nil {
