msscheduler: the crash of a worker that a wave has chosen counts

The end of a worker that a wave had only chosen, and whose VM nobody had ordered to be maintained, was taken for planned, so that the crash didn't count against the task.

A chosen VM is down by the wave only once its maintenance was ordered, which maintenanceSince says from before the order is sent. TestEndOfAWorker, case reserved, no order, got planned before.

--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -44,7 +44,7 @@
 		return endedByCrash
 	}
 	vm := e.fleet.find(w.vmName())
-	ordered := w.moving || w.reserved || !w.maintenanceSince.IsZero()
+	ordered := w.moving || !w.maintenanceSince.IsZero()
 	switch {
 	case vm == nil || !e.fleet.readAt.After(w.firstReportAt):
 		return endedUnknown
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -148,6 +148,7 @@
 		"VM has moved":        {moved, nil, endedAsPlanned},
 		"worker drains":       {down, func(_ *Engine, w *worker) { w.Draining = true }, endedAsPlanned},
 		"maintenance ordered": {other, func(_ *Engine, w *worker) { w.maintenanceSince = now }, endedAsPlanned},
+		"reserved, no order":  {other, func(_ *Engine, w *worker) { w.reserved = true }, endedByCrash},
 		"order, VM down":      {down, func(_ *Engine, w *worker) { w.moving = true }, endedByCrash},
 		"list from before":    {down, func(_ *Engine, w *worker) { w.firstReportAt = now }, endedUnknown},
 		"cut off later":       {vm, func(_ *Engine, w *worker) { w.unreachableSince = now }, endedUnknown},
