msscheduler: long-running tasks that fail again and again start later

From its second failure in a row without having served, the task's next start is delayed by 0.1 s, doubling up to 2 s, so that it stays within the time in which a long-running task has to run again. TestLongRunningTaskThatFailsAtOnceIsDelayed failed before.

--- a/msscheduler/delay_test.go
+++ b/msscheduler/delay_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
 )
 
 // Guards against a delay of passes that grows with their cost without bound, which callers
@@ -22,3 +24,15 @@
 		require.Equal(t, c.want, passDelay(c.took, c.since))
 	}
 }
+
+// A long-running task that fails at once was started in each pass.
+func TestLongRunningTaskThatFailsAtOnceIsDelayed(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=5ms fail=1000000", Steps: []msjob.Step{longRunning(1, 1)}})
+	time.Sleep(3 * time.Second)
+	n := len(w.journal.Runs())
+	require.Less(t, n, 31)
+	require.Greater(t, n, 3)
+}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -170,6 +170,11 @@
 	// waits tracks the jobs that wait beside free workers.
 	waits           mswait.Tracker
 	waitsReportedAt time.Time
+	// anyPaused is set if workers are paused. pauseLines counts the lines on pauses that were
+	// logged since pauseLinesSince.
+	anyPaused       bool
+	pauseLines      int
+	pauseLinesSince time.Time
 	// readingSite is set while readSite reads.
 	readingSite bool
 	// teamLimiter decides which jobs are within their team's share.
@@ -197,6 +202,8 @@
 	failedGangs map[gangKey]bool
 	// retryAt has when a task may be placed again.
 	retryAt map[msjob.TaskID]time.Time
+	// failuresInRow counts the failures of long-running tasks since they last served.
+	failuresInRow map[msjob.TaskID]int
 	// overShare jobs exceed their team's share.
 	overShare bool
 	// criticalPath is the estimated length of the critical path.
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -95,6 +95,32 @@
 	j.retryAt[id] = until
 }
 
+const (
+	// minFailureDelay is the delay before the next start of a long-running task that has failed
+	// twice in a row without serving. It doubles with each further failure, up to
+	// maxFailureDelay.
+	minFailureDelay = 100 * time.Millisecond
+	maxFailureDelay = 2 * time.Second
+)
+
+// delayFailed delays the next start of a long-running task that fails again and again. Each
+// start takes a record on the log, and their number has no bound. served says that the attempt
+// that failed has served.
+func (j *job) delayFailed(id msjob.TaskID, served bool, now time.Time) {
+	if served {
+		delete(j.failuresInRow, id)
+		return
+	}
+	if j.failuresInRow == nil {
+		j.failuresInRow = map[msjob.TaskID]int{}
+	}
+	n := j.failuresInRow[id]
+	j.failuresInRow[id] = n + 1
+	if n > 0 {
+		j.delay(id, now.Add(min(minFailureDelay<<min(n-1, 10), maxFailureDelay)))
+	}
+}
+
 func (r *run) step() *msjob.Step {
 	if r.job == nil || r.task.Step >= len(r.job.def.Steps) {
 		return nil
@@ -268,6 +294,7 @@
 		}
 	case isNew && step.LongRunning && end.Reason == msworker.EndFailed:
 		j.avoidWorker(end.Task, w.ID)
+		j.delayFailed(end.Task, r != nil && !r.servingAt.IsZero(), now)
 	}
 	if isNew {
 		e.markDirty(j)
