--- a/mspause/failures.go
+++ b/mspause/failures.go
@@ -38,8 +38,9 @@
 	return c
 }
 
-// without returns c less n failures.
-func (c Counts) without(n int) Counts {
+// MinusFailures returns the ends of c without n failures.
+func (c Counts) MinusFailures(n int, now time.Time) Counts {
+	c = c.at(now)
 	c.failed, c.ended = max(0, c.failed-float64(n)), max(0, c.ended-float64(n))
 	return c
 }
@@ -72,12 +73,13 @@
 }
 
 const (
-	// minFailures is how many failures in a row it takes at least to pause a worker.
+	// minFailures is how many failures in a row it takes at least to pause a worker, all within
+	// countsDecay of the next.
 	minFailures = 3
 	// maxChance is the largest probability of such a row, on a worker like the others, at
 	// which it is evidence against the worker.
 	maxChance = 1e-4
-	// failurePause is how long after its latest failure a worker is paused.
+	// failurePause is how long after its latest failure a worker that fails its tasks is paused.
 	failurePause = 6 * time.Second
 )
 
@@ -90,46 +92,54 @@
 // Fail counts a task of a job that has failed.
 func (f *Failures) Fail(job string, now time.Time) {
 	f.Counts.Add(true, now)
-	if f.byJob == nil {
-		f.byJob = map[string]int{}
+	if f.byJob == nil || now.Sub(f.latest) > countsDecay {
+		f.n, f.byJob = 0, map[string]int{}
 	}
 	f.n++
 	f.byJob[job]++
 	f.latest = now
 }
 
-// Until returns when the pause for the latest failures ends.
-func (f *Failures) Until() time.Time {
+// Of returns how many of the failures are of a job.
+func (f *Failures) Of(job string) int {
+	return f.byJob[job]
+}
+
+// Count returns the number of failures.
+func (f *Failures) Count() int {
+	return f.n
+}
+
+// PauseUntil returns when a pause for the latest failures ends.
+func (f *Failures) PauseUntil() time.Time {
 	return f.latest.Add(failurePause)
 }
 
-// MayPause reports whether there are enough failures, and recent ones, for Pause to be asked.
-func (f *Failures) MayPause(now time.Time) bool {
-	return f.n >= minFailures && now.Before(f.Until())
+// MaySpeakAgainst reports whether there are enough failures, and recent ones, to ask
+// SpeakAgainst.
+func (f *Failures) MaySpeakAgainst(now time.Time) bool {
+	return f.n >= minFailures && now.Before(f.PauseUntil())
 }
 
-// Pause reports whether the failures speak against the worker. rest has the ends on the other
-// workers of its pool, and jobs returns those of a job on all workers.
+// SpeakAgainst reports whether the failures speak against the worker. rest has the ends on the
+// other workers of its pool, and jobs returns those of a job, both without the workers that are
+// known to fail their tasks.
 //
 // They do if they are unlikely on a worker like the others: a failure of a job whose tasks fail
 // elsewhere too, or where all workers have failures, says little. So a worker that fails all
-// its tasks is found after three of them, and jobs that always fail pause none for long.
-func (f *Failures) Pause(rest Counts, jobs func(id string) Counts, now time.Time) bool {
-	if !f.MayPause(now) {
+// its tasks is found after three of them.
+func (f *Failures) SpeakAgainst(rest Counts, jobs func(id string) Counts, now time.Time) bool {
+	if !f.MaySpeakAgainst(now) {
 		return false
 	}
 	others, chance := rest.at(now).rate(), 1.0
 	for id, n := range f.byJob {
-		chance *= math.Pow(max(others, jobs(id).at(now).without(n).rate()), float64(n))
+		elsewhere := jobs(id).MinusFailures(n, now)
+		chance *= math.Pow(max(others, elsewhere.rate()), float64(n))
 	}
 	return chance < maxChance
 }
 
-// Len returns the number of failures.
-func (f *Failures) Len() int {
-	return f.n
-}
-
 // Risk rates, from 0 to 1, how likely the next task is to fail.
 func (f *Failures) Risk(now time.Time) float64 {
 	if f.n == 0 || now.Sub(f.latest) > 2*failurePause {
--- a/mspause/pause.go
+++ b/mspause/pause.go
@@ -5,8 +5,8 @@
 // A protection spares tasks from a worker that fails them, or keeps room for others. It costs
 // the tasks that wait for it, so it is bounded in three ways. A worker is paused only on
 // evidence that speaks against it rather than against its tasks. At most half of a pool is
-// paused at a time. A job that has waited for MaxWait may start in spite of it, while less than
-// half of its pool is in use.
+// paused at a time. A job that has waited for MaxWait beside free workers may start in spite of
+// it.
 package mspause
 
 import (
@@ -23,7 +23,7 @@
 	None Reason = iota
 	// Failing workers fail their tasks while others don't.
 	Failing
-	// Stalled workers had a task that showed no progress.
+	// Stalled workers had a task that showed no progress, and there is no likelier cause.
 	Stalled
 	// Unhealthy workers rejected a start as unhealthy.
 	Unhealthy
@@ -40,24 +40,23 @@
 
 const (
 	// MaxWait is the longest time for which protections may keep a job from all room while
-	// less than MaxInUse of its pool is in use. Callers whose jobs take a second notice a
-	// longer one.
+	// less than MaxInUse of its pool is in use.
 	MaxWait = time.Second
 	// MaxInUse is the part of a pool in use from which on tasks wait because it is full.
 	MaxInUse = 0.5
-	// MaxPaused is the largest part of a pool's capacity that may be paused at a time.
-	MaxPaused = 0.5
-	// retryDelay is how long after the latest evidence against a worker no job may start on it,
-	// however long it has waited. It bounds the starts that a worker rejects.
-	retryDelay = 300 * time.Millisecond
+	// minBar is how long a worker that has rejected a start is barred from all starts. It
+	// doubles with each further rejection within maxBar, up to maxBar.
+	minBar = 300 * time.Millisecond
+	maxBar = time.Second
 )
 
 // Pauses has until when a worker is paused, by reason. The zero value is of a worker that is
 // not paused.
 type Pauses struct {
 	until [reasons]time.Time
-	// since is the time of the latest evidence.
-	since time.Time
+	// barredUntil is until when the worker is barred, bar for how long it was barred last.
+	barredUntil time.Time
+	bar         time.Duration
 }
 
 // Add pauses the worker for d, unless it is paused for that reason for longer already.
@@ -65,7 +64,16 @@
 	if until := now.Add(d); until.After(p.until[r]) {
 		p.until[r] = until
 	}
-	p.since = now
+}
+
+// Reject pauses a worker for d that has rejected a start, and bars it for a shorter time.
+func (p *Pauses) Reject(r Reason, now time.Time, d time.Duration) {
+	p.Add(r, now, d)
+	if now.Sub(p.barredUntil) > maxBar {
+		p.bar = 0
+	}
+	p.bar = min(max(2*p.bar, minBar), maxBar, d)
+	p.barredUntil = now.Add(p.bar)
 }
 
 // Reason returns why the worker is paused, or None. If there are several reasons, it is the one
@@ -80,54 +88,52 @@
 	return r
 }
 
+// For reports whether the worker is paused for the given reason.
+func (p *Pauses) For(r Reason, now time.Time) bool {
+	return now.Before(p.until[r])
+}
+
 // Until returns when the last of the pauses ends.
 func (p *Pauses) Until() time.Time {
 	return slices.MaxFunc(p.until[:], time.Time.Compare)
 }
 
-// HoldsAnyway reports whether not even a job that has waited for too long may start on the
-// worker: there was evidence against it just before.
-func (p *Pauses) HoldsAnyway(now time.Time) bool {
-	return p.Reason(now) != None && now.Sub(p.since) < retryDelay
+// Barred reports whether no start at all may be sent to the worker, as it has just rejected
+// one. This bounds the starts that are sent in vain to a pool of which all workers reject them.
+func (p *Pauses) Barred(now time.Time) bool {
+	return now.Before(p.barredUntil)
 }
 
 // Worker is a worker of a pool, as Bound sees it.
 type Worker struct {
-	ID string
-	// Capacity is the worker's CPU.
-	Capacity int64
-	Reason   Reason
+	ID     string
+	Reason Reason
 	// Until is when its pauses end.
 	Until time.Time
 }
 
-// Bound lifts the pauses of workers, by setting their Reason to None, until at most MaxPaused
-// of the pool's capacity is paused. Those that would end first go first. Workers without room
-// stay paused, as tasks can't start there.
+// Bound lifts the pauses of workers, by setting their Reason to None, until at most half of the
+// pool's workers are paused, and none in a pool of one. Those that would end first go first.
+// Workers without room stay paused, as tasks can't start there.
 //
 // It answers a load in which tasks that can't be done fail on worker after worker: each failure
-// is evidence against one worker, and together they paused the whole pool. One worker that is
-// left would be none the better for being alone, so a pool of one is never paused.
+// is evidence against one worker, and together they paused the whole pool.
 func Bound(workers []Worker) {
-	total, paused := int64(0), int64(0)
-	var lift []*Worker
+	var paused []*Worker
 	for i := range workers {
-		w := &workers[i]
-		total += w.Capacity
-		if w.Reason != None && w.Reason != NoRoom {
-			paused += w.Capacity
-			lift = append(lift, w)
+		if w := &workers[i]; w.Reason != None && w.Reason != NoRoom {
+			paused = append(paused, w)
 		}
 	}
-	slices.SortFunc(lift, func(a, b *Worker) int {
+	excess := len(paused) - len(workers)/2
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(paused, func(a, b *Worker) int {
 		return cmp.Or(a.Until.Compare(b.Until), cmp.Compare(a.ID, b.ID))
 	})
-	for _, w := range lift {
-		if float64(paused) <= MaxPaused*float64(total) {
-			return
-		}
+	for _, w := range paused[:excess] {
 		w.Reason = None
-		paused -= w.Capacity
 	}
 }
 
--- a/mspause/pause_test.go
+++ b/mspause/pause_test.go
@@ -43,7 +43,7 @@
 				rest = rest.Plus(p.workers[k].Counts, p.now)
 			}
 		}
-		if p.workers[i].Pause(rest, func(id string) Counts { return *p.jobs[id] }, p.now) {
+		if p.workers[i].SpeakAgainst(rest, func(id string) Counts { return *p.jobs[id] }, p.now) {
 			all = append(all, i)
 		}
 	}
@@ -129,14 +129,14 @@
 	for n := range 12 {
 		workers := make([]Worker, n)
 		for i := range workers {
-			workers[i] = Worker{ID: strconv.Itoa(i), Capacity: 4000, Reason: Reason(1 + i%3), Until: now.Add(time.Duration(i) * time.Second)}
+			workers[i] = Worker{ID: strconv.Itoa(i), Reason: Reason(1 + i%3), Until: now.Add(time.Duration(i) * time.Second)}
 		}
 		Bound(workers)
 		for i, w := range workers {
 			require.Equal(t, i >= n-n/2, w.Reason != None, "worker %d of %d", i, n)
 		}
 	}
-	full := []Worker{{ID: "a", Capacity: 4000, Reason: NoRoom}, {ID: "b", Capacity: 4000, Reason: NoRoom}}
+	full := []Worker{{ID: "a", Reason: NoRoom}, {ID: "b", Reason: NoRoom}}
 	Bound(full)
 	require.Equal(t, NoRoom, full[0].Reason, "a worker that rejects starts for want of room can't be used")
 }
--- a/mspause/stalls.go
+++ b/mspause/stalls.go
@@ -22,26 +22,36 @@
 	s.byTask[task] = now
 }
 
-// Until returns when the pause for the latest stall ends that speaks against the worker. A task
-// that failed or stalled elsewhere too, which elsewhere reports, is the more likely cause. The
-// result is the zero time if there is no such stall.
+// Until returns when the pause for the latest stall ends, or the zero time if no stall speaks
+// against the worker. elsewhere reports whether a task has failed or stalled on another worker
+// too: then it is the more likely cause, unless tasks of several jobs have stalled here.
 func (s *Stalls) Until(elsewhere func(task msjob.TaskID) bool, now time.Time) time.Time {
-	var latest time.Time
+	var all, latest time.Time
+	job, several := "", false
 	for task, at := range s.byTask {
-		switch {
-		case now.Sub(at) >= stallPause:
+		if now.Sub(at) >= stallPause {
 			delete(s.byTask, task)
-		case at.After(latest) && !elsewhere(task):
+			continue
+		}
+		several = several || job != "" && job != task.Job
+		job = task.Job
+		if at.After(all) {
+			all = at
+		}
+		if at.After(latest) && !elsewhere(task) {
 			latest = at
 		}
 	}
+	if several {
+		latest = all
+	}
 	if latest.IsZero() {
 		return latest
 	}
 	return latest.Add(stallPause)
 }
 
-// MayPause reports whether there may be a recent stall.
-func (s *Stalls) MayPause() bool {
+// Any reports whether there may be a recent stall.
+func (s *Stalls) Any() bool {
 	return len(s.byTask) > 0
 }
--- a/mspause/stalls_test.go
+++ b/mspause/stalls_test.go
@@ -24,6 +24,11 @@
 	require.Zero(t, s.Until(elsewhere, now))
 	s.Add(b, now.Add(time.Second))
 	require.Equal(t, now.Add(time.Second+stallPause), s.Until(elsewhere, now.Add(time.Second)))
-	require.Zero(t, s.Until(elsewhere, now.Add(time.Second+stallPause)))
-	require.False(t, s.MayPause())
+	stalledElsewhere[b] = true
+	require.Zero(t, s.Until(elsewhere, now.Add(time.Second)))
+	s.Add(msjob.TaskID{Job: "2"}, now.Add(2*time.Second))
+	stalledElsewhere[msjob.TaskID{Job: "2"}] = true
+	require.Equal(t, now.Add(2*time.Second+stallPause), s.Until(elsewhere, now.Add(2*time.Second)), "tasks of several jobs")
+	require.Zero(t, s.Until(elsewhere, now.Add(2*time.Second+stallPause)))
+	require.False(t, s.Any())
 }
--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -28,17 +28,16 @@
 		if CanRun(want, &w) && (mayIsolate || w.Isolated) {
 			return BlockedByNothing
 		}
-		free := w
-		free.liftProtections()
-		idle := free
-		idle.Free = w.Capacity
+		idle := w.idle()
+		free := idle
+		free.Free = w.Free
 		switch {
 		case !CanRun(want, &idle):
 		case !CanRun(want, &free):
 			if found == BlockedByWorkers {
 				found = BlockedByLoad
 			}
-		case w.Withheld, w.BarredAnyway:
+		case w.Withheld, w.Barred:
 			if found != BlockedByIsolation {
 				found = BlockedByWithheld
 			}
@@ -49,14 +48,13 @@
 	return found
 }
 
-// Slots returns how many tasks with these requirements idle workers could run. onlyWithheld is
-// set if there are any, all on workers that are withheld.
+// Slots returns how many tasks of the step the workers could run if all were idle. onlyWithheld
+// is set if there are any, all on workers that are withheld.
 func Slots(want Requirements, workers []Worker) (n int, onlyWithheld bool) {
+	want.OnWorker = nil
 	onlyWithheld = true
 	for i := range workers {
-		idle := workers[i]
-		idle.Free = idle.Capacity
-		idle.liftProtections()
+		idle := workers[i].idle()
 		if !CanRun(want, &idle) {
 			continue
 		}
@@ -80,8 +78,7 @@
 	return int(n)
 }
 
-// liftProtections clears all that keeps tasks away but the worker's load.
-func (w *Worker) liftProtections() {
-	w.Withheld, w.BarredAnyway, w.Isolated, w.FreshTrial = false, false, false, false
-	w.IsolatedFor, w.Recent, w.Suspects = "", 0, 0
+// idle returns the worker as it would be with no tasks and nothing that keeps tasks away.
+func (w *Worker) idle() Worker {
+	return Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity}
 }
--- a/msplace/blocker_test.go
+++ b/msplace/blocker_test.go
@@ -14,7 +14,7 @@
 	idle := Worker{ID: "idle", Capacity: room, Free: room}
 	busy, withheld, isolated, other := idle, idle, idle, idle
 	busy.Free, withheld.Withheld, isolated.Isolated, other.Labels = msjob.Resources{}, true, true, []string{"gpu"}
-	task := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000, Memory: 100}}, MaxIsolated: 1}
+	task := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000, Memory: 100}}, SparesOthers: true}
 	labelled, trial := task, task
 	labelled.Step = &msjob.Step{Count: 1, Label: "gpu"}
 	trial.Group = "g"
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -29,9 +29,8 @@
 	// FreshTrial is set while the tasks that start apart there are most likely to crash the
 	// worker. No others start then.
 	FreshTrial bool
-	// Withheld keeps tasks away that don't use withheld workers. BarredAnyway keeps those away
-	// as well.
-	Withheld, BarredAnyway bool
+	// Withheld keeps tasks away that don't use withheld workers, Barred all tasks.
+	Withheld, Barred bool
 }
 
 // Requirements describes what a task requires of its worker, and where related tasks run.
@@ -46,8 +45,9 @@
 	// Group, if set, has the task start on a worker where only tasks of the same group have
 	// started lately.
 	Group string
-	// MaxIsolated bounds the workers that are isolated at a time for tasks with a group.
-	MaxIsolated int
+	// SparesOthers bounds the workers that are isolated at a time for tasks with a group to
+	// half of those that could run the task, and at least one.
+	SparesOthers bool
 	// UseWithheld lets the task start on withheld workers, and on those that are isolated for
 	// others, if there is no other.
 	UseWithheld bool
@@ -117,11 +117,18 @@
 
 // mayIsolate reports whether another worker may be kept for tasks that start apart.
 func mayIsolate(want Requirements, workers []Worker) bool {
-	n := 0
+	if !want.SparesOthers {
+		return true
+	}
+	want.OnWorker = nil
+	isolated, all := 0, 0
 	for i := range workers {
-		n += boolToInt(workers[i].Isolated)
+		if idle := workers[i].idle(); CanRun(want, &idle) {
+			all++
+			isolated += boolToInt(workers[i].Isolated)
+		}
 	}
-	return n < want.MaxIsolated
+	return isolated < max(1, all/2)
 }
 
 func boolToInt(b bool) int {
@@ -134,7 +141,7 @@
 // CanRun reports whether a worker can run the task.
 func CanRun(want Requirements, w *Worker) bool {
 	s := want.Step
-	if w.Withheld && !want.UseWithheld || w.BarredAnyway || !s.Reserved().Fits(w.Free) {
+	if w.Withheld && !want.UseWithheld || w.Barred || !s.Reserved().Fits(w.Free) {
 		return false
 	}
 	if want.Group != "" {
@@ -232,9 +239,7 @@
 	best := -1
 	for i := range workers {
 		w := &workers[i]
-		idle := *w
-		idle.Free, idle.Recent, idle.Suspects = w.Capacity, 0, 0
-		if w.Isolated || !CanRun(want, &idle) {
+		if idle := w.idle(); w.Isolated || w.Withheld && !want.UseWithheld || w.Barred || !CanRun(want, &idle) {
 			continue
 		}
 		if best < 0 || w.Recent < workers[best].Recent || w.Recent == workers[best].Recent && freeShare(w) > freeShare(&workers[best]) {
--- a/msplace/place_test.go
+++ b/msplace/place_test.go
@@ -309,7 +309,7 @@
 			want := want
 			want.Suspect = c.suspect
 			if c.alone {
-				want.Group, want.MaxIsolated = "j", 1
+				want.Group, want.SparesOthers = "j", true
 			}
 			for i := range c.workers {
 				c.workers[i].Capacity = room
@@ -322,19 +322,22 @@
 func TestWorkersAreKeptFreeForSuspectTasks(t *testing.T) {
 	t.Parallel()
 	room := msjob.Resources{CPU: 4000, Memory: 4000}
-	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Suspect: true, Group: "j", MaxIsolated: 2}
+	want := Requirements{Step: &msjob.Step{Count: 1, Need: msjob.Resources{CPU: 1000}}, Suspect: true, Group: "j", SparesOthers: true}
 	workers := []Worker{
 		{Capacity: room, Free: room, Recent: 3},
 		{Capacity: room, Recent: 1},
 		{Capacity: room, Free: room, Recent: 1},
+		{Capacity: room, Free: room, Recent: 4},
 	}
 	require.Equal(t, 2, ChooseIsolated(want, workers))
 	workers[2].Isolated = true
 	require.Equal(t, 1, ChooseIsolated(want, workers))
 	workers[1].Isolated = true
 	require.Equal(t, -1, ChooseIsolated(want, workers), "as many as may be isolated")
+	large := append([]Worker{{Capacity: msjob.Resources{CPU: 500}}}, workers...)
+	require.Equal(t, -1, ChooseIsolated(want, large), "half of those that could run it")
 	require.Equal(t, 0, ChooseIsolated(want, workers[:1]), "the only worker")
-	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Group: "j", MaxIsolated: 1}, workers[:1]))
+	require.Equal(t, -1, ChooseIsolated(Requirements{Step: &msjob.Step{Need: msjob.Resources{CPU: 8000}}, Group: "j", SparesOthers: true}, workers[:1]))
 }
 
 // A task beside an image that slows it loses its objective, but so does one that waits. It runs
--- a/msscheduler/advice.go
+++ b/msscheduler/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"time"
 
@@ -41,28 +42,34 @@
 	maxAdviceRequests = 2
 )
 
-// adviceFor returns the advice for a step if its tickets are valid now. Otherwise it
-// returns nil and requests advice where it may. The caller holds mu.
-func (e *Engine) adviceFor(k stepKey, q *mssite.Queue, pool *poolSnapshot, now time.Time) *advice {
+// adviceFor returns the advice for a step if its tickets are valid now, or nil. It requests
+// advice where there is none, or more if the workers with tickets have had no room for too long.
+// The caller holds mu.
+func (e *Engine) adviceFor(k stepKey, q *mssite.Queue, pool *poolSnapshot, more bool, now time.Time) *advice {
 	a := e.adviceByStep[k]
 	if a == nil {
 		a = &advice{}
 		e.adviceByStep[k] = a
 	}
+	var valid *advice
 	if len(a.tickets) > 0 && now.Before(a.until) {
-		return a
+		if valid = a; !more {
+			return valid
+		}
 	}
 	if now.After(a.until) && !a.pending {
 		a.tickets, a.asked = nil, nil
 	}
 	if a.pending || now.Before(a.retryAt) || e.adviceInFlight >= maxAdviceRequests {
-		return nil
+		return valid
 	}
 	workers := nextAdviceWorkers(a, pool)
 	if len(workers) == 0 {
-		a.asked = nil
+		if valid == nil {
+			a.asked = nil
+		}
 		a.retryAt = now.Add(adviceRetryDelay)
-		return nil
+		return valid
 	}
 	a.pending = true
 	e.adviceInFlight++
@@ -71,7 +78,7 @@
 		defer e.group.Done()
 		e.requestAdvice(e.ctx, k, a, q.Advisor, workers)
 	}()
-	return nil
+	return valid
 }
 
 // nextAdviceWorkers returns the workers to name in the next request, those with most
@@ -114,16 +121,22 @@
 	for _, id := range workers {
 		a.asked[id] = true
 	}
-	a.tickets = tickets
 	// Tickets are issued as the answer is sent, so their validity counts from now.
-	a.until = now.Add(validity - ticketMargin)
+	until := now.Add(validity - ticketMargin)
+	if len(a.tickets) > 0 && now.Before(a.until) {
+		// All expire with the first.
+		all := maps.Clone(a.tickets)
+		maps.Copy(all, tickets)
+		tickets, until = all, a.until
+	}
+	a.tickets, a.until = tickets, until
 	e.Logger.Info("advice", zap.String("job", k.job), zap.Int("step", k.step), zap.Int("asked", len(workers)), zap.Int("good", len(tickets)), zap.Duration("valid", validity))
 	e.wakeLoop()
 }
 
 // restrict returns a snapshot of only the workers that have a ticket.
 func (a *advice) restrict(pool *poolSnapshot) *poolSnapshot {
-	out := &poolSnapshot{maxIsolated: pool.maxIsolated, size: pool.size, capacity: pool.capacity, used: pool.used, protects: pool.protects, held: pool.held}
+	out := &poolSnapshot{sparesOthers: pool.sparesOthers, size: pool.size, capacity: pool.capacity, used: pool.used, protects: pool.protects, held: pool.held}
 	for i, w := range pool.workers {
 		if a.tickets[w.ID] != "" {
 			out.workers = append(out.workers, w)
--- a/msscheduler/load.go
+++ b/msscheduler/load.go
@@ -34,7 +34,7 @@
 func (e *Engine) measureLoad(now time.Time) msjob.Load {
 	l := msjob.Load{Pools: map[string]msjob.PoolLoad{}, Ratios: e.runtimes.Factors(), Streams: len(e.JobJournals)}
 	for _, w := range e.workers {
-		if w.usable(now) && !w.paused() {
+		if w.acceptsTasks(now) {
 			p := l.Pools[w.Pool]
 			p.MilliCores += w.countedCPU(now)
 			l.Pools[w.Pool] = p
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -181,9 +181,9 @@
 			return false
 		}
 	case msworker.NoCapacity:
-		r.w.pauses.Add(mspause.NoRoom, now, noCapacityPause)
+		r.w.pauses.Reject(mspause.NoRoom, now, noCapacityPause)
 	case msworker.Unhealthy:
-		r.w.pauses.Add(mspause.Unhealthy, now, unhealthyPause)
+		r.w.pauses.Reject(mspause.Unhealthy, now, unhealthyPause)
 	case msworker.NoTicket:
 		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
 	case msworker.Invalid:
--- a/msscheduler/pause.go
+++ b/msscheduler/pause.go
@@ -15,55 +15,109 @@
 	return w.pausedFor != mspause.None
 }
 
+// acceptsTasks reports whether any task may be placed on the worker.
+func (w *worker) acceptsTasks(now time.Time) bool {
+	return w.usable(now) && !w.paused() && !w.scalingDown
+}
+
 // mayPause reports whether there may be a reason to pause the worker.
 func (w *worker) mayPause(now time.Time) bool {
-	return w.pauses.Reason(now) != mspause.None || w.failures.MayPause(now) || w.stalls.MayPause()
+	return w.pauses.Reason(now) != mspause.None || w.failures.MaySpeakAgainst(now) || w.stalls.Any()
 }
 
 // pauseWorkers decides which workers are paused until the next pass. The caller holds mu.
 func (e *Engine) pauseWorkers(now time.Time) {
-	any := false
+	pools := map[string]bool{}
 	for _, w := range e.workers {
-		any = any || w.paused() || w.mayPause(now)
+		if w.paused() || w.pauseLogged != mspause.None || w.mayPause(now) {
+			pools[w.Pool] = true
+		}
 	}
-	if !any {
+	if len(pools) == 0 && !e.anyPaused {
 		return
 	}
-	ends := map[string]mspause.Counts{}
+	e.findFailing(pools, now)
+	byPool := map[string][]mspause.Worker{}
 	for _, w := range e.workersByID() {
-		ends[w.Pool] = ends[w.Pool].Plus(w.failures.Counts, now)
-	}
-	pools := map[string][]mspause.Worker{}
-	for _, w := range e.workersByID() {
-		if w.usable(now) {
-			pools[w.Pool] = append(pools[w.Pool], e.pauseOf(w, ends[w.Pool], now))
-		} else {
+		switch {
+		case !pools[w.Pool]:
+		case w.usable(now):
+			byPool[w.Pool] = append(byPool[w.Pool], e.pauseOf(w, now))
+		default:
 			e.setPaused(w, mspause.None, now)
 		}
 	}
 	paused := map[mspause.Reason]int{}
-	for _, pool := range pools {
+	for _, pool := range byPool {
 		mspause.Bound(pool)
 		for _, p := range pool {
 			e.setPaused(e.workers[p.ID], p.Reason, now)
 			paused[p.Reason]++
 		}
 	}
+	delete(paused, mspause.None)
+	e.anyPaused = len(paused) > 0
 	e.Metrics.setPaused(paused)
 }
 
-// pauseOf returns why a worker should be paused. ends has the ends on all workers of its pool.
-func (e *Engine) pauseOf(w *worker, ends mspause.Counts, now time.Time) mspause.Worker {
-	p := mspause.Worker{ID: w.ID, Capacity: w.Capacity.CPU, Reason: w.pauses.Reason(now), Until: w.pauses.Until()}
-	note := func(r mspause.Reason, until time.Time) {
-		if now.Before(until) && (p.Reason == mspause.None || until.After(p.Until)) {
-			p.Reason, p.Until = r, until
+// findFailing pauses the workers of the pools whose failures speak against them. Such a pause
+// lasts, even if a task that ran there before succeeds.
+func (e *Engine) findFailing(pools map[string]bool, now time.Time) {
+	var suspects, failing []*worker
+	for _, w := range e.workersByID() {
+		if pools[w.Pool] {
+			if w.failures.MaySpeakAgainst(now) {
+				suspects = append(suspects, w)
+			}
+			if w.pauses.For(mspause.Failing, now) {
+				failing = append(failing, w)
+			}
 		}
 	}
-	if w.failures.Pause(ends.Minus(w.failures.Counts, now), e.endsOf, now) {
-		note(mspause.Failing, w.failures.Until())
+	if len(suspects) == 0 {
+		return
+	}
+	sound := map[string]mspause.Counts{}
+	for _, w := range e.workersByID() {
+		if pools[w.Pool] && !w.pauses.For(mspause.Failing, now) {
+			sound[w.Pool] = sound[w.Pool].Plus(w.failures.Counts, now)
+		}
+	}
+	for _, w := range suspects {
+		known := w.pauses.For(mspause.Failing, now)
+		rest := sound[w.Pool]
+		if !known {
+			rest = rest.Minus(w.failures.Counts, now)
+		}
+		jobs := func(id string) mspause.Counts {
+			j := e.jobs[id]
+			if j == nil {
+				return mspause.Counts{}
+			}
+			ends := j.ends
+			for _, o := range failing {
+				if o != w {
+					ends = ends.MinusFailures(o.failures.Of(id), now)
+				}
+			}
+			return ends
+		}
+		if w.failures.SpeakAgainst(rest, jobs, now) {
+			w.pauses.Add(mspause.Failing, now, w.failures.PauseUntil().Sub(now))
+		}
+	}
+}
+
+// pauseOf returns why a worker should be paused.
+func (e *Engine) pauseOf(w *worker, now time.Time) mspause.Worker {
+	p := mspause.Worker{ID: w.ID, Reason: w.pauses.Reason(now), Until: w.pauses.Until()}
+	if !w.stalls.Any() {
+		return p
+	}
+	until := w.stalls.Until(func(task msjob.TaskID) bool { return e.failedElsewhere(task, w) }, now)
+	if now.Before(until) && (p.Reason == mspause.None || until.After(p.Until)) {
+		p.Reason, p.Until = mspause.Stalled, until
 	}
-	note(mspause.Stalled, w.stalls.Until(func(task msjob.TaskID) bool { return e.failedElsewhere(task, w) }, now))
 	return p
 }
 
@@ -77,29 +131,29 @@
 	return len(avoid) > 1 || len(avoid) == 1 && !avoid[w.ID]
 }
 
-// endsOf returns how the tasks of a job ended lately.
-func (e *Engine) endsOf(id string) mspause.Counts {
-	if j := e.jobs[id]; j != nil {
-		return j.ends
-	}
-	return mspause.Counts{}
-}
-
-// pauseLogInterval is the minimum time between two log lines on the pauses of a worker.
-const pauseLogInterval = time.Second
+const (
+	// pauseLogInterval is the minimum time between two log lines on the pauses of a worker. In
+	// this time at most maxPauseLines are logged.
+	pauseLogInterval = time.Second
+	maxPauseLines    = 20
+)
 
+// setPaused sets why the worker is paused. It logs the reason once it differs from the one
+// logged last and the volume of lines allows it.
 func (e *Engine) setPaused(w *worker, r mspause.Reason, now time.Time) {
-	if r == w.pausedFor {
+	w.pausedFor = r
+	if r == w.pauseLogged || now.Sub(w.pauseLoggedAt) < pauseLogInterval {
 		return
 	}
-	before := w.pausedFor
-	w.pausedFor = r
-	if now.Sub(w.pauseLoggedAt) < pauseLogInterval {
+	if now.Sub(e.pauseLinesSince) >= pauseLogInterval {
+		e.pauseLines, e.pauseLinesSince = 0, now
+	}
+	if e.pauseLines++; e.pauseLines > maxPauseLines {
 		return
 	}
-	w.pauseLoggedAt = now
 	e.Logger.Info("pause of a worker changed", zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.String("reason", r.String()),
-		zap.String("before", before.String()), zap.Int("failures", w.failures.Len()), zap.Int("runs", len(w.runs)))
+		zap.String("before", w.pauseLogged.String()), zap.Int("failures", w.failures.Count()), zap.Int("runs", len(w.runs)))
+	w.pauseLogged, w.pauseLoggedAt = r, now
 }
 
 // recordEnd counts the end of a task as evidence for or against its worker.
--- a/msscheduler/paused_test.go
+++ b/msscheduler/paused_test.go
@@ -1,7 +1,9 @@
 package msscheduler
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"marjoramspan/msjob"
 	"marjoramspan/mspause"
+	"marjoramspan/msworker"
 )
 
 // maxIdleWait is the longest time for which a job may have nothing running although there is
@@ -110,15 +113,11 @@
 	e := w.entry("a")
 	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20ms", Steps: []msjob.Step{step(1)}})
 	w.await(e, "0000000000000001", msjob.Completed)
+	ids := w.label("gpu", 2)
 	g := e.current()
 	g.mu.Lock()
-	n := 0
-	for id, entry := range w.reg.All() {
-		if n++; n <= 2 {
-			entry.Labels = []string{"gpu"}
-			w.reg.Set(entry)
-			g.workers[id].pauses.Add(mspause.Unhealthy, g.Clock.Now().Add(-time.Second), time.Hour)
-		}
+	for _, id := range ids {
+		g.workers[id].pauses.Add(mspause.Unhealthy, g.Clock.Now(), time.Hour)
 	}
 	g.mu.Unlock()
 	labelled := step(2)
@@ -159,3 +158,134 @@
 	require.NoError(w.t, err)
 	w.log.Put("jobs", r.Key, r.Value)
 }
+
+// Workers that reject all starts as unhealthy got one in each pass, as not all of them are paused.
+func TestStartsThatAreRejectedAreBounded(t *testing.T) {
+	t.Parallel()
+	for _, workers := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(workers), func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, workers)
+			var starts atomic.Int64
+			w.configure = func(g *Engine) {
+				g.Orders.Start = func(_ context.Context, entry msworker.Worker, _ msworker.Start) (time.Duration, error) {
+					starts.Add(1)
+					return 0, &msworker.Error{Worker: entry.ID, Reason: msworker.Unhealthy}
+				}
+			}
+			w.entry("a")
+			w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+			require.Eventually(t, func() bool { return starts.Load() > 0 }, eventually, time.Millisecond)
+			time.Sleep(3 * time.Second)
+			require.Less(t, starts.Load(), int64(11*workers), "a start each 0.3 s on each worker")
+		})
+	}
+}
+
+// A worker that fails its tasks was used again as soon as one that ran there before had succeeded.
+func TestPauseOutlastsTasksThatStartedBefore(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 4, 1, 1, 0)
+	now := e.Clock.Now()
+	for _, w := range e.workersByID() {
+		for range 10 {
+			w.failures.Succeed(now)
+		}
+	}
+	bad := e.workersByID()[3]
+	for i := range 3 {
+		bad.failures.Fail(fmt.Sprint(i), now)
+	}
+	e.pauseWorkers(now)
+	require.True(t, bad.paused())
+	bad.failures.Succeed(now.Add(100 * time.Millisecond))
+	e.pauseWorkers(now.Add(100 * time.Millisecond))
+	require.True(t, bad.paused())
+	e.pauseWorkers(now.Add(10 * time.Second))
+	require.False(t, bad.paused())
+}
+
+// One trial after another took the workers with a label, and another job that needs it had none.
+func TestTrialsInSeriesDontKeepALabelFromOthers(t *testing.T) {
+	t.Parallel()
+	for _, labelled := range []int{1, 2} {
+		t.Run(fmt.Sprint(labelled), func(t *testing.T) {
+			t.Parallel()
+			w := newTestCluster(t, 6)
+			e := w.entry("a")
+			w.label("gpu", labelled)
+			const trials = 50
+			later, gpu := step(1), step(1)
+			later.Label, gpu.Label = "later", "gpu"
+			for i := range trials {
+				w.submitWithObjective(fmt.Sprintf("aa%014x", i), time.Now(), time.Hour, later)
+			}
+			require.Eventually(t, func() bool { return e.current() != nil }, eventually, time.Millisecond)
+			g := e.current()
+			require.Eventually(t, func() bool {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				if len(g.jobs) < trials {
+					return false
+				}
+				for i := range trials {
+					j := g.jobs[fmt.Sprintf("aa%014x", i)]
+					j.p.Occurrences[0].Steps[0][0].Crashes = 1
+					j.def.Spec, j.def.Steps[0].Label = "run=250ms", "gpu"
+					j.tasksChanged()
+				}
+				return true
+			}, eventually, time.Millisecond)
+			w.submitWithObjective("0000000000000002", time.Now(), time.Hour, gpu)
+			w.awaitWithin(e, "0000000000000002", msjob.Completed)
+		})
+	}
+}
+
+// The only workers with a label were kept free, as their pool needed fewer VMs.
+func TestTasksStartOnWorkersThatThePoolNoLongerNeeds(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 6)
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=20ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "0000000000000001", msjob.Completed)
+	ids := w.label("gpu", 2)
+	g := e.current()
+	g.mu.Lock()
+	for _, id := range ids {
+		g.workers[id].scalingDown = true
+	}
+	g.mu.Unlock()
+	labelled := step(2)
+	labelled.Label = "gpu"
+	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=20ms", Steps: []msjob.Step{labelled}})
+	w.awaitWithin(e, "0000000000000002", msjob.Completed)
+}
+
+// A backlog that had waited in a full pool started in spite of all protections as soon as there
+// was room.
+func TestTimeInAFullPoolIsNoWaitBesideFreeWorkers(t *testing.T) {
+	t.Parallel()
+	j := &job{def: &msjob.Job{Steps: []msjob.Step{step(1)}}}
+	now := time.Unix(1000, 0)
+	full := &poolSnapshot{capacity: msjob.Resources{CPU: 8}, used: msjob.Resources{CPU: 8}}
+	room := &poolSnapshot{capacity: msjob.Resources{CPU: 8}, used: msjob.Resources{CPU: 3}}
+	j.noteIdle(full, now)
+	j.noteIdle(room, now.Add(time.Minute))
+	require.False(t, j.givesWay)
+	j.noteIdle(room, now.Add(time.Minute+mspause.MaxWait))
+	require.True(t, j.givesWay)
+}
+
+// label gives n workers a label and returns their IDs.
+func (w *testCluster) label(label string, n int) []string {
+	var ids []string
+	for id, entry := range w.reg.All() {
+		if len(ids) < n {
+			entry.Labels = []string{label}
+			w.reg.Set(entry)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -17,14 +17,15 @@
 type poolSnapshot struct {
 	workers   []*worker
 	placement []msplace.Worker
-	// size is the number of usable workers of the whole pool that aren't paused.
+	// size is the number of workers of the whole pool that accept tasks.
 	size int
 	// capacity is what the usable workers have, used what tasks reserve there.
 	capacity, used msjob.Resources
-	// unsettled is set if there are workers whose state isn't known.
-	unsettled bool
-	// maxIsolated bounds the workers that are isolated at a time for suspect tasks.
-	maxIsolated int
+	// unsettled is set if there are workers whose state isn't known, leaving if there are some
+	// that drain, are ordered away or can't be reached.
+	unsettled, leaving bool
+	// sparesOthers bounds the workers that are isolated at a time for suspect tasks.
+	sparesOthers bool
 	// othersWait is set once a task that need not be isolated has found no worker.
 	othersWait bool
 	// usefulWait is set once a task has found no room whose job is of use to callers only for
@@ -57,8 +58,7 @@
 	}
 	medians := e.medians
 	for _, w := range e.workersByID() {
-		usable, unsettled := w.usable(now), w.unsettled(now)
-		if !usable && !unsettled {
+		if !w.registered || w.terminated {
 			continue
 		}
 		r := all[w.Pool]
@@ -66,11 +66,11 @@
 			r = &poolSnapshot{}
 			all[w.Pool] = r
 		}
-		r.unsettled = r.unsettled || unsettled
-		if !usable {
+		if !w.usable(now) {
+			r.unsettled, r.leaving = r.unsettled || w.stays(), r.leaving || !w.stays()
 			continue
 		}
-		if !w.paused() {
+		if w.acceptsTasks(now) {
 			r.size++
 		}
 		r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
@@ -78,15 +78,15 @@
 		v := msplace.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.failures.Risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
 			Serving: n.serving, Backfilling: n.backfilling, LongRunning: n.longRunning, Recent: n.recent, Suspects: n.suspects,
-			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor, FreshTrial: n.freshTrial,
-			Withheld: w.paused(), BarredAnyway: w.paused() && w.pauses.HoldsAnyway(now),
+			Isolated: n.isolated || now.Before(w.isolatedUntil), IsolatedFor: n.isolatedFor, FreshTrial: n.freshUnconfirmed || now.Before(n.freshUntil),
+			Withheld: !w.acceptsTasks(now), Barred: w.pauses.Barred(now),
 		}
 		r.protects = r.protects || v.Withheld || v.Isolated
 		r.workers = append(r.workers, w)
 		r.placement = append(r.placement, v)
 	}
 	for name, r := range all {
-		if len(r.workers) == 0 && !r.unsettled {
+		if len(r.workers) == 0 && !r.unsettled && !r.leaving {
 			delete(all, name)
 			continue
 		}
@@ -123,16 +123,13 @@
 	}
 	snapshots := e.snapshotPools(now)
 	for name, pool := range snapshots {
-		pool.maxIsolated = pool.size
-		if e.othersWait[name] {
-			// Half of the workers are left to the tasks that are not suspect.
-			pool.maxIsolated = max(1, pool.size/2)
-		}
+		pool.sparesOthers = e.othersWait[name]
 	}
 	var placed []*run
+	for _, j := range e.waitedTooLong(jobs, snapshots, site, now) {
+		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
+	}
 	for _, j := range jobs {
-		j.blocker = mswait.None
-		j.noteIdle(now)
 		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
 		e.noteWait(j, snapshots[j.poolIn(site)], now)
 	}
@@ -290,12 +287,14 @@
 }
 
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
+	j.blocker = mswait.None
 	pool := snapshots[j.poolIn(site)]
 	if pool == nil {
 		j.blocker = mswait.NoWorker
 		return nil
 	}
-	j.givesWay = j.waitedTooLong(pool, now)
+	// Those before it in the pass may have filled the pool.
+	j.givesWay = j.givesWay && (j.def.LongRunning() || pool.inUse() < mspause.MaxInUse)
 	if j.useless && pool.usefulWait && !j.givesWay {
 		j.blocker = mswait.BehindUseful
 		return nil
@@ -313,6 +312,9 @@
 		}
 		placed = append(placed, e.placeStep(j, j.p.Occurrences[r.occurrence], r.occurrence, r.step, pool, site, now)...)
 	}
+	if len(placed) > 0 {
+		j.idleSince, j.givesWay = time.Time{}, false
+	}
 	return placed
 }
 
@@ -330,7 +332,9 @@
 	}
 	e.waitingTasks = waiting
 	if len(waiting) == 0 || step.Gang && (len(waiting) < step.Count || j.gangRunning(k, s)) {
-		j.blocker = mswait.RetryDelay
+		if len(j.retryAt) > 0 {
+			j.blocker = mswait.RetryDelay
+		}
 		return nil
 	}
 	if n := e.teamHeadroom(j.def.Team, step.Need, site); n < len(waiting) {
@@ -343,7 +347,7 @@
 	var tickets map[string]string
 	whole := pool
 	if q := j.queueIn(site); q != nil && q.Advisor != nil {
-		a := e.adviceFor(stepKey{j.def.ID, k, s}, q, pool, now)
+		a := e.adviceFor(stepKey{j.def.ID, k, s}, q, pool, j.givesWay, now)
 		if a == nil {
 			j.blocker = mswait.Ticket
 			return nil
@@ -353,7 +357,7 @@
 	}
 	clear(e.onWorker)
 	clear(e.onRack)
-	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, MaxIsolated: pool.maxIsolated}
+	want := msplace.Requirements{Step: step, OnWorker: e.onWorker, OnRack: e.onRack, SparesOthers: pool.sparesOthers}
 	if e.interference.table.Found() > 0 {
 		want.Beside = e.interference.partnersOf(imageOf(j, step))
 	}
@@ -409,8 +413,9 @@
 // whole or some, or -1. It then notes why there is none. Protections give way to a task that
 // could run on withheld workers only, as a worker on which tasks failed is better than none.
 func (e *Engine) chooseWorker(j *job, want *msplace.Requirements, pool, whole *poolSnapshot) int {
-	if f := pool.fullFor(want.Step); f != nil && want.Group == "" && !want.UseWithheld {
-		j.noteFull(f, whole)
+	if f := pool.fullFor(want.Step, want.UseWithheld); f != nil && want.Group == "" {
+		j.blocker = f.reason
+		j.noteUsefulWait(want.Step, f.slots, whole)
 		return -1
 	}
 	n := msplace.Choose(*want, pool.placement)
@@ -425,42 +430,54 @@
 		}
 	}
 	e.noteBlocker(j, *want, pool)
-	if want.Group != "" {
-		return -1
+	if pool != whole {
+		j.blocker = mswait.Ticket
 	}
-	couldRun := slots > 0 && (!want.Step.Gang || slots >= want.Step.Count)
-	f := roomRequest{need: want.Step.Reserved(), label: want.Step.Label, reason: j.blocker, couldRun: couldRun}
-	if !want.UseWithheld {
-		pool.addFull(f)
+	if want.Group == "" {
+		pool.addFull(j.blocker, slots, *want)
+		j.noteUsefulWait(want.Step, slots, whole)
 	}
-	j.noteFull(&f, whole)
 	return -1
 }
 
-// noteFull notes why a task of the job found no room.
-func (j *job) noteFull(f *roomRequest, pool *poolSnapshot) {
-	j.blocker = f.reason
-	pool.usefulWait = pool.usefulWait || f.couldRun && j.canBecomeUseless()
+// noteUsefulWait has useless jobs wait behind a task of the job that found no room, if the pool
+// had room for it, or for all of its gang, if it were idle. slots is how many of such tasks it
+// had room for then.
+func (j *job) noteUsefulWait(step *msjob.Step, slots int, pool *poolSnapshot) {
+	if slots > 0 && (!step.Gang || slots >= step.Count) && j.canBecomeUseless() {
+		pool.usefulWait = true
+	}
 }
 
-// noteIdle notes since when the job has had nothing running. Each task of a long-running job
-// should run.
-func (j *job) noteIdle(now time.Time) {
+// waitedTooLong finds the jobs to which protections give way. It returns those of them that are
+// of use and have no task on trial: they go first, as one trial after another would keep the
+// workers that they need.
+func (e *Engine) waitedTooLong(jobs []*job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*job {
+	var first []*job
+	for _, j := range jobs {
+		pool := snapshots[j.poolIn(site)]
+		if j.noteIdle(pool, now); j.givesWay && !j.useless && !j.tasks().apart() {
+			first = append(first, j)
+		}
+	}
+	return first
+}
+
+// noteIdle notes since when the job has had nothing running beside free workers, and whether
+// protections give way to it. Each task of a long-running job should run, however full its pool
+// is.
+func (j *job) noteIdle(pool *poolSnapshot, now time.Time) {
+	inUse := 0.0
+	if pool != nil && !j.def.LongRunning() {
+		inUse = pool.inUse()
+	}
 	switch {
-	case len(j.runs) > 0 && !j.def.LongRunning():
+	case pool == nil, len(j.runs) > 0 && !j.def.LongRunning(), inUse >= mspause.MaxInUse:
 		j.idleSince = time.Time{}
 	case j.idleSince.IsZero():
 		j.idleSince = now
 	}
-}
-
-// waitedTooLong reports whether protections give way to the job.
-func (j *job) waitedTooLong(pool *poolSnapshot, now time.Time) bool {
-	inUse := pool.inUse()
-	if j.def.LongRunning() {
-		inUse = 0
-	}
-	return !j.idleSince.IsZero() && mspause.GivesWay(now.Sub(j.idleSince), inUse)
+	j.givesWay = !j.idleSince.IsZero() && mspause.GivesWay(now.Sub(j.idleSince), inUse)
 }
 
 // isolateWorker keeps new tasks away from a worker, so that the task can soon start there
@@ -530,6 +547,7 @@
 	v.Suspects += boolToInt(want.Suspect)
 	if want.Group != "" {
 		v.Isolated, v.IsolatedFor, v.FreshTrial = true, want.Group, true
+		pool.protects = true
 	}
 	w.isolatedUntil = time.Time{}
 	v.Serving += boolToInt(want.Step.TailLatencyTarget > 0)
--- a/msscheduler/shares.go
+++ b/msscheduler/shares.go
@@ -37,7 +37,7 @@
 func (e *Engine) poolCapacities(now time.Time) map[string]msjob.Resources {
 	all := map[string]msjob.Resources{}
 	for _, w := range e.workers {
-		if w.usable(now) && !w.paused() {
+		if w.acceptsTasks(now) {
 			all[w.Pool] = all[w.Pool].Plus(w.Capacity)
 		}
 	}
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -129,6 +129,16 @@
 	apart, isolated int
 }
 
+// apart reports whether a task has to start apart from others.
+func (v *taskView) apart() bool {
+	for i := range v.ready {
+		if v.ready[i].apart > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // tasksChanged has the next call of tasks sum up the tasks again.
 func (j *job) tasksChanged() {
 	j.tasksKnown = false
@@ -235,8 +245,12 @@
 type attemptCounts struct {
 	serving, backfilling, longRunning int
 	recent, suspects                  int
-	isolated, freshTrial              bool
+	isolated                          bool
 	isolatedFor                       string
+	// An attempt that started apart is fresh until freshUntil, or until its start is confirmed
+	// if freshUnconfirmed is set.
+	freshUntil       time.Time
+	freshUnconfirmed bool
 }
 
 // attemptsChanged has the next call of attemptCounts sum up the attempts again.
@@ -256,7 +270,11 @@
 			n.suspects += boolToInt(r.suspect)
 			if r.isolated {
 				n.isolated, n.isolatedFor = true, r.group
-				n.freshTrial = n.freshTrial || r.confirmedRuntime() < msjob.MinTrialTime
+				if r.confirmedAt.IsZero() {
+					n.freshUnconfirmed = true
+				} else if until := r.confirmedAt.Add(msjob.MinTrialTime); until.After(n.freshUntil) {
+					n.freshUntil = until
+				}
 			}
 		}
 		if s := r.step(); s != nil {
@@ -273,17 +291,21 @@
 type roomRequest struct {
 	need  msjob.Resources
 	label string
-	// reason is why none of them has it, couldRun whether they could have it.
-	reason   mswait.Reason
-	couldRun bool
+	// useWithheld is set if withheld workers would do.
+	useWithheld bool
+	// reason is why none of them has it, slots for how many such tasks they had room if they
+	// were idle.
+	reason mswait.Reason
+	slots  int
 }
 
 // fullFor returns what an earlier search has shown if no worker has room for a task of the
 // step, or nil. Capacity that is free only shrinks while a pass places tasks, so what had no
 // room has none until the end of the pass.
-func (p *poolSnapshot) fullFor(step *msjob.Step) *roomRequest {
+func (p *poolSnapshot) fullFor(step *msjob.Step, useWithheld bool) *roomRequest {
 	for i := range p.full {
-		if f := &p.full[i]; f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) {
+		f := &p.full[i]
+		if f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) && (f.useWithheld || !useWithheld) {
 			return f
 		}
 	}
@@ -294,10 +316,10 @@
 // it has found none for one that needs no more.
 func (e *Engine) findsNoRoom(j *job, r *readyStep, pool *poolSnapshot, site *mssite.Site) bool {
 	step := &j.def.Steps[r.step]
-	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 || j.givesWay && pool.protects {
+	if step.Gang || step.Duplicates || r.apart > 0 || len(j.retryAt) > 0 {
 		return false
 	}
-	f := pool.fullFor(step)
+	f := pool.fullFor(step, j.givesWay && pool.protects)
 	if f == nil {
 		return false
 	}
@@ -305,16 +327,23 @@
 	if q != nil && q.Advisor != nil || e.teamHeadroom(j.def.Team, step.Need, site) == 0 {
 		return false
 	}
-	j.noteFull(f, pool)
+	j.blocker = f.reason
+	j.noteUsefulWait(step, f.slots, pool)
 	return true
 }
 
-// addFull remembers what no worker has room for, if that is so: a task may also have been given
-// no worker for another reason.
-func (p *poolSnapshot) addFull(f roomRequest) {
+// addFull remembers that no worker has room for what a task needs, if that is so: a task may
+// also have been given no worker for another reason.
+func (p *poolSnapshot) addFull(reason mswait.Reason, slots int, want msplace.Requirements) {
+	f := roomRequest{need: want.Step.Reserved(), label: want.Step.Label, useWithheld: want.UseWithheld, reason: reason, slots: slots}
+	if want.Step.MaxPerWorker > 0 {
+		// The tasks of the step that run need not be why others find no room.
+		f.reason = mswait.Full
+	}
 	for i := range p.placement {
 		w := &p.placement[i]
-		if !w.Withheld && f.need.Fits(w.Free) && (f.label == "" || slices.Contains(w.Labels, f.label)) {
+		kept := w.Barred || w.Withheld && !f.useWithheld
+		if !kept && f.need.Fits(w.Free) && (f.label == "" || slices.Contains(w.Labels, f.label)) {
 			return
 		}
 	}
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -25,10 +25,7 @@
 	}
 	switch msplace.FindBlocker(want, pool.placement) {
 	case msplace.BlockedByWorkers:
-		j.blocker = mswait.NoWorker
-		if pool.unsettled {
-			j.blocker = mswait.Unsettled
-		}
+		j.blocker = pool.noWorker()
 	case msplace.BlockedByWithheld:
 		j.blocker = mswait.Paused
 		if pool.held != nil {
@@ -43,6 +40,18 @@
 	}
 }
 
+// noWorker returns the reason for a task that none of the pool's workers could run if it were
+// idle. Workers that aren't usable may be able to.
+func (p *poolSnapshot) noWorker() mswait.Reason {
+	switch {
+	case p.unsettled:
+		return mswait.Unsettled
+	case p.leaving:
+		return mswait.Leaving
+	}
+	return mswait.NoWorker
+}
+
 // noteWait notes a job of which tasks could run and nothing does, if its pool has room. Each
 // task of a long-running job should run, however full the pool is. pool is nil if it has no
 // workers, or if that doesn't matter.
@@ -89,9 +98,9 @@
 
 const (
 	// minPublishedWait is how long a job has to wait beside free workers to be in the load
-	// record, maxPublishedWaits how many jobs are.
+	// record, maxPublishedWaits how many jobs are for each reason.
 	minPublishedWait  = mspause.MaxWait
-	maxPublishedWaits = 16
+	maxPublishedWaits = 4
 )
 
 // publishedWaits returns the longest waits beside free workers, for the load record. Times are
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -84,7 +84,8 @@
 	failures  mspause.Failures
 	stalls    mspause.Stalls
 	pausedFor mspause.Reason
-	// pauseLoggedAt is when pausedFor was last logged.
+	// pauseLogged is the reason that was last logged, at pauseLoggedAt.
+	pauseLogged   mspause.Reason
 	pauseLoggedAt time.Time
 	cancel        context.CancelFunc
 	// runtimeRatio is the moving average of its attempts' run times, as a multiple of
@@ -98,7 +99,7 @@
 	maintenanceSince time.Time
 	// moving says that the worker's VM was ordered to another pool.
 	moving bool
-	// scalingDown keeps new tasks away, as the pool needs fewer VMs.
+	// scalingDown withholds the worker from new tasks, as the pool needs fewer VMs.
 	scalingDown bool
 	// attempts sums up runs while attemptsKnown is set. Whatever changes runs or what
 	// attemptCounts derives from them calls attemptsChanged.
@@ -153,9 +154,9 @@
 	return w.stays() && !w.unsettled(now)
 }
 
-// stays reports whether the worker is up and nothing calls for it to be empty.
+// stays reports whether the worker is up and nothing is about to end it.
 func (w *worker) stays() bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.scalingDown && !w.evacuated
+	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.evacuated
 }
 
 // unsettled reports whether the worker stays, but what it has room for isn't known.
--- a/msscheduler/zone.go
+++ b/msscheduler/zone.go
@@ -136,7 +136,7 @@
 	steps := map[mszone.Step]mszone.Availability{}
 	room := map[string][]mszone.Worker{}
 	for _, w := range e.workers {
-		if w.usable(now) && !w.paused() {
+		if w.acceptsTasks(now) {
 			room[w.Pool] = append(room[w.Pool], mszone.Worker{Capacity: w.Capacity, Labels: w.Labels})
 		}
 		if !w.evacuated || !w.reachable {
--- a/mswait/wait.go
+++ b/mswait/wait.go
@@ -22,9 +22,13 @@
 	// Unsettled says the same, while there are workers whose state isn't known: they have
 	// restarted and their entry has not, or they run attempts of jobs that are no longer known.
 	Unsettled Reason = "unsettled"
+	// Leaving says the same, while there are workers that drain, are ordered away or can't be
+	// reached.
+	Leaving Reason = "leaving"
 	// Gang says that there is room for some of a gang only.
 	Gang Reason = "gang"
-	// Paused says that workers with room get no tasks, as others failed or stalled there.
+	// Paused says that workers with room get no tasks: others failed or stalled there, starts
+	// were rejected, or the pool needs fewer VMs.
 	Paused Reason = "paused"
 	// HeldForWide says that the worker with room is kept for a wide job.
 	HeldForWide Reason = "held-for-wide"
@@ -154,7 +158,7 @@
 	return longest
 }
 
-// Over returns the waits that have lasted for d, the n longest of them, longest first.
+// Over returns waits that have lasted for d, longest first: of each reason the n longest.
 func (t *Tracker) Over(d time.Duration, n int, now time.Time) []Wait {
 	var all []Wait
 	for _, w := range t.waits {
@@ -163,5 +167,9 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Wait) int { return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Job, b.Job)) })
-	return all[:min(n, len(all))]
+	byReason := map[Reason]int{}
+	return slices.DeleteFunc(all, func(w Wait) bool {
+		byReason[w.Reason]++
+		return byReason[w.Reason] > n
+	})
 }
