--- a/msstandin/jobfleet.go
+++ b/msstandin/jobfleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -68,6 +69,18 @@
 	return f.most
 }
 
+// Completed reports whether the named VMs have all been maintained for a wave and are up.
+func (f *JobFleet) Completed(wave int64, names []string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		if slices.Contains(names, v.Name) && (!v.waves[wave] || !v.Up) {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *JobFleet) list(context.Context) ([]msworker.VM, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
