msstandin: a task that crashes its worker has no end of its own there

Cause: the worker crashes by a timer 10 ms after the start, and the attempt ends 20 ms or more after it. A worker that was asked late, as all processes had stood still for 0.2 s, found the end due and reported it before the timer fired.

Change: such an attempt ends only with its worker, or by a stop or the end of the lease.

--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -18,7 +18,8 @@
 // JobWorker runs attempts of tasks in memory. What an attempt does stands in its
 // job's spec: "run=300ms" is how long it takes, "fail=2" lets the first two attempts
 // of every task fail, and "crash=1" lets the task with index 1 of every step crash its
-// worker, "crash-after=1s" how long after its start. With "unanswered", the start that
+// worker, "crash-after=1s" how long after its start. Such a task has no end of its own, however
+// late the crash is. With "unanswered", the start that
 // crashes the worker gets no answer. With "stuck", attempts show no progress. With "checkpoints", each attempt has checkpoints of its
 // own, which differ from report to report. The fields are set before use.
 type JobWorker struct {
@@ -57,8 +58,9 @@
 	lasting  bool
 	percent  int
 	stopping bool
-	// checkpoints says that the attempt has checkpoints, stuck that it shows no progress.
-	checkpoints, stuck bool
+	// checkpoints says that the attempt has checkpoints, stuck that it shows no progress,
+	// crashes that it will crash its worker.
+	checkpoints, stuck, crashes bool
 }
 
 // checkpoint returns a checkpoint of an attempt on a worker, or "" if it has none.
@@ -183,7 +185,7 @@
 	}
 	var done []jobRun
 	for k, r := range w.running {
-		if r.stopping || !r.lasting && now.Sub(r.begun) >= r.takes {
+		if r.stopping || !r.lasting && !r.crashes && now.Sub(r.begun) >= r.takes {
 			done = append(done, k)
 		}
 	}
@@ -281,6 +283,8 @@
 	r.takes, r.fails, r.lasting = parseSpec(s.Spec, s.Attempt)
 	r.checkpoints = slices.Contains(strings.Fields(s.Spec), "checkpoints")
 	r.stuck = slices.Contains(strings.Fields(s.Spec), "stuck")
+	crashes, _, _ := crashSpec(s)
+	r.crashes = crashes && w.OnCrash != nil
 	w.running[k] = r
 	w.Journal.start(k, w.Worker.ID, s.Checkpoint, r.begun)
 	return nil
