cmd/marjoramspan: SIGHUP during the start no longer ends the program

Cause: SIGHUP, sent beside a compaction, reached the process 7 to 9 ms after its start. The program caught SIGHUP last of all, after it had read its settings, opened its listeners and started its parts; until then the signal ends a process. The soak neither started it again nor noticed.

Change: the program catches SIGHUP before all else and until it exits.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -120,6 +120,9 @@
 
 // Run serves on the users' platform until ctx is done.
 func (c *platformCmd) Run(ctx context.Context) error {
+	// Caught before all else and until the process exits: without a handler SIGHUP ends it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	set, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -139,7 +142,7 @@
 	if set.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryLimit) * heapShare))
 	}
-	n := &node{path: c.Settings, clock: clock, begun: clock.Now(), log: logger.With(zap.String("entry", set.Name))}
+	n := &node{path: c.Settings, reload: reload, clock: clock, begun: clock.Now(), log: logger.With(zap.String("entry", set.Name))}
 	n.set.Store(set)
 	n.build()
 	return n.run(ctx)
@@ -170,10 +173,12 @@
 // node is one entry on the users' platform: it takes jobs, and schedules them
 // while it leads.
 type node struct {
-	path  string
-	clock *msclock.Boot
-	log   *zap.Logger
-	set   atomic.Pointer[platform.Settings]
+	path string
+	// reload receives SIGHUP.
+	reload <-chan os.Signal
+	clock  *msclock.Boot
+	log    *zap.Logger
+	set    atomic.Pointer[platform.Settings]
 
 	reg      *prometheus.Registry
 	journal  msjournal.Log
@@ -642,9 +647,6 @@
 
 // watchSettings reads the settings file when it has changed, on SIGHUP at once.
 func (n *node) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	last, err := os.ReadFile(n.path)
 	if err != nil {
 		n.log.Warn("settings not read", zap.Error(err))
@@ -653,7 +655,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-n.reload:
 		case <-n.clock.After(settingsPoll):
 		}
 		b, err := os.ReadFile(n.path)
