msentry: entries don't renew each other's reports of leaving VMs

Callers of a pool were refused beside VMs that were up: a VM that once reported that it was leaving got no work for as long as the entries ran. Such a report counts for a minute. Each entry passed on to its peers what it had heard from them as well, so that two entries renewed it for each other without end. After a restart in place of all VMs of a pool the pool would have been left out whole.

Entries pass on only what a VM has told them itself, and what they hear from a peer counts for 5 s after its latest heartbeat.

--- a/msentry/peers.go
+++ b/msentry/peers.go
@@ -165,7 +165,7 @@
 	now := e.now()
 	ahead := e.view.RecordStatus(mspeer.ToStatus(m), sentAt, now)
 	for _, vm := range m.GetLeaving() {
-		e.vms.setLeaving(vm, now)
+		e.vms.hearLeaving(vm, now)
 	}
 	e.handleUse(m, now)
 	e.claims.updateAgreed(now)
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -28,15 +28,21 @@
 	listed bool
 	// missingSince is when the VM was first missing from the list.
 	missingSince time.Time
-	leavingSince time.Time
-	downUntil    time.Time
-	failures     int
+	// leavingUntil is how long the VM's own report to this entry that it is leaving
+	// counts, and heardLeavingUntil how long those to peers do.
+	leavingUntil      time.Time
+	heardLeavingUntil time.Time
+	downUntil         time.Time
+	failures          int
 }
 
 const (
 	// leavingTTL is how long a report that a VM is leaving takes precedence over a
 	// list that still shows it live.
 	leavingTTL = time.Minute
+	// heardLeavingTTL is how long a peer's report that a VM is leaving counts. Peers
+	// repeat it with every heartbeat.
+	heardLeavingTTL = 5 * time.Second
 	// vmPollInterval is the pause between two reads of the platform's list.
 	vmPollInterval = time.Second
 	// minVMBackoff is the pause after a first failed connection to a VM. It doubles
@@ -108,7 +114,7 @@
 	if s == nil || !s.listed || s.vm.State != mslog.VMLive {
 		return mslog.VM{}, false
 	}
-	if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingTTL {
+	if now.Before(s.leavingUntil) || now.Before(s.heardLeavingUntil) {
 		return mslog.VM{}, false
 	}
 	if _, ok := t.evacuated[s.vm.DataCentre]; ok || now.Before(s.downUntil) {
@@ -132,26 +138,35 @@
 	return ok
 }
 
-// setLeaving records that the VM reported that it is leaving, and returns whether that
-// is new.
+// setLeaving records that the VM reported to this entry that it is leaving, and returns
+// whether that is new.
 func (t *vmTable) setLeaving(name string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
-	changed := s.leavingSince.IsZero() || now.Sub(s.leavingSince) >= leavingTTL
-	if changed {
-		s.leavingSince = now
+	if now.Before(s.leavingUntil) {
+		return false
 	}
-	return changed
+	s.leavingUntil = now.Add(leavingTTL)
+	return true
 }
 
-// leavingVMs returns the VMs with an unexpired report that they are leaving.
+// hearLeaving records that a peer has such a report.
+func (t *vmTable) hearLeaving(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stateOf(name).heardLeavingUntil = now.Add(heardLeavingTTL)
+}
+
+// leavingVMs returns the VMs with an unexpired report to this entry that they are
+// leaving. What it heard from peers is not passed on, or entries would renew each
+// other's reports forever.
 func (t *vmTable) leavingVMs(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
 	for name, s := range t.vms {
-		if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingTTL {
+		if now.Before(s.leavingUntil) {
 			names = append(names, name)
 		}
 	}
