msentry: VMs that could not be reached are left out for a second at most if they are needed

Callers were refused beside VMs that were up again: an entry leaves out a VM to which a connection failed, for 0.2 s at first and up to 5 s, per VM and whatever else the pool has. Requests that failed at the same moment each doubled that pause, so that a moment without the only VM, or without the network of the entry, cost all requests of the pool 5 s. When the pause ended all slots of the VM went to requests at once, each of which lost one of its four attempts if the VM was still down.

Attempts that were under way during a failure count as one with it. While requests wait and no other VM of the pool has a free slot, the pause is at most a second. A VM whose last connection failed gets one request until it is connected, and its pause ends with the connection instead of with the answer.

--- a/msentry/pool.go
+++ b/msentry/pool.go
@@ -202,15 +202,25 @@
 	t := p.waiting[w.ID]
 	p.forget(t)
 	p.sched.Started(w.Team, now)
+	p.vms.recordGrant(vm.Name, now)
 	t.ready <- grant{vm: vm}
 	return true
 }
 
-// takeSlot acquires a slot token of a usable VM, round-robin over the VMs.
+// takeSlot acquires a slot token of a usable VM. If no other has one, a VM in backoff is
+// usable earlier.
 func (p *pool) takeSlot(now time.Time) (mslog.VM, bool) {
+	if vm, ok := p.takeSlotOf(now, false); ok {
+		return vm, true
+	}
+	return p.takeSlotOf(now, true)
+}
+
+// takeSlotOf goes round-robin over the VMs.
+func (p *pool) takeSlotOf(now time.Time, needed bool) (mslog.VM, bool) {
 	for i := range p.vmNames {
 		at := (p.nextVM + i) % len(p.vmNames)
-		vm, ok := p.vms.usable(p.vmNames[at], now)
+		vm, ok := p.vms.usable(p.vmNames[at], now, needed)
 		if ok && p.ledger.Acquire(msstate.SlotResource(vm.Name)) {
 			p.nextVM = at + 1
 			return vm, true
@@ -225,7 +235,7 @@
 	usableNames := p.usableNames[:0]
 	for i := range p.vmNames {
 		name := p.vmNames[(p.nextVM+i)%len(p.vmNames)]
-		if _, ok := p.vms.usable(name, now); ok {
+		if _, ok := p.vms.usable(name, now, n > 0); ok {
 			usableNames = append(usableNames, name)
 			continue
 		}
--- a/msentry/pool_test.go
+++ b/msentry/pool_test.go
@@ -45,6 +45,9 @@
 			"leave": func(t *rapid.T) {
 				h.p.vms.setLeaving(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm"), h.now)
 			},
+			"fail": func(t *rapid.T) {
+				h.p.vms.recordFailure(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm"), h.now, h.now)
+			},
 			"tick": func(t *rapid.T) {
 				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
 				h.p.dispatch(h.now)
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -150,11 +150,10 @@
 	if err != nil {
 		cancel()
 		ue := asUpstreamError(err, g.vm.Name)
-		rq.handleUpstreamError(ue, g)
+		rq.handleUpstreamError(ue, g, started)
 		rq.releaseWhenDone(g, started, until, ue.Sent)
 		return ue
 	}
-	e.vms.recordSuccess(g.vm.Name)
 	whole := rq.relayResponse(res, cl)
 	cancel()
 	rq.releaseWhenDone(g, started, until, !whole)
@@ -171,8 +170,11 @@
 	return context.WithTimeout(context.WithoutCancel(rq.r.Context()), d)
 }
 
-// checkSend is called just before the first byte is sent to the upstream.
+// checkSend is called once the upstream is connected, just before the first byte is sent.
 func (rq *request) checkSend(g grant) error {
+	if rq.e.vms.recordConnected(g.vm.Name) {
+		rq.e.dispatchAll()
+	}
 	if fresh, _ := rq.e.view.Fresh(rq.e.now()); !fresh {
 		return errWithheld
 	}
@@ -203,8 +205,8 @@
 	return out
 }
 
-// handleUpstreamError updates the VM's state from a failed attempt.
-func (rq *request) handleUpstreamError(err *msupstream.Error, g grant) {
+// handleUpstreamError updates the VM's state from an attempt that began at began and failed.
+func (rq *request) handleUpstreamError(err *msupstream.Error, g grant, began time.Time) {
 	e := rq.e
 	now := e.now()
 	switch {
@@ -213,7 +215,7 @@
 			e.Log.Info("upstream is leaving", zap.String("vm", g.vm.Name))
 		}
 	case !err.Sent && err.Reason != "withheld" && err.Reason != "full":
-		e.vms.recordFailure(g.vm.Name, now)
+		e.vms.recordFailure(g.vm.Name, began, now)
 	}
 	if err.Sent {
 		e.sender.DropAddress(g.vm.Address)
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -9,6 +9,7 @@
 	"marjoramspan/msclock"
 	"marjoramspan/mslog"
 	"marjoramspan/msstate"
+	"marjoramspan/msupstream"
 )
 
 // vmTable holds the state of the VMs: the platform's list, which lags behind, and
@@ -32,8 +33,12 @@
 	// counts, and heardLeavingUntil how long those to peers do.
 	leavingUntil      time.Time
 	heardLeavingUntil time.Time
-	downUntil         time.Time
-	failures          int
+	// failures counts the attempts to connect to the VM that failed since the last one
+	// that didn't, and failedAt is the end of the latest of them. triedUntil is how long
+	// the VM gets no other request after one that tries it again.
+	failures   int
+	failedAt   time.Time
+	triedUntil time.Time
 }
 
 const (
@@ -49,8 +54,26 @@
 	// with each further failure, up to maxVMBackoff.
 	minVMBackoff = 200 * time.Millisecond
 	maxVMBackoff = 5 * time.Second
+	// neededVMBackoff bounds the pause while requests wait and no other VM of the pool
+	// has a free slot: callers would be refused beside a VM that is back.
+	neededVMBackoff = time.Second
+	// vmTrialTime is how long an attempt to connect takes at most.
+	vmTrialTime = msupstream.DefaultDialTimeout
 )
 
+// vmBackoff returns the pause after a number of failed connections to a VM. The VM is
+// needed while requests wait and no other VM of the pool has a free slot.
+func vmBackoff(failures int, needed bool) time.Duration {
+	if failures == 0 {
+		return 0
+	}
+	longest := maxVMBackoff
+	if needed {
+		longest = neededVMBackoff
+	}
+	return min(minVMBackoff<<min(failures-1, 10), longest)
+}
+
 // reports returns the platform's list and when the read of it began.
 func (t *vmTable) reports() ([]mslog.VM, time.Time) {
 	t.mu.Lock()
@@ -106,8 +129,9 @@
 	return s
 }
 
-// usable returns the VM and whether it may be given new work at now.
-func (t *vmTable) usable(name string, now time.Time) (mslog.VM, bool) {
+// usable returns the VM and whether it may be given new work at now. For needed see
+// vmBackoff.
+func (t *vmTable) usable(name string, now time.Time, needed bool) (mslog.VM, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.vms[name]
@@ -117,7 +141,10 @@
 	if now.Before(s.leavingUntil) || now.Before(s.heardLeavingUntil) {
 		return mslog.VM{}, false
 	}
-	if _, ok := t.evacuated[s.vm.DataCentre]; ok || now.Before(s.downUntil) {
+	if _, ok := t.evacuated[s.vm.DataCentre]; ok {
+		return mslog.VM{}, false
+	}
+	if now.Before(s.triedUntil) || now.Before(s.failedAt.Add(vmBackoff(s.failures, needed))) {
 		return mslog.VM{}, false
 	}
 	return s.vm, true
@@ -174,23 +201,40 @@
 	return names
 }
 
-// recordFailure records a failed attempt to use the VM, and starts its backoff.
-func (t *vmTable) recordFailure(name string, now time.Time) {
+// recordGrant records that a request goes to the VM. If the VM's last connection failed,
+// it gets no other until that request is connected, has failed, or must have.
+func (t *vmTable) recordGrant(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.stateOf(name); s.failures > 0 {
+		s.triedUntil = now.Add(vmTrialTime)
+	}
+}
+
+// recordFailure records an attempt to connect to the VM that began at began and failed,
+// and starts its backoff. Attempts that were under way during another failure say
+// nothing more than that one.
+func (t *vmTable) recordFailure(name string, began, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
-	backoff := min(minVMBackoff<<min(s.failures, 10), maxVMBackoff)
+	if began.Before(s.failedAt) {
+		return
+	}
 	s.failures++
-	s.downUntil = now.Add(backoff)
+	s.failedAt = now
+	s.triedUntil = time.Time{}
 }
 
-// recordSuccess resets the VM's backoff after an answer.
-func (t *vmTable) recordSuccess(name string) {
+// recordConnected ends the VM's backoff, and returns whether there was one.
+func (t *vmTable) recordConnected(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
+	failed := s.failures > 0
 	s.failures = 0
-	s.downUntil = time.Time{}
+	s.triedUntil = time.Time{}
+	return failed
 }
 
 // pollVMs reads the platform's list periodically until ctx is done.
