msupstream, msentry: a wait for a connection is no failure of the VM

An entry has at most seven connections to a VM by default, and a pool may have more slots on each. A request for which none came free in its time was reported as a timeout of the VM, so that a VM that worked on seven requests was left out as if it could not be reached.

Such a request has a reason of its own, connections-in-use, which starts no pause.

TestWaitForAConnectionIsNoFailureOfTheVM failed before (timeout).

--- a/msentry/run.go
+++ b/msentry/run.go
@@ -214,7 +214,7 @@
 		if e.vms.setLeaving(g.vm.Name, now) {
 			e.Log.Info("upstream is leaving", zap.String("vm", g.vm.Name))
 		}
-	case !err.Sent && err.Reason != "withheld" && err.Reason != "full":
+	case !err.Sent && isFailureOfVM(err.Reason):
 		e.vms.recordFailure(g.vm.Name, began, now)
 	}
 	if err.Sent {
@@ -223,6 +223,16 @@
 	rq.log.Info("upstream did not answer", zap.String("vm", g.vm.Name), zap.Bool("sent", err.Sent), zap.Error(err))
 }
 
+// isFailureOfVM reports whether a request that was not sent for a reason shows that the VM
+// takes none.
+func isFailureOfVM(reason string) bool {
+	switch reason {
+	case "withheld", "full", "canceled", msupstream.ReasonConnectionsInUse:
+		return false
+	}
+	return true
+}
+
 // releaseWhenDone releases the slot and the token: at once if the VM has finished the
 // request, otherwise at until, when it must have.
 func (rq *request) releaseWhenDone(g grant, started, until time.Time, running bool) {
--- a/msupstream/sender.go
+++ b/msupstream/sender.go
@@ -30,6 +30,10 @@
 // new requests.
 const ReasonLeaving = "leaving"
 
+// ReasonConnectionsInUse is the Reason of an Error if all connections to the VM were in use
+// by other requests for the time of the request. It says nothing about the VM.
+const ReasonConnectionsInUse = "connections-in-use"
+
 // Error reports that a VM did not answer a request or refused it.
 type Error struct {
 	VM string
@@ -97,7 +101,10 @@
 	body := &requestBody{r: r.Body, beforeSend: beforeSend}
 	var connected atomic.Bool
 	ctx, cancel := context.WithCancelCause(r.Context())
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	// dialed is set once a connection is being opened for r. Without it, r waits for one
+	// that other requests use.
+	var dialed atomic.Bool
+	trace := &httptrace.ClientTrace{ConnectStart: func(string, string) { dialed.Store(true) }, GotConn: func(info httptrace.GotConnInfo) {
 		if err := body.checkSend(); err != nil {
 			// The transport may write the headers before it sees that ctx is done.
 			_ = info.Conn.Close()
@@ -119,6 +126,9 @@
 	if err != nil {
 		cancel(nil)
 		ue := s.newError(vm, connected.Load(), body.sendErr(), err)
+		if ue.Reason == "timeout" && !ue.Sent && !dialed.Load() {
+			ue.Reason = ReasonConnectionsInUse
+		}
 		ue.BodyUnread = !body.wasRead()
 		return nil, ue
 	}
--- a/msupstream/sender_test.go
+++ b/msupstream/sender_test.go
@@ -144,3 +144,30 @@
 	require.True(t, ue.Sent)
 	require.Equal(t, "timeout", ue.Reason)
 }
+
+// A request that had to wait for a connection says nothing against the VM, which works on the others.
+func TestWaitForAConnectionIsNoFailureOfTheVM(t *testing.T) {
+	release, started := make(chan struct{}), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	defer srv.Close()
+	defer close(release)
+	s := &Sender{MaxConnsPerVM: 1}
+	go func() {
+		r := httptest.NewRequest(http.MethodPost, "/", nil)
+		if res, err := s.Send(r, "vm-1", srv.Listener.Addr().String(), nil); err == nil {
+			_ = res.Body.Close()
+		}
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://ignored/", strings.NewReader("x"))
+	require.NoError(t, err)
+	_, err = s.Send(r, "vm-1", srv.Listener.Addr().String(), nil)
+	ue := requireSendError(t, err)
+	require.False(t, ue.Sent)
+	require.Equal(t, ReasonConnectionsInUse, ue.Reason)
+}
