msentry: metrics of the VMs that an entry leaves out

Nothing showed that an entry left a live VM out as connections to it had failed or as it had reported that it was leaving: marjoramspan_unreachable_vms and marjoramspan_leaving_vms.

--- a/msentry/metrics.go
+++ b/msentry/metrics.go
@@ -42,6 +42,14 @@
 		gauge("marjoramspan_claims_unlogged", "Claims and settlements that wait for the log.", func() float64 {
 			return float64(e.claims.home.Pending())
 		}),
+		gauge("marjoramspan_unreachable_vms", "Live VMs to which the entry's last connection failed.", func() float64 {
+			unreachable, _ := e.vms.countLeftOut(e.now())
+			return float64(unreachable)
+		}),
+		gauge("marjoramspan_leaving_vms", "Live VMs that get no requests as they reported that they are leaving.", func() float64 {
+			_, leaving := e.vms.countLeftOut(e.now())
+			return float64(leaving)
+		}),
 		gauge("marjoramspan_open_requests", "Requests without an outcome yet.", func() float64 {
 			return float64(e.account.Totals().Open)
 		}),
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -201,6 +201,23 @@
 	return names
 }
 
+// countLeftOut returns how many VMs that the platform lists as live get no or few requests,
+// as connections to them failed or as they reported that they are leaving.
+func (t *vmTable) countLeftOut(now time.Time) (unreachable, leaving int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.vms {
+		switch {
+		case !s.listed || s.vm.State != mslog.VMLive:
+		case now.Before(s.leavingUntil) || now.Before(s.heardLeavingUntil):
+			leaving++
+		case s.failures > 0:
+			unreachable++
+		}
+	}
+	return unreachable, leaving
+}
+
 // recordGrant records that a request goes to the VM. If the VM's last connection failed,
 // it gets no other until that request is connected, has failed, or must have.
 func (t *vmTable) recordGrant(name string, now time.Time) {
--- a/msentry/vms_test.go
+++ b/msentry/vms_test.go
@@ -75,6 +75,8 @@
 	for range 8 {
 		h.failAll(1)
 	}
+	unreachable, leaving := h.p.vms.countLeftOut(h.now)
+	require.Equal(t, []int{2, 0}, []int{unreachable, leaving})
 	require.Zero(t, h.enterAll(t, 1, 2, 3))
 	h.now = h.now.Add(neededVMBackoff)
 	h.p.dispatch(h.now)
