msentry: a VM that has booted again is not leaving any more

After all VMs of a pool had reported that they were leaving and had restarted at their addresses, callers were refused for up to a minute beside idle VMs: a report outlived the boot that had made it.

What an entry knows of a VM is dropped when the platform lists another boot id, as it was for another address.

TestVMThatHasBootedAgainIsNotLeaving failed before (no request started).

--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -92,7 +92,8 @@
 	}
 	for _, vm := range vms {
 		s := t.stateOf(vm.Name)
-		if s.vm.Address != vm.Address {
+		if s.vm.Address != vm.Address || s.vm.BootID != vm.BootID {
+			// What is known is of an earlier VM, or of an earlier boot.
 			*s = vmState{}
 		}
 		s.vm = vm
--- a/msentry/vms_test.go
+++ b/msentry/vms_test.go
@@ -98,3 +98,19 @@
 	require.Equal(t, 2, h.enterAll(t, 1, 2))
 	require.Equal(t, []runningRequest{{"a", "vm-2"}, {"a", "vm-2"}}, h.running)
 }
+
+// All VMs of a pool were leaving and have booted again: they get work as soon as they are listed so.
+func TestVMThatHasBootedAgainIsNotLeaving(t *testing.T) {
+	h := newPoolHarness()
+	list := func(boot string) {
+		h.p.vms.set([]mslog.VM{{Name: "vm-1", Address: "x", BootID: boot, State: mslog.VMLive}, {Name: "vm-2", Address: "y", BootID: boot, State: mslog.VMLive}}, h.now)
+	}
+	list("first")
+	h.p.vms.setLeaving("vm-1", h.now)
+	h.p.vms.hearLeaving("vm-2", h.now)
+	list("first")
+	require.Zero(t, h.enterAll(t, 1, 2, 3))
+	list("second")
+	h.p.dispatch(h.now)
+	require.Equal(t, 3, h.enterAll(t))
+}
