msentry: a VM that refuses each request is left out for longer each time

A connection ends the pause only; the next one grows on until the VM answers a request.

TestVMThatRefusesRequestsIsLeftOutForLonger failed before.

--- a/msentry/metrics.go
+++ b/msentry/metrics.go
@@ -42,7 +42,7 @@
 		gauge("marjoramspan_claims_unlogged", "Claims and settlements that wait for the log.", func() float64 {
 			return float64(e.claims.home.Pending())
 		}),
-		gauge("marjoramspan_unreachable_vms", "Live VMs to which the entry's last connection failed.", func() float64 {
+		gauge("marjoramspan_unreachable_vms", "Live VMs that could not be reached or refused a request, and have answered none since.", func() float64 {
 			unreachable, _ := e.vms.countLeftOut(e.now())
 			return float64(unreachable)
 		}),
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -154,6 +154,7 @@
 		rq.releaseWhenDone(g, started, until, ue.Sent)
 		return ue
 	}
+	e.vms.recordAnswer(g.vm.Name)
 	whole := rq.relayResponse(res, cl)
 	cancel()
 	rq.releaseWhenDone(g, started, until, !whole)
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -33,9 +33,9 @@
 	// counts, and heardLeavingUntil how long those to peers do.
 	leavingUntil      time.Time
 	heardLeavingUntil time.Time
-	// failures counts the attempts to connect to the VM that failed since the last one
-	// that didn't, and failedAt is the end of the latest of them. triedUntil is how long
-	// the VM gets no other request after one that tries it again.
+	// failures counts the failed attempts to use the VM since its last answer, and failedAt
+	// is the end of the latest one, or zero if a connection was opened since. triedUntil is
+	// how long the VM gets no other request after one that tries it again.
 	failures   int
 	failedAt   time.Time
 	triedUntil time.Time
@@ -61,7 +61,7 @@
 	vmTrialTime = msupstream.DefaultDialTimeout
 )
 
-// vmBackoff returns the pause after a number of failed connections to a VM. The VM is
+// vmBackoff returns the pause after a number of failed attempts to use a VM. The VM is
 // needed while requests wait and no other VM of the pool has a free slot.
 func vmBackoff(failures int, needed bool) time.Duration {
 	if failures == 0 {
@@ -203,7 +203,7 @@
 }
 
 // countLeftOut returns how many VMs that the platform lists as live get no or few requests,
-// as connections to them failed or as they reported that they are leaving.
+// as attempts to use them failed or as they reported that they are leaving.
 func (t *vmTable) countLeftOut(now time.Time) (unreachable, leaving int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,7 +219,7 @@
 	return unreachable, leaving
 }
 
-// recordGrant records that a request goes to the VM. If the VM's last connection failed,
+// recordGrant records that a request goes to the VM. If attempts to use it have failed,
 // it gets no other until that request is connected, has failed, or must have.
 func (t *vmTable) recordGrant(name string, now time.Time) {
 	t.mu.Lock()
@@ -229,8 +229,8 @@
 	}
 }
 
-// recordFailure records an attempt to connect to the VM that began at began and failed,
-// and starts its backoff. Attempts that were under way during another failure say
+// recordFailure records an attempt to use the VM that began at began and failed, and
+// starts its backoff. Attempts that were under way during another failure say
 // nothing more than that one.
 func (t *vmTable) recordFailure(name string, began, now time.Time) {
 	t.mu.Lock()
@@ -244,15 +244,24 @@
 	s.triedUntil = time.Time{}
 }
 
-// recordConnected ends the VM's backoff, and returns whether there was one.
+// recordConnected ends the VM's pause, and returns whether there may have been one. The
+// next one grows on until the VM answers a request: it may refuse them all.
 func (t *vmTable) recordConnected(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
-	failed := s.failures > 0
+	s.failedAt = time.Time{}
+	s.triedUntil = time.Time{}
+	return s.failures > 0
+}
+
+// recordAnswer ends the VM's backoff.
+func (t *vmTable) recordAnswer(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stateOf(name)
 	s.failures = 0
 	s.triedUntil = time.Time{}
-	return failed
 }
 
 // pollVMs reads the platform's list periodically until ctx is done.
--- a/msentry/vms_test.go
+++ b/msentry/vms_test.go
@@ -114,3 +114,15 @@
 	h.p.dispatch(h.now)
 	require.Equal(t, 3, h.enterAll(t))
 }
+
+// A VM that can be reached and refuses each request, as one that drains does, is left out for longer each time.
+func TestVMThatRefusesRequestsIsLeftOutForLonger(t *testing.T) {
+	h := newPoolHarness()
+	for range 8 {
+		h.p.vms.recordGrant("vm-1", h.now)
+		h.p.vms.recordConnected("vm-1")
+		h.p.vms.recordFailure("vm-1", h.now, h.now)
+	}
+	_, ok := h.p.vms.usable("vm-1", h.now.Add(maxVMBackoff/2), false)
+	require.False(t, ok)
+}
