--- a/msentry/run.go
+++ b/msentry/run.go
@@ -150,11 +150,11 @@
 	if err != nil {
 		cancel()
 		ue := asUpstreamError(err, g.vm.Name)
-		rq.handleUpstreamError(ue, g)
+		rq.handleUpstreamError(ue, g, started)
 		rq.releaseWhenDone(g, started, until, ue.Sent)
 		return ue
 	}
-	e.vms.recordSuccess(g.vm.Name)
+	e.vms.recordAnswer(g.vm.Name)
 	whole := rq.relayResponse(res, cl)
 	cancel()
 	rq.releaseWhenDone(g, started, until, !whole)
@@ -171,8 +171,11 @@
 	return context.WithTimeout(context.WithoutCancel(rq.r.Context()), d)
 }
 
-// checkSend is called just before the first byte is sent to the upstream.
+// checkSend is called once the upstream is connected, just before the first byte is sent.
 func (rq *request) checkSend(g grant) error {
+	if rq.e.vms.recordConnected(g.vm.Name) {
+		rq.e.dispatchAll()
+	}
 	if fresh, _ := rq.e.view.Fresh(rq.e.now()); !fresh {
 		return errWithheld
 	}
@@ -203,8 +206,8 @@
 	return out
 }
 
-// handleUpstreamError updates the VM's state from a failed attempt.
-func (rq *request) handleUpstreamError(err *msupstream.Error, g grant) {
+// handleUpstreamError updates the VM's state from an attempt that began at began and failed.
+func (rq *request) handleUpstreamError(err *msupstream.Error, g grant, began time.Time) {
 	e := rq.e
 	now := e.now()
 	switch {
@@ -212,8 +215,8 @@
 		if e.vms.setLeaving(g.vm.Name, now) {
 			e.Log.Info("upstream is leaving", zap.String("vm", g.vm.Name))
 		}
-	case !err.Sent && err.Reason != "withheld" && err.Reason != "full":
-		e.vms.recordFailure(g.vm.Name, now)
+	case !err.Sent && isFailureOfVM(err.Reason):
+		e.vms.recordFailure(g.vm.Name, began, now)
 	}
 	if err.Sent {
 		e.sender.DropAddress(g.vm.Address)
@@ -221,6 +224,16 @@
 	rq.log.Info("upstream did not answer", zap.String("vm", g.vm.Name), zap.Bool("sent", err.Sent), zap.Error(err))
 }
 
+// isFailureOfVM reports whether a request that was not sent for a reason shows that the VM
+// takes none.
+func isFailureOfVM(reason string) bool {
+	switch reason {
+	case "withheld", "full", "canceled", msupstream.ReasonConnectionsInUse:
+		return false
+	}
+	return true
+}
+
 // releaseWhenDone releases the slot and the token: at once if the VM has finished the
 // request, otherwise at until, when it must have.
 func (rq *request) releaseWhenDone(g grant, started, until time.Time, running bool) {
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -9,6 +9,7 @@
 	"marjoramspan/msclock"
 	"marjoramspan/mslog"
 	"marjoramspan/msstate"
+	"marjoramspan/msupstream"
 )
 
 // vmTable holds the state of the VMs: the platform's list, which lags behind, and
@@ -28,23 +29,51 @@
 	listed bool
 	// missingSince is when the VM was first missing from the list.
 	missingSince time.Time
-	leavingSince time.Time
-	downUntil    time.Time
-	failures     int
+	// leavingUntil is how long the VM's own report to this entry that it is leaving
+	// counts, and heardLeavingUntil how long those to peers do.
+	leavingUntil      time.Time
+	heardLeavingUntil time.Time
+	// failures counts the failed attempts to use the VM since its last answer, and failedAt
+	// is the end of the latest one, or zero if a connection was opened since. triedUntil is
+	// how long the VM gets no other request after one that tries it again.
+	failures   int
+	failedAt   time.Time
+	triedUntil time.Time
 }
 
 const (
 	// leavingTTL is how long a report that a VM is leaving takes precedence over a
 	// list that still shows it live.
 	leavingTTL = time.Minute
+	// heardLeavingTTL is how long a peer's report that a VM is leaving counts. Peers
+	// repeat it with every heartbeat.
+	heardLeavingTTL = 5 * time.Second
 	// vmPollInterval is the pause between two reads of the platform's list.
 	vmPollInterval = time.Second
 	// minVMBackoff is the pause after a first failed connection to a VM. It doubles
 	// with each further failure, up to maxVMBackoff.
 	minVMBackoff = 200 * time.Millisecond
 	maxVMBackoff = 5 * time.Second
+	// neededVMBackoff bounds the pause while requests wait and no other VM of the pool
+	// has a free slot: callers would be refused beside a VM that is back.
+	neededVMBackoff = time.Second
+	// vmTrialTime is how long an attempt to connect takes at most.
+	vmTrialTime = msupstream.DefaultDialTimeout
 )
 
+// vmBackoff returns the pause after a number of failed attempts to use a VM. The VM is
+// needed while requests wait and no other VM of the pool has a free slot.
+func vmBackoff(failures int, needed bool) time.Duration {
+	if failures == 0 {
+		return 0
+	}
+	longest := maxVMBackoff
+	if needed {
+		longest = neededVMBackoff
+	}
+	return min(minVMBackoff<<min(failures-1, 10), longest)
+}
+
 // reports returns the platform's list and when the read of it began.
 func (t *vmTable) reports() ([]mslog.VM, time.Time) {
 	t.mu.Lock()
@@ -63,7 +92,8 @@
 	}
 	for _, vm := range vms {
 		s := t.stateOf(vm.Name)
-		if s.vm.Address != vm.Address {
+		if s.vm.Address != vm.Address || s.vm.BootID != vm.BootID {
+			// What is known is of an earlier VM, or of an earlier boot.
 			*s = vmState{}
 		}
 		s.vm = vm
@@ -100,18 +130,22 @@
 	return s
 }
 
-// usable returns the VM and whether it may be given new work at now.
-func (t *vmTable) usable(name string, now time.Time) (mslog.VM, bool) {
+// usable returns the VM and whether it may be given new work at now. For needed see
+// vmBackoff.
+func (t *vmTable) usable(name string, now time.Time, needed bool) (mslog.VM, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.vms[name]
 	if s == nil || !s.listed || s.vm.State != mslog.VMLive {
 		return mslog.VM{}, false
 	}
-	if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingTTL {
+	if now.Before(s.leavingUntil) || now.Before(s.heardLeavingUntil) {
 		return mslog.VM{}, false
 	}
-	if _, ok := t.evacuated[s.vm.DataCentre]; ok || now.Before(s.downUntil) {
+	if _, ok := t.evacuated[s.vm.DataCentre]; ok {
+		return mslog.VM{}, false
+	}
+	if now.Before(s.triedUntil) || now.Before(s.failedAt.Add(vmBackoff(s.failures, needed))) {
 		return mslog.VM{}, false
 	}
 	return s.vm, true
@@ -132,26 +166,35 @@
 	return ok
 }
 
-// setLeaving records that the VM reported that it is leaving, and returns whether that
-// is new.
+// setLeaving records that the VM reported to this entry that it is leaving, and returns
+// whether that is new.
 func (t *vmTable) setLeaving(name string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
-	changed := s.leavingSince.IsZero() || now.Sub(s.leavingSince) >= leavingTTL
-	if changed {
-		s.leavingSince = now
+	if now.Before(s.leavingUntil) {
+		return false
 	}
-	return changed
+	s.leavingUntil = now.Add(leavingTTL)
+	return true
+}
+
+// hearLeaving records that a peer has such a report.
+func (t *vmTable) hearLeaving(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stateOf(name).heardLeavingUntil = now.Add(heardLeavingTTL)
 }
 
-// leavingVMs returns the VMs with an unexpired report that they are leaving.
+// leavingVMs returns the VMs with an unexpired report to this entry that they are
+// leaving. What it heard from peers is not passed on, or entries would renew each
+// other's reports forever.
 func (t *vmTable) leavingVMs(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
 	for name, s := range t.vms {
-		if !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingTTL {
+		if now.Before(s.leavingUntil) {
 			names = append(names, name)
 		}
 	}
@@ -159,23 +202,66 @@
 	return names
 }
 
-// recordFailure records a failed attempt to use the VM, and starts its backoff.
-func (t *vmTable) recordFailure(name string, now time.Time) {
+// countLeftOut returns how many VMs that the platform lists as live get no or few requests,
+// as attempts to use them failed or as they reported that they are leaving.
+func (t *vmTable) countLeftOut(now time.Time) (unreachable, leaving int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.vms {
+		switch {
+		case !s.listed || s.vm.State != mslog.VMLive:
+		case now.Before(s.leavingUntil) || now.Before(s.heardLeavingUntil):
+			leaving++
+		case s.failures > 0:
+			unreachable++
+		}
+	}
+	return unreachable, leaving
+}
+
+// recordGrant records that a request goes to the VM. If attempts to use it have failed,
+// it gets no other until that request is connected, has failed, or must have.
+func (t *vmTable) recordGrant(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.stateOf(name); s.failures > 0 {
+		s.triedUntil = now.Add(vmTrialTime)
+	}
+}
+
+// recordFailure records an attempt to use the VM that began at began and failed, and
+// starts its backoff. Attempts that were under way during another failure say
+// nothing more than that one.
+func (t *vmTable) recordFailure(name string, began, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
-	backoff := min(minVMBackoff<<min(s.failures, 10), maxVMBackoff)
+	if began.Before(s.failedAt) {
+		return
+	}
 	s.failures++
-	s.downUntil = now.Add(backoff)
+	s.failedAt = now
+	s.triedUntil = time.Time{}
+}
+
+// recordConnected ends the VM's pause, and returns whether there may have been one. The
+// next one grows on until the VM answers a request: it may refuse them all.
+func (t *vmTable) recordConnected(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stateOf(name)
+	s.failedAt = time.Time{}
+	s.triedUntil = time.Time{}
+	return s.failures > 0
 }
 
-// recordSuccess resets the VM's backoff after an answer.
-func (t *vmTable) recordSuccess(name string) {
+// recordAnswer ends the VM's backoff.
+func (t *vmTable) recordAnswer(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateOf(name)
 	s.failures = 0
-	s.downUntil = time.Time{}
+	s.triedUntil = time.Time{}
 }
 
 // pollVMs reads the platform's list periodically until ctx is done.
