--- a/mspause/pause.go
+++ b/mspause/pause.go
@@ -54,6 +54,8 @@
 // not paused.
 type Pauses struct {
 	until [reasons]time.Time
+	// last is the latest of until.
+	last time.Time
 	// barredUntil is until when the worker is barred, bar for how long it was barred last.
 	barredUntil time.Time
 	bar         time.Duration
@@ -61,9 +63,13 @@
 
 // Add pauses the worker for d, unless it is paused for that reason for longer already.
 func (p *Pauses) Add(r Reason, now time.Time, d time.Duration) {
-	if until := now.Add(d); until.After(p.until[r]) {
+	until := now.Add(d)
+	if until.After(p.until[r]) {
 		p.until[r] = until
 	}
+	if until.After(p.last) {
+		p.last = until
+	}
 }
 
 // Reject pauses a worker for d that has rejected a start, and bars it for a shorter time.
@@ -80,6 +86,9 @@
 // that holds the longest.
 func (p *Pauses) Reason(now time.Time) Reason {
 	r := None
+	if !now.Before(p.last) {
+		return r
+	}
 	for i := range p.until {
 		if now.Before(p.until[i]) && (r == None || p.until[i].After(p.until[r])) {
 			r = Reason(i)
@@ -95,7 +104,7 @@
 
 // Until returns when the last of the pauses ends.
 func (p *Pauses) Until() time.Time {
-	return slices.MaxFunc(p.until[:], time.Time.Compare)
+	return p.last
 }
 
 // Barred reports whether no start at all may be sent to the worker, as it has just rejected
--- a/msscheduler/pause.go
+++ b/msscheduler/pause.go
@@ -17,7 +17,12 @@
 
 // acceptsTasks reports whether any task may be placed on the worker.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.usable(now) && !w.paused() && !w.scalingDown
+	return !w.withheld() && w.usable(now)
+}
+
+// withheld reports whether the worker is paused, or its pool needs fewer VMs.
+func (w *worker) withheld() bool {
+	return w.paused() || w.scalingDown
 }
 
 // mayPause reports whether there may be a reason to pause the worker.
@@ -27,9 +32,12 @@
 
 // pauseWorkers decides which workers are paused until the next pass. The caller holds mu.
 func (e *Engine) pauseWorkers(now time.Time) {
-	pools := map[string]bool{}
-	for _, w := range e.workers {
+	var pools map[string]bool
+	for _, w := range e.workersByID() {
 		if w.paused() || w.pauseLogged != mspause.None || w.mayPause(now) {
+			if pools == nil {
+				pools = map[string]bool{}
+			}
 			pools[w.Pool] = true
 		}
 	}
