--- a/mspause/failures.go
+++ b/mspause/failures.go
@@ -38,13 +38,6 @@
 	return c
 }
 
-// MinusFailures returns the ends of c without n failures.
-func (c Counts) MinusFailures(n int, now time.Time) Counts {
-	c = c.at(now)
-	c.failed, c.ended = max(0, c.failed-float64(n)), max(0, c.ended-float64(n))
-	return c
-}
-
 func (c Counts) at(now time.Time) Counts {
 	if c.updated.IsZero() {
 		return Counts{updated: now}
@@ -68,7 +61,7 @@
 	// Counts has all recent ends on the worker.
 	Counts Counts
 	n      int
-	byJob  map[string]int
+	byJob  map[string]Counts
 	latest time.Time
 }
 
@@ -93,15 +86,17 @@
 func (f *Failures) Fail(job string, now time.Time) {
 	f.Counts.Add(true, now)
 	if f.byJob == nil || now.Sub(f.latest) > countsDecay {
-		f.n, f.byJob = 0, map[string]int{}
+		f.n, f.byJob = 0, map[string]Counts{}
 	}
 	f.n++
-	f.byJob[job]++
+	of := f.byJob[job]
+	of.Add(true, now)
+	f.byJob[job] = of
 	f.latest = now
 }
 
-// Of returns how many of the failures are of a job.
-func (f *Failures) Of(job string) int {
+// Of returns the failures that are of a job.
+func (f *Failures) Of(job string) Counts {
 	return f.byJob[job]
 }
 
@@ -133,9 +128,9 @@
 		return false
 	}
 	others, chance := rest.at(now).rate(), 1.0
-	for id, n := range f.byJob {
-		elsewhere := jobs(id).MinusFailures(n, now)
-		chance *= math.Pow(max(others, elsewhere.rate()), float64(n))
+	for id, of := range f.byJob {
+		elsewhere := jobs(id).Minus(of, now)
+		chance *= math.Pow(max(others, elsewhere.rate()), of.at(now).failed)
 	}
 	return chance < maxChance
 }
--- a/mspause/pause_test.go
+++ b/mspause/pause_test.go
@@ -147,3 +147,17 @@
 	require.False(t, GivesWay(MaxWait-1, 0.4))
 	require.False(t, GivesWay(time.Hour, MaxInUse), "a full pool")
 }
+
+// A long-running task that fails every 2 s wherever it runs counted against its workers for good.
+func TestTaskThatFailsAgainAndAgainPausesNoWorker(t *testing.T) {
+	t.Parallel()
+	p := newPool(6)
+	for n := range 60 {
+		p.end(n%2, "bad", true)
+		for k := range 20 {
+			p.end(2+k%4, "sound", false)
+		}
+		p.now = p.now.Add(1600 * time.Millisecond)
+		require.Empty(t, p.paused(), n)
+	}
+}
--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -22,10 +22,10 @@
 // FindBlocker returns why Choose finds no worker. Of several causes it is the one that alone
 // keeps the task from a worker with room.
 func FindBlocker(want Requirements, workers []Worker) Blocker {
-	found, mayIsolate := BlockedByWorkers, want.Group == "" || mayIsolate(want, workers)
+	found, maySpread := BlockedByWorkers, want.Group == "" || mayIsolate(want, workers)
 	for i := range workers {
 		w := workers[i]
-		if CanRun(want, &w) && (mayIsolate || w.Isolated) {
+		if CanRun(want, &w) && (maySpread || w.Isolated) {
 			return BlockedByNothing
 		}
 		idle := w.idle()
--- a/msplace/place.go
+++ b/msplace/place.go
@@ -101,11 +101,11 @@
 // Choose returns the index of the worker with the highest score, or -1 if none can run
 // the task.
 func Choose(want Requirements, workers []Worker) int {
-	mayIsolate := want.Group == "" || mayIsolate(want, workers)
+	maySpread := want.Group == "" || mayIsolate(want, workers)
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !CanRun(want, w) || !mayIsolate && !w.Isolated {
+		if !CanRun(want, w) || !maySpread && !w.Isolated {
 			continue
 		}
 		if s := scoreOf(want, w); best < 0 || s > bestScore {
--- a/msscheduler/advice.go
+++ b/msscheduler/advice.go
@@ -127,7 +127,10 @@
 		// All expire with the first.
 		all := maps.Clone(a.tickets)
 		maps.Copy(all, tickets)
-		tickets, until = all, a.until
+		tickets = all
+		if a.until.Before(until) {
+			until = a.until
+		}
 	}
 	a.tickets, a.until = tickets, until
 	e.Logger.Info("advice", zap.String("job", k.job), zap.Int("step", k.step), zap.Int("asked", len(workers)), zap.Int("good", len(tickets)), zap.Duration("valid", validity))
--- a/msscheduler/choose.go
+++ b/msscheduler/choose.go
@@ -6,7 +6,6 @@
 	"marjoramspan/msjob"
 	"marjoramspan/mspause"
 	"marjoramspan/msplace"
-	"marjoramspan/mssite"
 	"marjoramspan/mswait"
 )
 
@@ -50,30 +49,30 @@
 	}
 }
 
-// waitedTooLong finds the jobs to which protections give way. It returns those of them that are
-// of use and have no task on trial: they go first, as one trial after another would keep the
-// workers that they need.
-func (e *Engine) waitedTooLong(jobs []*job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*job {
-	var first []*job
+// keptOut returns the jobs that protections have kept from all workers for too long and that
+// have no task on trial. They go first, as one trial after another would keep the workers that
+// they need.
+func keptOut(jobs []*job) []*job {
+	var all []*job
 	for _, j := range jobs {
-		pool := snapshots[j.poolIn(site)]
-		if j.noteIdle(pool, now); j.givesWay && !j.useless && !j.tasks().apart() {
-			first = append(first, j)
+		if j.givesWay && j.blocker.IsProtection() && !j.tasks().mustStartApart() {
+			all = append(all, j)
 		}
 	}
-	return first
+	return all
 }
 
-// noteIdle notes since when the job has had nothing running beside free workers, and whether
-// protections give way to it. Each task of a long-running job should run, however full its pool
-// is.
+// noteIdle notes since when the job has had nothing running beside free workers, by what the
+// latest pass has found, and whether protections give way to it. Each task of a long-running job
+// should run, however full its pool is.
 func (j *job) noteIdle(pool *poolSnapshot, now time.Time) {
 	inUse := 0.0
 	if pool != nil && !j.def.LongRunning() {
-		inUse = pool.inUse()
+		inUse = pool.inUse(j.tasks().wanted)
 	}
 	switch {
-	case pool == nil, len(j.runs) > 0 && !j.def.LongRunning(), inUse >= mspause.MaxInUse:
+	case pool == nil, len(j.runs) > 0 && !j.def.LongRunning(), inUse >= mspause.MaxInUse,
+		j.blocker == mswait.TeamLimit, j.blocker == mswait.RetryDelay, j.blocker == mswait.NewerSite:
 		j.idleSince = time.Time{}
 	case j.idleSince.IsZero():
 		j.idleSince = now
--- a/msscheduler/pause.go
+++ b/msscheduler/pause.go
@@ -105,7 +105,7 @@
 			ends := j.ends
 			for _, o := range failing {
 				if o != w {
-					ends = ends.MinusFailures(o.failures.Of(id), now)
+					ends = ends.Minus(o.failures.Of(id), now)
 				}
 			}
 			return ends
--- a/msscheduler/paused_test.go
+++ b/msscheduler/paused_test.go
@@ -208,12 +208,15 @@
 // One trial after another took the workers with a label, and another job that needs it had none.
 func TestTrialsInSeriesDontKeepALabelFromOthers(t *testing.T) {
 	t.Parallel()
-	for _, labelled := range []int{1, 2} {
-		t.Run(fmt.Sprint(labelled), func(t *testing.T) {
+	for _, c := range []struct {
+		labelled int
+		useless  bool
+	}{{1, false}, {2, false}, {1, true}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 			t.Parallel()
 			w := newTestCluster(t, 6)
 			e := w.entry("a")
-			w.label("gpu", labelled)
+			w.label("gpu", c.labelled)
 			const trials = 50
 			later, gpu := step(1), step(1)
 			later.Label, gpu.Label = "later", "gpu"
@@ -236,7 +239,11 @@
 				}
 				return true
 			}, eventually, time.Millisecond)
-			w.submitWithObjective("0000000000000002", time.Now(), time.Hour, gpu)
+			if c.useless {
+				w.submitWithObjective("0000000000000002", time.Now().Add(-time.Hour), time.Second, gpu)
+			} else {
+				w.submitWithObjective("0000000000000002", time.Now(), time.Hour, gpu)
+			}
 			w.awaitWithin(e, "0000000000000002", msjob.Completed)
 		})
 	}
@@ -266,11 +273,12 @@
 // was room.
 func TestTimeInAFullPoolIsNoWaitBesideFreeWorkers(t *testing.T) {
 	t.Parallel()
-	j := &job{def: &msjob.Job{Steps: []msjob.Step{step(1)}}}
+	j := &job{def: &msjob.Job{Steps: []msjob.Step{step(1)}}, p: &msjob.Progress{}}
 	now := time.Unix(1000, 0)
 	full := &poolSnapshot{capacity: msjob.Resources{CPU: 8}, used: msjob.Resources{CPU: 8}}
 	room := &poolSnapshot{capacity: msjob.Resources{CPU: 8}, used: msjob.Resources{CPU: 3}}
 	j.noteIdle(full, now)
+	require.True(t, j.idleSince.IsZero())
 	j.noteIdle(room, now.Add(time.Minute))
 	require.False(t, j.givesWay)
 	j.noteIdle(room, now.Add(time.Minute+mspause.MaxWait))
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -19,7 +19,7 @@
 	placement []msplace.Worker
 	// size is the number of workers of the whole pool that accept tasks.
 	size int
-	// capacity is what the usable workers have, used what tasks reserve there.
+	// capacity is what the workers have that can be reached, used what tasks reserve there.
 	capacity, used msjob.Resources
 	// unsettled is set if there are workers whose state isn't known, leaving if there are some
 	// that drain, are ordered away or can't be reached.
@@ -66,6 +66,9 @@
 			r = &poolSnapshot{}
 			all[w.Pool] = r
 		}
+		if w.reachable {
+			r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
+		}
 		if !w.usable(now) {
 			r.unsettled, r.leaving = r.unsettled || w.stays(), r.leaving || !w.stays()
 			continue
@@ -73,7 +76,6 @@
 		if !w.withheld() {
 			r.size++
 		}
-		r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
 		n := w.attemptCounts()
 		v := msplace.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(), FailureRisk: max(w.failures.Risk(now), w.slowness(medians[w.Pool]), w.coldness(now)),
@@ -126,7 +128,10 @@
 		pool.sparesOthers = e.othersWait[name]
 	}
 	var placed []*run
-	for _, j := range e.waitedTooLong(jobs, snapshots, site, now) {
+	for _, j := range jobs {
+		j.noteIdle(snapshots[j.poolIn(site)], now)
+	}
+	for _, j := range keptOut(jobs) {
 		placed = append(placed, e.placeJob(j, snapshots, site, now)...)
 	}
 	for _, j := range jobs {
@@ -294,7 +299,7 @@
 		return nil
 	}
 	// Those before it in the pass may have filled the pool.
-	j.givesWay = j.givesWay && (j.def.LongRunning() || pool.inUse() < mspause.MaxInUse)
+	j.givesWay = j.givesWay && (j.def.LongRunning() || pool.inUse(j.tasks().wanted) < mspause.MaxInUse)
 	if j.useless && pool.usefulWait && !j.givesWay {
 		j.blocker = mswait.BehindUseful
 		return nil
@@ -326,6 +331,9 @@
 	waiting := e.waitingTasks[:0]
 	for i := range tasks {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
+		if at, ok := j.retryAt[id]; ok && !now.Before(at) {
+			delete(j.retryAt, id)
+		}
 		if tasks[i].Phase == msjob.Waiting && !now.Before(j.retryAt[id]) || e.wantsDuplicate(j, id, &tasks[i], now) {
 			waiting = append(waiting, i)
 		}
@@ -339,7 +347,7 @@
 	}
 	if n := e.teamHeadroom(j.def.Team, step.Need, site); n < len(waiting) {
 		j.blocker = mswait.TeamLimit
-		if step.Gang {
+		if step.Gang || n == 0 {
 			return nil
 		}
 		waiting = waiting[:n]
@@ -368,9 +376,11 @@
 		}
 	}
 	var placed []*run
+	var taken []reservation
 	for _, i := range waiting {
 		id := msjob.TaskID{Job: j.def.ID, Occurrence: k, Step: s, Index: i}
-		want.UseWithheld = j.givesWay && pool.protects
+		// One task that runs is enough for its job not to stand still.
+		want.UseWithheld = j.givesWay && pool.protects && (len(placed) == 0 || step.Gang || step.LongRunning)
 		want.Avoid, want.Suspect, want.Group = j.avoid[id], tasks[i].MaxCrashes() > 0, isolationGroup(j, step, &tasks[i])
 		n := e.chooseWorker(j, &want, pool, whole)
 		if n < 0 && want.Group != "" {
@@ -386,14 +396,18 @@
 			j.markDuplicated(id)
 		}
 		e.notePlacedApart(want, pool, n)
+		if step.Gang {
+			taken = append(taken, reservation{n: n, before: pool.placement[n], isolatedUntil: pool.workers[n].isolatedUntil})
+		}
 		r := e.reserve(j, id, nextAttempt(tasks, i, step.Gang), pool, n, want)
 		r.ticket = tickets[r.w.ID]
 		placed = append(placed, r)
 	}
 	if step.Gang && len(placed) < len(waiting) {
-		for _, r := range placed {
-			e.unreserve(r, pool)
+		for i := len(placed) - 1; i >= 0; i-- {
+			e.unreserve(placed[i], taken[i], pool)
 		}
+		pool.full = pool.full[:0]
 		if len(placed) > 0 {
 			j.blocker = mswait.Gang
 		}
@@ -487,15 +501,20 @@
 	return r
 }
 
-func (e *Engine) unreserve(r *run, pool *poolSnapshot) {
+// reservation has what reserve changes, so that it can be taken back.
+type reservation struct {
+	// n is the index of the worker in the pool.
+	n             int
+	before        msplace.Worker
+	isolatedUntil time.Time
+}
+
+// unreserve takes back the latest call of reserve. The caller clears pool.full.
+func (e *Engine) unreserve(r *run, before reservation, pool *poolSnapshot) {
 	e.dropRun(r)
 	pool.used = pool.used.Minus(r.need)
-	pool.full = pool.full[:0]
-	for n, w := range pool.workers {
-		if w == r.w {
-			pool.placement[n].Free = e.offered(w, pool.size, e.Clock.Now())
-		}
-	}
+	pool.placement[before.n] = before.before
+	r.w.isolatedUntil = before.isolatedUntil
 }
 
 // assign records a planned attempt in the progress.
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -104,13 +104,8 @@
 )
 
 // delayFailed delays the next start of a long-running task that fails again and again. Each
-// start takes a record on the log, and their number has no bound. served says that the attempt
-// that failed has served.
-func (j *job) delayFailed(id msjob.TaskID, served bool, now time.Time) {
-	if served {
-		delete(j.failuresInRow, id)
-		return
-	}
+// start takes a record on the log, and their number has no bound.
+func (j *job) delayFailed(id msjob.TaskID, now time.Time) {
 	if j.failuresInRow == nil {
 		j.failuresInRow = map[msjob.TaskID]int{}
 	}
@@ -294,7 +289,7 @@
 		}
 	case isNew && step.LongRunning && end.Reason == msworker.EndFailed:
 		j.avoidWorker(end.Task, w.ID)
-		j.delayFailed(end.Task, r != nil && !r.servingAt.IsZero(), now)
+		j.delayFailed(end.Task, now)
 	}
 	if isNew {
 		e.markDirty(j)
--- a/msscheduler/view.go
+++ b/msscheduler/view.go
@@ -129,8 +129,8 @@
 	apart, isolated int
 }
 
-// apart reports whether a task has to start apart from others.
-func (v *taskView) apart() bool {
+// mustStartApart reports whether a task has to start apart from others.
+func (v *taskView) mustStartApart() bool {
 	for i := range v.ready {
 		if v.ready[i].apart > 0 {
 			return true
@@ -302,10 +302,14 @@
 // fullFor returns what an earlier search has shown if no worker has room for a task of the
 // step, or nil. Capacity that is free only shrinks while a pass places tasks, so what had no
 // room has none until the end of the pass.
+//
+// A search for another label does not show whether all workers with that of the step are
+// withheld.
 func (p *poolSnapshot) fullFor(step *msjob.Step, useWithheld bool) *roomRequest {
 	for i := range p.full {
 		f := &p.full[i]
-		if f.need.Fits(step.Reserved()) && (f.label == "" || f.label == step.Label) && (f.useWithheld || !useWithheld) {
+		sameLabel := f.label == step.Label || f.label == "" && (f.useWithheld || !p.protects)
+		if sameLabel && f.need.Fits(step.Reserved()) && (f.useWithheld || !useWithheld) {
 			return f
 		}
 	}
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -12,15 +12,19 @@
 )
 
 // inUse returns the part of the pool that tasks reserve, by the resource of which they reserve
-// most.
-func (p *poolSnapshot) inUse() float64 {
-	return msplace.DominantPart(p.used, p.capacity)
+// most. GPUs count only for what wants some.
+func (p *poolSnapshot) inUse(wanted msjob.Resources) float64 {
+	used := p.used
+	if wanted.GPUs == 0 {
+		used.GPUs = 0
+	}
+	return msplace.DominantPart(used, p.capacity)
 }
 
 // noteBlocker remembers why a task of the job was given no worker.
 func (e *Engine) noteBlocker(j *job, want msplace.Requirements, pool *poolSnapshot) {
 	j.blocker = mswait.Full
-	if pool.inUse() >= mspause.MaxInUse && !want.Step.LongRunning {
+	if pool.inUse(want.Step.Need) >= mspause.MaxInUse && !want.Step.LongRunning {
 		return
 	}
 	switch msplace.FindBlocker(want, pool.placement) {
@@ -59,7 +63,7 @@
 	if j.blocker == mswait.None || len(j.runs) > 0 && !j.def.LongRunning() {
 		return
 	}
-	if pool != nil && pool.inUse() >= mspause.MaxInUse && !j.def.LongRunning() {
+	if pool != nil && pool.inUse(j.tasks().wanted) >= mspause.MaxInUse && !j.def.LongRunning() {
 		return
 	}
 	e.waits.Note(j.def.ID, j.pool, j.blocker, now)
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -418,6 +418,9 @@
 	}
 	if row.Percent >= fullPercent {
 		r.servingAt = now
+		if r.job != nil {
+			delete(r.job.failuresInRow, r.task)
+		}
 	}
 	r.percent, r.usage = row.Percent, row.Usage
 	e.noteLatency(r, now)
--- a/mswait/wait.go
+++ b/mswait/wait.go
@@ -54,6 +54,11 @@
 	NoTerm Reason = "no-term"
 )
 
+// IsProtection reports whether the job waits only because workers with room are kept from it.
+func (r Reason) IsProtection() bool {
+	return r == Paused || r == HeldForWide || r == KeptForTrials
+}
+
 // Wait is a job that waits beside free workers.
 type Wait struct {
 	Job, Pool string
