--- a/msscheduler/giveway_test.go
+++ b/msscheduler/giveway_test.go
@@ -13,6 +13,22 @@
 	"marjoramspan/msworker"
 )
 
+// lockedEngine returns an engine with a valid term and idle workers, of which the test holds mu.
+func lockedEngine(t *testing.T, workers, teams int) (*Engine, time.Time) {
+	e := saturatedEngine(t, workers, 1, teams, -workers)
+	e.Term = validTerm(t)
+	e.mu.Lock()
+	t.Cleanup(e.mu.Unlock)
+	return e, e.Clock.Now()
+}
+
+// placeFor makes a pass each 100 ms.
+func placeFor(e *Engine, from time.Time, d time.Duration) {
+	for at := time.Duration(0); at < d; at += 100 * time.Millisecond {
+		e.place(from.Add(at))
+	}
+}
+
 // addJob adds a job of queue-0.
 func addJob(e *Engine, id string, steps ...msjob.Step) *job {
 	e.addJob(msjob.TableEntry{Job: &msjob.Job{ID: id, Queue: "queue-0", Pool: "pool-0", Spec: "run=1s", Steps: steps, Attempts: 3, Stretch: 1.6, Slack: time.Hour, Accepted: time.Now()}})
@@ -27,11 +43,7 @@
 // A job that had waited for a second took the place of one that had begun, with nothing paused.
 func TestStartedJobsGoBeforeThoseThatHaveWaitedLong(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 8, 1, 0, -8)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e, now := lockedEngine(t, 8, 0)
 	for i, w := range e.workersByID() {
 		if i < 2 {
 			w.Labels = []string{"gpu"}
@@ -45,9 +57,7 @@
 	s.Count = 1
 	b := addJob(e, "0000000000000002", s)
 	b.def.Priority = 1
-	for k := range 20 {
-		e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-	}
+	placeFor(e, now, 2*time.Second)
 	for _, r := range a.runs {
 		e.handleEnd(r.w, msworker.End{Seq: 1, Task: r.task, Attempt: r.attempt, Reason: msworker.EndDone}, now)
 		break
@@ -59,11 +69,7 @@
 // In each pass a gang without room for all its members left its mark on the workers, and a task on trial found none.
 func TestGangWithoutRoomKeepsNoWorkerFromTrials(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 2, 1, 0, -2)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e, now := lockedEngine(t, 2, 0)
 	a := addJob(e, "0000000000000001", stepOf(8000, 1))
 	e.place(now)
 	for _, r := range a.runs { // runs on, long confirmed
@@ -73,17 +79,13 @@
 	g := stepOf(8000, 8)
 	g.Gang = true
 	addJob(e, "0000000000000002", g)
-	for k := range 15 {
-		e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-	}
+	placeFor(e, now, 1500*time.Millisecond)
 	now = now.Add(1500 * time.Millisecond)
 	s := addJob(e, "0000000000000003", stepOf(8000, 1))
 	s.def.Slack = 2 * time.Hour
 	s.p.Occurrences[0].Steps[0][0].Crashes = 1
 	s.tasksChanged()
-	for k := range 60 {
-		e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-	}
+	placeFor(e, now, 6*time.Second)
 	require.NotEmpty(t, s.runs, "blocker %s", s.blocker)
 }
 
@@ -92,9 +94,7 @@
 	t.Parallel()
 	for _, first := range []bool{false, true} {
 		t.Run(fmt.Sprint("unlabelled-waits=", first), func(t *testing.T) {
-			e := saturatedEngine(t, 6, 1, 0, -6)
-			e.Term = validTerm(t)
-			now := e.Clock.Now()
+			e, now := lockedEngine(t, 6, 0)
 			for i, w := range e.workersByID() {
 				if i < 2 {
 					w.Labels = []string{"gpu"}
@@ -105,16 +105,12 @@
 			if first {
 				addJob(e, "0000000000000002", stepOf(1000, 1))
 			}
-			e.mu.Lock()
-			defer e.mu.Unlock()
 			e.place(now)
 			e.place(now.Add(10 * time.Millisecond))
 			g := stepOf(4000, 1)
 			g.Label = "gpu"
 			j := addJob(e, "0000000000000003", g)
-			for k := range 50 {
-				e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-			}
+			placeFor(e, now, 5*time.Second)
 			require.NotEmpty(t, j.runs, "blocker %s", j.blocker)
 		})
 	}
@@ -123,11 +119,7 @@
 // A job that had waited too long put all its tasks on workers that reject them.
 func TestOneTaskStartsOnPausedWorkers(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 6, 1, 0, -6)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e, now := lockedEngine(t, 6, 0)
 	for i, w := range e.workersByID() {
 		if i < 3 {
 			w.pauses.Add(mspause.Unhealthy, now, time.Hour)
@@ -154,32 +146,22 @@
 // A backlog that had waited for the limit of its team overrode all protections.
 func TestTimeAtTheTeamLimitIsNoWaitBesideFreeWorkers(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 4, 1, 1, -4)
-	e.Term = validTerm(t)
+	e, now := lockedEngine(t, 4, 1)
 	s := *e.Sites.Site()
 	s.Version = 2
 	s.Teams = map[string]mssite.Team{"team-0": {Name: "team-0", Weight: 1000, Limit: msjob.Resources{CPU: 8000}}}
 	e.Sites.Set(&s)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	j := addJob(e, "0000000000000002", stepOf(8000, 1))
 	j.def.Team = "team-0"
 	e.teams["team-0"] = msjob.Resources{CPU: 8000}
-	for k := range 30 {
-		e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-	}
+	placeFor(e, now, 3*time.Second)
 	require.False(t, j.givesWay)
 }
 
 // With most of the workers in use draining, a job waited beside idle ones that were paused.
 func TestDrainingWorkersAreRoomOfThePool(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 10, 1, 0, -10)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e, now := lockedEngine(t, 10, 0)
 	for i, w := range e.workersByID() {
 		switch {
 		case i < 2:
@@ -191,9 +173,7 @@
 		}
 	}
 	j := addJob(e, "0000000000000002", stepOf(1000, 1))
-	for k := range 60 {
-		e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-	}
+	placeFor(e, now, 6*time.Second)
 	require.NotEmpty(t, j.runs, "4 of 10 in use, blocker %s", j.blocker)
 }
 
@@ -202,12 +182,8 @@
 	t.Parallel()
 	for _, gpu := range []bool{false, true} {
 		t.Run(fmt.Sprint("gpu=", gpu), func(t *testing.T) {
-			e := saturatedEngine(t, 4, 1, 0, -4)
-			e.Term = validTerm(t)
-			now := e.Clock.Now()
+			e, now := lockedEngine(t, 4, 0)
 			e.workersByID()[0].Capacity.GPUs = 1
-			e.mu.Lock()
-			defer e.mu.Unlock()
 			tr := stepOf(1000, 4)
 			tr.MaxPerWorker = 1
 			a := addJob(e, "0000000000000001", tr)
@@ -223,9 +199,7 @@
 				r.w.attemptsChanged()
 			}
 			j := addJob(e, "0000000000000003", stepOf(1000, 1))
-			for k := range 60 {
-				e.place(now.Add(time.Duration(k) * 100 * time.Millisecond))
-			}
+			placeFor(e, now, 6*time.Second)
 			require.NotEmpty(t, j.runs, "blocker %s", j.blocker)
 		})
 	}
@@ -234,11 +208,7 @@
 // A long-running task that served between two failures was delayed.
 func TestLongRunningTaskThatServedIsNotDelayed(t *testing.T) {
 	t.Parallel()
-	e := saturatedEngine(t, 2, 1, 0, -2)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e, now := lockedEngine(t, 2, 0)
 	s := stepOf(1000, 1)
 	s.LongRunning = true
 	j := addJob(e, "0000000000000001", s)
