mswait, msplace, msscheduler: why no worker could run a job's task

The reasons are no-entry, sources-differ, no-label, no-size, spread and no-worker now, in the lines, the gauge and `why job`; the lines count the VMs and workers of the pool by what the leader knows. A worker that is given up has a line. No decision changes: TestWaitsBesideFreeWorkersAreKnown tells the three cases apart that had one word before.

--- a/cmd/marjoramspan/jobs.go
+++ b/cmd/marjoramspan/jobs.go
@@ -192,7 +192,12 @@
 // waitTexts has what operators read of the reasons of mswait.
 var waitTexts = map[mswait.Reason]string{
 	mswait.Full:          "the workers that could run it have no room",
-	mswait.NoWorker:      "no worker could run it, by its label, its size or the tasks of its step that run there",
+	mswait.NoWorker:      "its pool has no worker",
+	mswait.NoEntry:       "VMs of its pool are up that could run it, but the registry lacks their workers or these were given up",
+	mswait.SourcesDiffer: "workers could run it by the list of VMs, and can't by their entries in the registry",
+	mswait.NoLabel:       "no worker of its pool has its label",
+	mswait.NoSize:        "no worker of its pool is large enough for it",
+	mswait.Spread:        "each worker that could run it runs as many tasks of its step as may share a worker",
 	mswait.Unsettled:     "the workers that could run it have restarted, or run attempts of jobs that are no longer known",
 	mswait.Leaving:       "the workers that could run it drain, are ordered away or can't be reached",
 	mswait.Gang:          "there is room for some of its gang only",
--- a/msplace/blocker.go
+++ b/msplace/blocker.go
@@ -48,6 +48,33 @@
 	return found
 }
 
+// Fits counts workers that could run a task if they were idle.
+type Fits struct {
+	// Label has those with the task's label, Size those of them that are large enough for it,
+	// Spread those of them that don't run too many tasks of its step.
+	Label, Size, Spread int
+}
+
+// CountFits counts the workers that could run a task if they were idle.
+func CountFits(want Requirements, workers []Worker) Fits {
+	var n Fits
+	for i := range workers {
+		w := &workers[i]
+		if want.Step.Label != "" && !hasLabel(w.Labels, want.Step.Label) {
+			continue
+		}
+		n.Label++
+		if !want.Step.Reserved().Fits(w.Capacity) {
+			continue
+		}
+		n.Size++
+		if m := want.Step.MaxPerWorker; m == 0 || want.OnWorker[w.ID] < m {
+			n.Spread++
+		}
+	}
+	return n
+}
+
 // Slots returns how many tasks of the step the workers could run if all were idle. onlyWithheld
 // is set if there are any, all on workers that are withheld.
 func Slots(want Requirements, workers []Worker) (n int, onlyWithheld bool) {
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -224,6 +224,8 @@
 	givesWay  bool
 	// blocker is why the latest pass placed no task of the job, or not all.
 	blocker mswait.Reason
+	// workers has the pool's workers if none of them could run a task of the job.
+	workers mswait.Workers
 	// useless is set if the latest pass expected the job to end after callers have a use
 	// for its result.
 	useless bool
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -292,10 +292,10 @@
 }
 
 func (e *Engine) placeJob(j *job, snapshots map[string]*poolSnapshot, site *mssite.Site, now time.Time) []*run {
-	j.blocker = mswait.None
+	j.blocker, j.workers = mswait.None, mswait.Workers{}
 	pool := snapshots[j.poolIn(site)]
 	if pool == nil {
-		j.blocker = mswait.NoWorker
+		e.noteNoWorker(j, j.firstRequirements(), nil)
 		return nil
 	}
 	// Those before it in the pass may have filled the pool.
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -174,6 +174,7 @@
 func (e *Engine) terminateWorker(w *worker, reason string) {
 	end := e.endOf(w, e.Clock.Now())
 	runs := w.allRuns()
+	e.Logger.Info("worker given up", zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.String("vm", w.vm), zap.String("reason", reason), zap.Int("runs", len(runs)))
 	e.noteEnd(w, end, reason, runs)
 	w.terminated, w.reachable = true, false
 	if w.cancel != nil {
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -29,7 +29,7 @@
 	}
 	switch msplace.FindBlocker(want, pool.placement) {
 	case msplace.BlockedByWorkers:
-		j.blocker = pool.noWorker()
+		e.noteNoWorker(j, want, pool)
 	case msplace.BlockedByWithheld:
 		j.blocker = mswait.Paused
 		if pool.held != nil {
@@ -44,16 +44,66 @@
 	}
 }
 
-// noWorker returns the reason for a task that none of the pool's workers could run if it were
-// idle. Workers that aren't usable may be able to.
-func (p *poolSnapshot) noWorker() mswait.Reason {
+// noteNoWorker remembers why no worker of the pool could run a task if it were idle. Workers that
+// aren't usable may be able to. pool is nil if it has no workers.
+func (e *Engine) noteNoWorker(j *job, want msplace.Requirements, pool *poolSnapshot) {
 	switch {
-	case p.unsettled:
-		return mswait.Unsettled
-	case p.leaving:
-		return mswait.Leaving
+	case pool == nil:
+		pool = &poolSnapshot{}
+	case pool.unsettled:
+		j.blocker = mswait.Unsettled
+		return
+	case pool.leaving:
+		j.blocker = mswait.Leaving
+		return
+	}
+	n := e.countWorkers(j.pool)
+	fits := msplace.CountFits(want, pool.placement)
+	n.Usable, n.WithLabel, n.WithSize, n.WithSpread = len(pool.placement), fits.Label, fits.Size, fits.Spread
+	for i := range e.fleet.vms {
+		vm := &e.fleet.vms[i]
+		if vm.Pool != j.pool || !vm.Up {
+			continue
+		}
+		v := msplace.Worker{ID: vm.Worker, Labels: vm.Labels, Capacity: vm.Capacity}
+		if msplace.CountFits(want, []msplace.Worker{v}).Spread == 0 {
+			continue
+		}
+		if w := e.workers[vm.Worker]; w == nil || !w.registered || w.terminated {
+			n.NoEntry++
+		} else if w.Pool != j.pool || w.usable(e.Clock.Now()) {
+			n.Differing++
+		}
+	}
+	j.blocker, j.workers = n.Reason(), n
+}
+
+// firstRequirements describes a task of the job that could run, apart from what runs already.
+func (j *job) firstRequirements() msplace.Requirements {
+	for _, r := range j.tasks().ready {
+		if r.waiting > 0 {
+			return msplace.Requirements{Step: &j.def.Steps[r.step]}
+		}
+	}
+	return msplace.Requirements{Step: &msjob.Step{}}
+}
+
+// countWorkers counts the VMs and workers of a pool by what the leader knows of them.
+func (e *Engine) countWorkers(pool string) mswait.Workers {
+	var n mswait.Workers
+	for i := range e.fleet.vms {
+		if vm := &e.fleet.vms[i]; vm.Pool == pool {
+			n.VMsUp += boolToInt(vm.Up)
+		}
+	}
+	for _, w := range e.workersByID() {
+		if w.Pool == pool {
+			n.Registered += boolToInt(w.registered)
+			n.Answering += boolToInt(w.reachable)
+			n.GivenUp += boolToInt(w.terminated)
+		}
 	}
-	return mswait.NoWorker
+	return n
 }
 
 // noteWait notes a job of which tasks could run and nothing does, if its pool has room. Each
@@ -66,7 +116,7 @@
 	if pool != nil && pool.inUse(j.tasks().wanted) >= mspause.MaxInUse && !j.def.LongRunning() {
 		return
 	}
-	e.waits.Note(j.def.ID, j.pool, j.blocker, now)
+	e.waits.Note(j.def.ID, j.pool, j.blocker, j.workers, now)
 }
 
 // noteAllWaits notes all jobs of which tasks could run, while nothing is placed.
@@ -77,7 +127,7 @@
 		}
 		for _, s := range j.tasks().ready {
 			if s.waiting > 0 {
-				e.waits.Note(j.def.ID, j.pool, r, now)
+				e.waits.Note(j.def.ID, j.pool, r, mswait.Workers{}, now)
 				break
 			}
 		}
@@ -91,8 +141,16 @@
 		if c.Ended {
 			msg = "job no longer waits beside free workers"
 		}
-		e.Logger.Info(msg, zap.String("job", c.Job), zap.String("pool", c.Pool), zap.String("reason", string(c.Reason)),
-			zap.Duration("reason-for", c.For), zap.Duration("waited", now.Sub(c.Since)))
+		fields := []zap.Field{
+			zap.String("job", c.Job), zap.String("pool", c.Pool), zap.String("reason", string(c.Reason)),
+			zap.Duration("reason-for", c.For), zap.Duration("waited", now.Sub(c.Since)),
+		}
+		if n := c.Workers; n != (mswait.Workers{}) {
+			fields = append(fields, zap.Int("vms-up", n.VMsUp), zap.Int("registered", n.Registered), zap.Int("answering", n.Answering), zap.Int("given-up", n.GivenUp),
+				zap.Int("usable", n.Usable), zap.Int("with-label", n.WithLabel), zap.Int("with-size", n.WithSize), zap.Int("with-spread", n.WithSpread),
+				zap.Int("no-entry", n.NoEntry), zap.Int("differing", n.Differing))
+		}
+		e.Logger.Info(msg, fields...)
 	}
 	if now.Sub(e.waitsReportedAt) >= shareReportInterval {
 		e.waitsReportedAt = now
--- a/msscheduler/wait_test.go
+++ b/msscheduler/wait_test.go
@@ -25,7 +25,7 @@
 	w.submit(&msjob.Job{ID: "0000000000000001", Spec: "run=50ms", Steps: []msjob.Step{labelled}})
 	w.submit(&msjob.Job{ID: "0000000000000002", Spec: "run=50ms", Steps: []msjob.Step{large}})
 	w.submit(&msjob.Job{ID: "0000000000000003", Spec: "run=50ms", Steps: []msjob.Step{apart}})
-	want := map[string]mswait.Reason{"0000000000000001": mswait.NoWorker, "0000000000000002": mswait.NoWorker, "0000000000000003": mswait.NoWorker}
+	want := map[string]mswait.Reason{"0000000000000001": mswait.NoLabel, "0000000000000002": mswait.NoSize, "0000000000000003": mswait.Spread}
 	require.Eventually(t, func() bool {
 		waits := e.jobs.Load().Waits
 		for id, r := range want {
@@ -47,6 +47,6 @@
 	}
 	require.Equal(t, want, reasons("job waits beside free workers"))
 	require.Eventually(t, func() bool {
-		return reasons("job no longer waits beside free workers")["0000000000000001"] == mswait.NoWorker
+		return reasons("job no longer waits beside free workers")["0000000000000001"] == mswait.NoLabel
 	}, eventually, 5*time.Millisecond)
 }
--- a/mswait/wait.go
+++ b/mswait/wait.go
@@ -16,14 +16,26 @@
 	None Reason = ""
 	// Full says that no worker that could run the task has room.
 	Full Reason = "full"
-	// NoWorker says that no worker could run the task, however idle: for its label, its size or
-	// the tasks of its step that run there.
+	// NoWorker says that the pool has no worker. Like the reasons up to Leaving it means that no
+	// worker could run the task, however idle; Workers has the reason.
 	NoWorker Reason = "no-worker"
-	// Unsettled says the same, while there are workers whose state isn't known: they have
-	// restarted and their entry has not, or they run attempts of jobs that are no longer known.
+	// NoEntry says that VMs of the pool are up that could run the task, but the registry lacks
+	// their workers, or these were given up.
+	NoEntry Reason = "no-entry"
+	// SourcesDiffer says that workers could run the task by the list of VMs, and can't by their
+	// entries.
+	SourcesDiffer Reason = "sources-differ"
+	// NoLabel says that no worker has the task's label, NoSize that none of those with the label
+	// is large enough for it.
+	NoLabel Reason = "no-label"
+	NoSize  Reason = "no-size"
+	// Spread says that each worker with the label and the size runs as many tasks of the step
+	// as may share a worker.
+	Spread Reason = "spread"
+	// Unsettled says that there are workers whose state isn't known: they have restarted and
+	// their entry has not, or they run attempts of jobs that are no longer known.
 	Unsettled Reason = "unsettled"
-	// Leaving says the same, while there are workers that drain, are ordered away or can't be
-	// reached.
+	// Leaving says that there are workers that drain, are ordered away or can't be reached.
 	Leaving Reason = "leaving"
 	// Gang says that there is room for some of a gang only.
 	Gang Reason = "gang"
@@ -59,10 +71,44 @@
 	return r == Paused || r == HeldForWide || r == KeptForTrials
 }
 
+// Workers counts the VMs and workers of a pool, as the leader knows them, from all down to those
+// that could run a task.
+type Workers struct {
+	// VMsUp has the VMs that the list of VMs shows up. Registered has the workers in the
+	// registry, of which Answering answer and GivenUp are never asked again.
+	VMsUp, Registered, Answering, GivenUp int
+	// Usable may get tasks. Each of the next is a part of the one before: those with the task's
+	// label, large enough for it, and without too many tasks of its step.
+	Usable, WithLabel, WithSize, WithSpread int
+	// NoEntry has the VMs up that could run the task and have no worker in the registry, or one
+	// that was given up. Differing has the VMs that could run it, and their workers can't by
+	// their entries.
+	NoEntry, Differing int
+}
+
+// Reason returns why no worker could run a task.
+func (w Workers) Reason() Reason {
+	switch {
+	case w.NoEntry > 0:
+		return NoEntry
+	case w.Differing > 0:
+		return SourcesDiffer
+	case w.Usable == 0:
+		return NoWorker
+	case w.WithLabel == 0:
+		return NoLabel
+	case w.WithSize == 0:
+		return NoSize
+	}
+	return Spread
+}
+
 // Wait is a job that waits beside free workers.
 type Wait struct {
 	Job, Pool string
 	Reason    Reason
+	// Workers is zero for reasons that don't depend on it.
+	Workers Workers
 	// Since is when the job began to wait beside free workers, ReasonSince since when it is for
 	// this reason.
 	Since, ReasonSince time.Time
@@ -99,8 +145,8 @@
 	n     int
 }
 
-// Note says that a job waits beside free workers in this round.
-func (t *Tracker) Note(job, pool string, r Reason, now time.Time) {
+// Note says that a job waits beside free workers in this round. all may be zero.
+func (t *Tracker) Note(job, pool string, r Reason, all Workers, now time.Time) {
 	w := t.waits[job]
 	if w == nil {
 		if t.waits == nil {
@@ -113,7 +159,7 @@
 		t.end(w, now)
 		w.Reason, w.ReasonSince = r, now
 	}
-	w.Pool, w.round = pool, t.round
+	w.Pool, w.Workers, w.round = pool, all, t.round
 	if !w.logged && now.Sub(w.ReasonSince) >= MinLogged {
 		w.logged = t.add(Change{Wait: *w, For: now.Sub(w.ReasonSince)}, now)
 	}
--- a/mswait/wait_test.go
+++ b/mswait/wait_test.go
@@ -15,7 +15,7 @@
 	pass := func(d time.Duration, waits map[string]Reason) []Change {
 		now = now.Add(d)
 		for job, r := range waits {
-			tr.Note(job, "booth", r, now)
+			tr.Note(job, "booth", r, Workers{}, now)
 		}
 		return append([]Change(nil), tr.EndRound(now)...)
 	}
@@ -43,7 +43,7 @@
 	now := time.Unix(1000, 0)
 	note := func() []Change {
 		for i := range 10 * maxChanges {
-			tr.Note(strconv.Itoa(i), "booth", Paused, now)
+			tr.Note(strconv.Itoa(i), "booth", Paused, Workers{}, now)
 		}
 		return append([]Change(nil), tr.EndRound(now)...)
 	}
@@ -54,3 +54,14 @@
 	require.Len(t, note(), maxChanges)
 	require.Len(t, tr.Over(time.Second, 5, now), 5)
 }
+
+// One word stood for all of these.
+func TestReasonsNameWhatNoWorkerHas(t *testing.T) {
+	t.Parallel()
+	require.Equal(t, NoWorker, Workers{VMsUp: 3, Registered: 3}.Reason())
+	require.Equal(t, NoEntry, Workers{VMsUp: 3, NoEntry: 1}.Reason())
+	require.Equal(t, SourcesDiffer, Workers{VMsUp: 3, Usable: 3, Differing: 1}.Reason())
+	require.Equal(t, NoLabel, Workers{Usable: 3}.Reason())
+	require.Equal(t, NoSize, Workers{Usable: 3, WithLabel: 2}.Reason())
+	require.Equal(t, Spread, Workers{Usable: 3, WithLabel: 2, WithSize: 1}.Reason())
+}
--- a/msworker/vms.go
+++ b/msworker/vms.go
@@ -13,6 +13,7 @@
 	// Worker is the id of the VM's worker, or empty if it has none.
 	Worker   string
 	Up       bool
+	Labels   []string
 	Capacity msjob.Resources
 	// Maintained is set while the VM is down for maintenance, Moving while it moves to
 	// another pool.
