--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -72,7 +72,9 @@
 			j.Restart()
 			j.SetDown(true)
 		}
-		w.reg.Drop(id)
+		if !w.vms.KeepIDs {
+			w.reg.Drop(id)
+		}
 	}
 	w.vms.OnJoin = func(vm msworker.VM) { w.join(vm) }
 	w.sites.Set(&mssite.Site{
@@ -94,7 +96,7 @@
 func (w *testCluster) join(vm msworker.VM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, DataCentre: vm.DataCentre, Rack: vm.Rack, Capacity: vm.Capacity, VM: vm.Name}
+	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, DataCentre: vm.DataCentre, Rack: vm.Rack, Labels: vm.Labels, Capacity: vm.Capacity, VM: vm.Name}
 	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal, OnCrash: w.crash}
 	w.reg.Set(entry)
 }
--- /dev/null
+++ b/msscheduler/roster_test.go
@@ -0,0 +1,145 @@
+package msscheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+const rosterJob = "0000000000000001"
+
+// worker1 is the only worker of a cluster whose VMs keep the IDs of their workers.
+const worker1 = "w-vm-0"
+
+// newKeptIDs returns a cluster with one VM, whose worker comes back under its ID.
+func newKeptIDs(t *testing.T) *testCluster {
+	w := newTestCluster(t, 0)
+	// Longer than a list of VMs is used.
+	w.vms.KeepIDs, w.vms.Away = true, vmListMaxAge+time.Second
+	w.vms.Add(msworker.VM{Name: "vm-0", Pool: "booth", Rack: "r1", Labels: []string{"a", "r1"}, Up: true, Capacity: msjob.Resources{CPU: 4000, Memory: 8000}})
+	return w
+}
+
+// awaitWorker waits until the leader's view of a worker fulfils a condition.
+func awaitWorker(e *entry, id string, ok func(w *worker) bool) {
+	e.w.t.Helper()
+	require.Eventually(e.w.t, func() bool {
+		g := e.current()
+		if g == nil {
+			return false
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		w := g.workers[id]
+		return w != nil && ok(w)
+	}, eventually, 5*time.Millisecond)
+}
+
+// The list of VMs doesn't name the worker of a VM that is down. The leader gave such a worker up
+// for good, and its next life under the same ID got no tasks.
+func TestWorkerThatReturnsUnderItsIDAfterACrashIsUsed(t *testing.T) {
+	t.Parallel()
+	w := newKeptIDs(t)
+	e := w.entry("a")
+	awaitWorker(e, worker1, func(w *worker) bool { return w.reachable && w.vm != "" })
+	w.vms.Crash(worker1)
+	awaitWorker(e, worker1, func(w *worker) bool { return w.terminated })
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
+// The same for a VM that was away for its maintenance.
+func TestWorkerThatReturnsUnderItsIDAfterMaintenanceIsUsed(t *testing.T) {
+	t.Parallel()
+	w := newKeptIDs(t)
+	e := w.entry("a")
+	awaitWorker(e, worker1, func(w *worker) bool { return w.reachable && w.vm != "" })
+	require.NoError(t, w.vms.VMs().Maintain(t.Context(), msworker.VMOrder{VM: "vm-0", Holder: "another", Token: 0}, 1))
+	awaitWorker(e, worker1, func(w *worker) bool { return w.terminated })
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
+// A list that still shows a VM as moving may name the worker that it has moved to. That worker was
+// given up before it got its first task.
+func TestWorkerOfAVMThatIsStillShownMovingIsUsed(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	shownUp := make(chan struct{})
+	w.configure = func(g *Engine) {
+		list := g.VMs.List
+		g.VMs.List = func(ctx context.Context) ([]msworker.VM, error) {
+			all, err := list(ctx)
+			for i := range all {
+				select {
+				case <-shownUp:
+				default:
+					all[i].Up, all[i].Moving = false, true
+				}
+			}
+			return all, err
+		}
+	}
+	e := w.entry("a")
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.terminated })
+	close(shownUp)
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
+// A worker without an entry got no tasks, though it answered and the list of VMs had it.
+func TestWorkerWhoseEntryLapsedIsUsed(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	e := w.entry("a")
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable && w.vm != "" })
+	w.reg.Drop("w-1")
+	awaitWorker(e, "w-1", func(w *worker) bool { return !w.registered })
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
+// restartAsKind restarts worker1 as another kind. Its entry remains that of the life before.
+func restartAsKind(w *testCluster, e *entry, label string) {
+	life := w.worker(worker1).Born().UnixMilli()
+	entry, _ := w.reg.Worker(worker1)
+	entry.ProcessStart = life
+	w.reg.Set(entry)
+	awaitWorker(e, worker1, func(w *worker) bool { return w.reachable && w.vm != "" && w.ProcessStart == life })
+	w.vms.SetLabels("vm-0", label, "r1")
+	w.worker(worker1).Restart()
+	awaitWorker(e, worker1, func(w *worker) bool { return w.reachable && w.processStart != life })
+}
+
+// A restarted worker whose entry is late got no tasks for 5 s, though the list of VMs had its kind.
+func TestRestartedWorkerIsUsedAsTheKindOfItsVM(t *testing.T) {
+	t.Parallel()
+	w := newKeptIDs(t)
+	e := w.entry("a")
+	restartAsKind(w, e, "b")
+	labelled := step(1)
+	labelled.Label = "b"
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{labelled}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
+// After 5 s the entry of an earlier life was believed again, and a task started on a worker
+// without its label.
+func TestEntryOfAnEarlierLifeIsNotBelievedAgain(t *testing.T) {
+	t.Parallel()
+	w := newKeptIDs(t)
+	e := w.entry("a")
+	restartAsKind(w, e, "b")
+	labelled := step(1)
+	labelled.Label = "a"
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{labelled}})
+	require.Never(t, func() bool {
+		got, _ := e.jobs.Job(rosterJob)
+		return got.State() != msjob.Queued
+	}, maxEntryDelay+2*time.Second, 50*time.Millisecond)
+}
--- a/msstandin/jobfleet.go
+++ b/msstandin/jobfleet.go
@@ -19,6 +19,8 @@
 	Clock msclock.Clock
 	// Away is how long a move or a maintenance takes; 0 is 100 ms.
 	Away time.Duration
+	// KeepIDs has the worker of a VM come back under its ID.
+	KeepIDs bool
 	// OnLeave and OnJoin are told of the lives of workers, without locks held.
 	OnLeave func(worker string)
 	OnJoin  func(vm msworker.VM)
@@ -53,6 +55,9 @@
 func (f *JobFleet) live(v *fleetVM) {
 	f.lives++
 	v.Worker, v.Up = "w-"+strconv.Itoa(f.lives), true
+	if f.KeepIDs {
+		v.Worker = "w-" + v.Name
+	}
 	v.Maintained, v.Moving = false, false
 }
 
@@ -195,3 +200,14 @@
 	f.mu.Unlock()
 	f.OnJoin(joined)
 }
+
+// SetLabels changes the labels of a VM.
+func (f *JobFleet) SetLabels(vm string, labels ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		if v.Name == vm {
+			v.Labels = labels
+		}
+	}
+}
