msroster, msscheduler: a restarted worker is of the kind that its VM has

Callers saw jobs wait for 5 s for a worker that had restarted as another kind, and longer if its entry stayed away; after 5 s the entry of the earlier life held again, and a task could start without its label. Cause: kind, size, rack and pool came from the entry only, whatever life it was of; the list of VMs, which has all four, was not looked at. msroster decides now which source is of the life that reports. Without one the worker waits as before.

--- /dev/null
+++ b/msroster/roster.go
@@ -0,0 +1,65 @@
+// Package msroster decides what the scheduler believes of a worker. Three sources describe one: its
+// entry in the registry, its reports, and the list of VMs. Each can be late, lack the worker, or
+// describe an earlier life of it under the same ID:
+//
+//   - An entry is from the worker itself and changes with its capacity, but it lapses while the
+//     worker can't write, and it outlives a restart until the next life writes.
+//   - A report is from the life that answers, and says only that it is there.
+//   - The list of VMs knows the VM, with its kind, size and pool, and which worker it runs. It
+//     lags behind by the time between two lists.
+//
+// The entry holds as long as it is of the life that reports. The list of VMs holds for a later
+// life. The package does no I/O.
+package msroster
+
+import (
+	"time"
+
+	"marjoramspan/msworker"
+)
+
+// MaxEntryDelay bounds how long a restarted worker waits for its entry if the list of VMs
+// doesn't name it. A worker that writes another start time to its entry than to its
+// reports is used after it.
+const MaxEntryDelay = 5 * time.Second
+
+// Sources is what is known of a worker. Its methods are functions of it and the time.
+type Sources struct {
+	// Entry is the latest entry.
+	Entry msworker.Worker
+	// ProcessStart is the start time of the process that reported last, or 0, and LifeSeenAt
+	// when that process was first seen.
+	ProcessStart int64
+	LifeSeenAt   time.Time
+	// VM is the row of the worker in the latest list of VMs, which was requested at ListedAt.
+	// ListedAt is zero if the list doesn't name the worker.
+	VM       msworker.VM
+	ListedAt time.Time
+}
+
+// Current returns the worker as the source has it that describes its present life.
+func (s *Sources) Current() msworker.Worker {
+	w := s.Entry
+	if s.entryIsOfLife() || !s.vmIsOfLife() {
+		return w
+	}
+	w.Pool, w.DataCentre, w.Rack, w.Labels, w.Capacity = s.VM.Pool, s.VM.DataCentre, s.VM.Rack, s.VM.Labels, s.VM.Capacity
+	w.Draining, w.RemainingTime = false, 0
+	return w
+}
+
+// Settled reports whether Current describes the present life of the worker.
+func (s *Sources) Settled(now time.Time) bool {
+	return s.entryIsOfLife() || s.vmIsOfLife() || now.Sub(s.LifeSeenAt) >= MaxEntryDelay
+}
+
+// entryIsOfLife reports whether the entry isn't of an earlier life than the latest report. Workers
+// need not say when they started.
+func (s *Sources) entryIsOfLife() bool {
+	return s.Entry.ProcessStart == 0 || s.Entry.ProcessStart >= s.ProcessStart
+}
+
+// vmIsOfLife reports whether the list of VMs was requested during the life that reported last.
+func (s *Sources) vmIsOfLife() bool {
+	return s.VM.Up && s.ListedAt.After(s.LifeSeenAt)
+}
--- /dev/null
+++ b/msroster/roster_test.go
@@ -0,0 +1,38 @@
+package msroster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+// Each source in turn is of another life than the rest.
+func TestSourceOfThePresentLifeHolds(t *testing.T) {
+	t.Parallel()
+	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
+	entry := msworker.Worker{ID: "w", Address: "192.0.2.1:1", Pool: "booth", Rack: "r1", Labels: []string{"a"}, Capacity: msjob.Resources{CPU: 4000}, ProcessStart: 5, Draining: true}
+	vm := msworker.VM{Pool: "quote", Rack: "r2", Labels: []string{"b"}, Capacity: msjob.Resources{CPU: 8000}, Worker: "w", Up: true}
+	s := Sources{Entry: entry, ProcessStart: 5, LifeSeenAt: at(0), VM: vm, ListedAt: at(1)}
+	require.Equal(t, entry, s.Current(), "the entry is of the life that reports")
+	require.True(t, s.Settled(at(1)))
+
+	s.ProcessStart, s.LifeSeenAt = 7, at(10)
+	require.Equal(t, entry, s.Current(), "the list is of the life before")
+	require.False(t, s.Settled(at(10)))
+	require.True(t, s.Settled(at(10).Add(MaxEntryDelay)))
+
+	s.ListedAt = at(11)
+	require.True(t, s.Settled(at(11)))
+	got := s.Current()
+	require.Equal(t, [3]string{"quote", "r2", "b"}, [3]string{got.Pool, got.Rack, got.Labels[0]})
+	require.Equal(t, vm.Capacity, got.Capacity)
+	require.Equal(t, entry.Address, got.Address)
+	require.False(t, got.Draining, "the life before was leaving")
+
+	s.Entry.ProcessStart = 7
+	require.Equal(t, "booth", s.Current().Pool)
+}
--- a/msscheduler/capacity_test.go
+++ b/msscheduler/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"marjoramspan/msclock"
 	"marjoramspan/msjob"
+	"marjoramspan/msroster"
 	"marjoramspan/mssite"
 	"marjoramspan/msstandin"
 	"marjoramspan/msworker"
@@ -130,14 +131,14 @@
 func TestRestartedWorkerWaitsForItsEntry(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1000, 0)
-	w := &worker{Worker: msworker.Worker{ID: "w-1", ProcessStart: 5}, registered: true, reported: true, reachable: true, processStart: 5}
+	w := &worker{entry: msworker.Worker{ID: "w-1", ProcessStart: 5}, registered: true, reported: true, reachable: true, processStart: 5}
 	require.True(t, w.usable(now))
 	w.processStart, w.processSeenAt = 7, now
 	require.False(t, w.usable(now))
-	require.True(t, w.usable(now.Add(maxEntryDelay)), "an entry that names another time than the reports")
-	w.ProcessStart = 7
+	require.True(t, w.usable(now.Add(msroster.MaxEntryDelay)), "an entry that names another time than the reports")
+	w.entry.ProcessStart = 7
 	require.True(t, w.usable(now))
-	w.ProcessStart = 0
+	w.entry.ProcessStart = 0
 	require.True(t, w.usable(now), "an entry that does not name the start of its process")
 }
 
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -70,7 +70,7 @@
 			r.capacity, r.used = r.capacity.Plus(w.Capacity), r.used.Plus(w.used)
 		}
 		if !w.usable(now) {
-			r.unsettled, r.leaving = r.unsettled || w.stays(), r.leaving || !w.stays()
+			r.unsettled, r.leaving = r.unsettled || w.stays(now), r.leaving || !w.stays(now)
 			continue
 		}
 		if !w.withheld() {
--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/msroster"
 	"marjoramspan/msworker"
 )
 
@@ -141,5 +142,5 @@
 	require.Never(t, func() bool {
 		got, _ := e.jobs.Job(rosterJob)
 		return got.State() != msjob.Queued
-	}, maxEntryDelay+2*time.Second, 50*time.Millisecond)
+	}, msroster.MaxEntryDelay+2*time.Second, 50*time.Millisecond)
 }
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -92,8 +92,9 @@
 			return true
 		}
 	}
+	now := e.Clock.Now()
 	for _, w := range e.workers {
-		if !w.reachable {
+		if !w.reachable || w.outdated(now) {
 			return true
 		}
 	}
@@ -133,6 +134,7 @@
 	}
 	for id, w := range e.workers {
 		vm := of[id]
+		w.noteListed(vm, asked)
 		w.crashed = w.crashed || w.reported && !w.reachable && vm == nil && e.endOf(w, now) == endedByCrash
 		switch {
 		case w.terminated:
@@ -164,6 +166,16 @@
 	}
 }
 
+// noteListed notes the worker's row in a list of VMs that was requested at asked, or nil.
+func (w *worker) noteListed(vm *msworker.VM, asked time.Time) {
+	if vm == nil {
+		w.listedAt = time.Time{}
+	} else {
+		w.listed, w.listedAt = *vm, asked
+	}
+	w.sourcesChanged()
+}
+
 func (e *Engine) runWaves(ctx context.Context, waves []*wave, vms []msworker.VM) {
 	for _, w := range waves {
 		e.runWave(ctx, w, vms)
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -57,7 +57,7 @@
 		j.blocker = mswait.Leaving
 		return
 	}
-	n := e.countWorkers(j.pool)
+	now, n := e.Clock.Now(), e.countWorkers(j.pool)
 	fits := msplace.CountFits(want, pool.placement)
 	n.Usable, n.WithLabel, n.WithSize, n.WithSpread = len(pool.placement), fits.Label, fits.Size, fits.Spread
 	for i := range e.fleet.vms {
@@ -69,9 +69,9 @@
 		if msplace.CountFits(want, []msplace.Worker{v}).Spread == 0 {
 			continue
 		}
-		if w := e.workers[vm.Worker]; w == nil || !w.registered || w.terminated {
+		if w := e.workers[vm.Worker]; w == nil || w.terminated || !w.registered {
 			n.NoEntry++
-		} else if w.Pool != j.pool || w.usable(e.Clock.Now()) {
+		} else if w.Pool != j.pool || w.usable(now) {
 			n.Differing++
 		}
 	}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -11,6 +11,7 @@
 	"marjoramspan/msjob"
 	"marjoramspan/mspause"
 	"marjoramspan/msplace"
+	"marjoramspan/msroster"
 	"marjoramspan/msworker"
 	"marjoramspan/mszone"
 )
@@ -38,9 +39,15 @@
 // worker is one instance of a worker. An instance that only the records of an earlier
 // term name has no entry in the registry.
 type worker struct {
+	// Worker is what the sources say of the worker: see msroster.
 	msworker.Worker
-	// registered says that the registry has the worker.
+	// entry is the worker's latest entry. registered says that the registry still has it.
+	entry      msworker.Worker
 	registered bool
+	// listed is the worker's row in the latest VM list, which was requested at listedAt, or
+	// zero if that list doesn't name the worker.
+	listed   msworker.VM
+	listedAt time.Time
 	// reported says that the worker has answered in this term, so that its running
 	// attempts are known; reachable that its latest answer came in time.
 	reported, reachable bool
@@ -151,29 +158,37 @@
 
 // usable reports whether new tasks may be placed on the worker once it isn't paused.
 func (w *worker) usable(now time.Time) bool {
-	return w.stays() && !w.unsettled(now)
+	return w.stays(now) && !w.unsettled(now)
+}
+
+// sources returns what is known of the worker.
+func (w *worker) sources() msroster.Sources {
+	return msroster.Sources{Entry: w.entry, ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt, VM: w.listed, ListedAt: w.listedAt}
+}
+
+// sourcesChanged applies what the sources say of the worker.
+func (w *worker) sourcesChanged() {
+	s := w.sources()
+	w.Worker = s.Current()
 }
 
 // stays reports whether the worker is up and nothing is about to end it.
-func (w *worker) stays() bool {
+func (w *worker) stays(now time.Time) bool {
 	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.evacuated
 }
 
 // unsettled reports whether the worker stays, but what it has room for isn't known.
 func (w *worker) unsettled(now time.Time) bool {
-	return w.stays() && (w.unknownRuns > 0 || w.outdated(now))
+	return w.stays(now) && (w.unknownRuns > 0 || w.outdated(now))
 }
 
-// outdated reports whether the registry still has an earlier life of a worker that has
-// restarted under its ID. The capacity and labels of the present one may differ.
+// outdated reports whether what is known describes an earlier life of a worker that has restarted
+// under its ID. The capacity and labels of the present one may differ.
 func (w *worker) outdated(now time.Time) bool {
-	return w.ProcessStart != 0 && w.ProcessStart < w.processStart && now.Sub(w.processSeenAt) < maxEntryDelay
+	s := w.sources()
+	return !s.Settled(now)
 }
 
-// maxEntryDelay bounds how long a restarted worker is kept unused until its entry arrives. A
-// worker that writes another start time to its entry than to its reports is used after it.
-const maxEntryDelay = 5 * time.Second
-
 // workerFor returns the worker with the given ID and adds it if it is unknown.
 func (e *Engine) workerFor(id string) *worker {
 	w := e.workers[id]
@@ -204,11 +219,12 @@
 			}
 			e.startPolling(w, entry)
 		}
-		if entry.Draining && !w.Draining {
+		if entry.Draining && !w.entry.Draining {
 			w.drainingSince = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.RemainingTime), zap.Int("runs", len(w.runs)))
 		}
-		w.Worker, w.registered = entry, true
+		w.entry, w.registered = entry, true
+		w.sourcesChanged()
 	}
 	e.registryPending = false
 	for id, w := range e.workers {
@@ -233,7 +249,8 @@
 
 // startPolling requests reports from a worker until it is terminated.
 func (e *Engine) startPolling(w *worker, entry msworker.Worker) {
-	w.Worker = entry
+	w.entry = entry
+	w.sourcesChanged()
 	ctx, cancel := context.WithCancel(e.ctx)
 	w.cancel = cancel
 	e.group.Add(1)
@@ -332,6 +349,7 @@
 	}
 	if rep.ProcessStart != w.processStart {
 		w.processStart, w.processSeenAt = rep.ProcessStart, now
+		w.sourcesChanged()
 	}
 	w.lease.Observe(rep.Clock, now)
 	if !w.reported {
