msroster, msscheduler: a worker whose entry lapsed is used if it answers and its VM is up

Callers saw jobs wait, without a reason that said so, for as long as the registry lacked the entries of a pool's workers, although these answered every report. Cause: the registry alone said whether a worker exists, and workers without an entry were skipped without a word. A report and a list of VMs that are both later than the lapse vouch for the worker now, so that one which has left is not used: it answers no more.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -9,7 +9,7 @@
 //     lags behind by the time between two lists.
 //
 // The entry holds as long as it is of the life that reports. The list of VMs holds for a later
-// life. The package does no I/O.
+// life, and vouches for a worker without an entry. The package does no I/O.
 package msroster
 
 import (
@@ -18,25 +18,44 @@
 	"marjoramspan/msworker"
 )
 
-// MaxEntryDelay bounds how long a restarted worker waits for its entry if the list of VMs
-// doesn't name it. A worker that writes another start time to its entry than to its
-// reports is used after it.
-const MaxEntryDelay = 5 * time.Second
+const (
+	// MaxEntryDelay bounds how long a restarted worker waits for its entry if the list of VMs
+	// doesn't name it. A worker that writes another start time to its entry than to its
+	// reports is used after it.
+	MaxEntryDelay = 5 * time.Second
+	// MaxListAge bounds the age of a list of VMs that vouches for a worker: twice the time
+	// between two lists while nothing changes.
+	MaxListAge = 3 * time.Second
+)
 
 // Sources is what is known of a worker. Its methods are functions of it and the time.
 type Sources struct {
-	// Entry is the latest entry.
-	Entry msworker.Worker
+	// Entry is the latest entry, Registered whether the registry still has it, LapsedAt since
+	// when it doesn't.
+	Entry      msworker.Worker
+	Registered bool
+	LapsedAt   time.Time
 	// ProcessStart is the start time of the process that reported last, or 0, and LifeSeenAt
-	// when that process was first seen.
+	// when that process was first seen. AnsweredAt is when the report was requested, or zero
+	// while the worker doesn't answer.
 	ProcessStart int64
 	LifeSeenAt   time.Time
+	AnsweredAt   time.Time
 	// VM is the row of the worker in the latest list of VMs, which was requested at ListedAt.
 	// ListedAt is zero if the list doesn't name the worker.
 	VM       msworker.VM
 	ListedAt time.Time
 }
 
+// Exists reports whether there is such a worker: by its entry, or, once that has lapsed, by a
+// report and a list of VMs that are both later.
+func (s *Sources) Exists(now time.Time) bool {
+	if s.Registered {
+		return true
+	}
+	return s.AnsweredAt.After(s.LapsedAt) && s.VM.Up && s.ListedAt.After(s.LapsedAt) && now.Sub(s.ListedAt) <= MaxListAge
+}
+
 // Current returns the worker as the source has it that describes its present life.
 func (s *Sources) Current() msworker.Worker {
 	w := s.Entry
--- a/msroster/roster_test.go
+++ b/msroster/roster_test.go
@@ -16,11 +16,11 @@
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	entry := msworker.Worker{ID: "w", Address: "192.0.2.1:1", Pool: "booth", Rack: "r1", Labels: []string{"a"}, Capacity: msjob.Resources{CPU: 4000}, ProcessStart: 5, Draining: true}
 	vm := msworker.VM{Pool: "quote", Rack: "r2", Labels: []string{"b"}, Capacity: msjob.Resources{CPU: 8000}, Worker: "w", Up: true}
-	s := Sources{Entry: entry, ProcessStart: 5, LifeSeenAt: at(0), VM: vm, ListedAt: at(1)}
+	s := Sources{Entry: entry, Registered: true, ProcessStart: 5, LifeSeenAt: at(0), AnsweredAt: at(1), VM: vm, ListedAt: at(1)}
 	require.Equal(t, entry, s.Current(), "the entry is of the life that reports")
 	require.True(t, s.Settled(at(1)))
 
-	s.ProcessStart, s.LifeSeenAt = 7, at(10)
+	s.ProcessStart, s.LifeSeenAt, s.AnsweredAt = 7, at(10), at(10)
 	require.Equal(t, entry, s.Current(), "the list is of the life before")
 	require.False(t, s.Settled(at(10)))
 	require.True(t, s.Settled(at(10).Add(MaxEntryDelay)))
@@ -36,3 +36,21 @@
 	s.Entry.ProcessStart = 7
 	require.Equal(t, "booth", s.Current().Pool)
 }
+
+// An entry lapses while the store is away; a worker that has left has no entry either.
+func TestLapsedEntryNeedsTwoLaterSources(t *testing.T) {
+	t.Parallel()
+	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
+	up := msworker.VM{Up: true}
+	s := Sources{Registered: true}
+	require.True(t, s.Exists(at(0)))
+	s = Sources{LapsedAt: at(5), AnsweredAt: at(6), VM: up, ListedAt: at(6)}
+	require.True(t, s.Exists(at(6)))
+	require.False(t, s.Exists(at(6).Add(MaxListAge+1)), "the list is too old")
+	s.AnsweredAt = at(4)
+	require.False(t, s.Exists(at(6)), "it has not answered since")
+	s.AnsweredAt, s.ListedAt = at(6), at(4)
+	require.False(t, s.Exists(at(6)), "the list is from before")
+	s.ListedAt, s.VM.Up = at(6), false
+	require.False(t, s.Exists(at(6)))
+}
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -83,7 +83,7 @@
 // countedCPU returns the CPU with which a VM counts: what its worker says, as that may
 // shrink and grow while it runs, or what the VM list says if it has no worker.
 func (e *Engine) countedCPU(vm msworker.VM, now time.Time) int64 {
-	if w := e.workers[vm.Worker]; w != nil && w.registered {
+	if w := e.workers[vm.Worker]; w != nil && w.exists(now) {
 		return w.countedCPU(now)
 	}
 	return vm.Capacity.CPU
--- a/msscheduler/place.go
+++ b/msscheduler/place.go
@@ -58,7 +58,7 @@
 	}
 	medians := e.medians
 	for _, w := range e.workersByID() {
-		if !w.registered || w.terminated {
+		if w.terminated || !w.exists(now) {
 			continue
 		}
 		r := all[w.Pool]
--- a/msscheduler/wait.go
+++ b/msscheduler/wait.go
@@ -69,7 +69,7 @@
 		if msplace.CountFits(want, []msplace.Worker{v}).Spread == 0 {
 			continue
 		}
-		if w := e.workers[vm.Worker]; w == nil || w.terminated || !w.registered {
+		if w := e.workers[vm.Worker]; w == nil || w.terminated || !w.exists(now) {
 			n.NoEntry++
 		} else if w.Pool != j.pool || w.usable(now) {
 			n.Differing++
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -41,9 +41,11 @@
 type worker struct {
 	// Worker is what the sources say of the worker: see msroster.
 	msworker.Worker
-	// entry is the worker's latest entry. registered says that the registry still has it.
+	// entry is the worker's latest entry. registered says that the registry still has it,
+	// lapsedAt since when it doesn't.
 	entry      msworker.Worker
 	registered bool
+	lapsedAt   time.Time
 	// listed is the worker's row in the latest VM list, which was requested at listedAt, or
 	// zero if that list doesn't name the worker.
 	listed   msworker.VM
@@ -163,7 +165,23 @@
 
 // sources returns what is known of the worker.
 func (w *worker) sources() msroster.Sources {
-	return msroster.Sources{Entry: w.entry, ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt, VM: w.listed, ListedAt: w.listedAt}
+	s := msroster.Sources{
+		Entry: w.entry, Registered: w.registered, LapsedAt: w.lapsedAt, ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt,
+		VM: w.listed, ListedAt: w.listedAt,
+	}
+	if w.reachable {
+		s.AnsweredAt = w.reportRequestedAt
+	}
+	return s
+}
+
+// exists reports whether there is such a worker.
+func (w *worker) exists(now time.Time) bool {
+	if w.registered {
+		return true
+	}
+	s := w.sources()
+	return s.Exists(now)
 }
 
 // sourcesChanged applies what the sources say of the worker.
@@ -174,7 +192,7 @@
 
 // stays reports whether the worker is up and nothing is about to end it.
 func (w *worker) stays(now time.Time) bool {
-	return w.registered && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.evacuated
+	return w.exists(now) && w.reported && w.reachable && !w.terminated && !w.Draining && !w.reserved && !w.moving && !w.evacuated
 }
 
 // unsettled reports whether the worker stays, but what it has room for isn't known.
@@ -231,7 +249,9 @@
 		if _, ok := all[id]; ok {
 			continue
 		}
-		w.registered = false
+		if w.registered {
+			w.registered, w.lapsedAt = false, now
+		}
 		if w.terminated {
 			delete(e.workers, id)
 			continue
