msroster, msscheduler: a worker that was given up is used again once it has returned

Callers saw all jobs of a pool stand still until the leader changed, with the reason no-worker and beside VMs that were up and idle. Cause: once one list of VMs showed a worker's VM moving or in maintenance, or did not name the worker, the worker was given up, and stayed so for as long as the registry had an entry under its ID. A pool whose VMs have all been away once had no worker left. A given-up worker has returned if a list of VMs asked for later shows its VM up, or if its entry names a later start; it is a new worker then, without the attempts, lease and pauses of the one before.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -72,6 +72,12 @@
 	return s.entryIsOfLife() || s.vmIsOfLife() || now.Sub(s.LifeSeenAt) >= MaxEntryDelay
 }
 
+// HasReturned reports whether a worker that was given up at a time is there again. processStart is
+// the latest start time that was known then, or 0.
+func (s *Sources) HasReturned(givenUpAt time.Time, processStart int64) bool {
+	return s.VM.Up && s.ListedAt.After(givenUpAt) || s.Registered && processStart != 0 && s.Entry.ProcessStart > processStart
+}
+
 // entryIsOfLife reports whether the entry isn't of an earlier life than the latest report. Workers
 // need not say when they started.
 func (s *Sources) entryIsOfLife() bool {
--- a/msroster/roster_test.go
+++ b/msroster/roster_test.go
@@ -54,3 +54,15 @@
 	s.ListedAt, s.VM.Up = at(6), false
 	require.False(t, s.Exists(at(6)))
 }
+
+func TestReturnNeedsALaterSign(t *testing.T) {
+	t.Parallel()
+	at := time.Unix(1000, 0)
+	s := Sources{Registered: true, Entry: msworker.Worker{ProcessStart: 5}, VM: msworker.VM{Up: true}, ListedAt: at}
+	require.False(t, s.HasReturned(at, 5))
+	s.ListedAt = at.Add(time.Millisecond)
+	require.True(t, s.HasReturned(at, 5))
+	s.ListedAt, s.Entry.ProcessStart = time.Time{}, 6
+	require.True(t, s.HasReturned(at, 5))
+	require.False(t, s.HasReturned(at, 0), "whether the entry is of a later life isn't known")
+}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -138,6 +138,7 @@
 		w.crashed = w.crashed || w.reported && !w.reachable && vm == nil && e.endOf(w, now) == endedByCrash
 		switch {
 		case w.terminated:
+			e.returned(w)
 		case vm != nil && vm.Up:
 			if w.maintenanceSince.Before(asked) {
 				w.maintenanceSince = time.Time{}
@@ -188,7 +189,7 @@
 	runs := w.allRuns()
 	e.Logger.Info("worker given up", zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.String("vm", w.vm), zap.String("reason", reason), zap.Int("runs", len(runs)))
 	e.noteEnd(w, end, reason, runs)
-	w.terminated, w.reachable = true, false
+	w.terminated, w.terminatedAt, w.reachable = true, e.Clock.Now(), false
 	if w.cancel != nil {
 		w.cancel()
 	}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -55,8 +55,10 @@
 	reported, reachable bool
 	// vm is the name of the worker's VM, once a VM list has shown it.
 	vm string
-	// terminated workers never answer again under this ID.
-	terminated bool
+	// terminated says that this life of the worker has ended, since terminatedAt. The next one
+	// under the same ID is another worker.
+	terminated   bool
+	terminatedAt time.Time
 	// drainingSince is when the registry first showed the worker as draining.
 	drainingSince time.Time
 	// unreachableSince is when the worker became unreachable or, before its first
@@ -230,6 +232,10 @@
 	all := e.Registry.All()
 	for id, entry := range all {
 		w := e.workerFor(id)
+		if w.terminated {
+			w.entry = entry
+			w = e.returned(w)
+		}
 		w.noteWarmup(entry, now)
 		if w.cancel == nil || (w.Address != entry.Address && !w.terminated) {
 			if w.cancel != nil {
@@ -267,6 +273,18 @@
 	}
 }
 
+// returned returns the next life of a worker that was given up, if there is one, or the same worker.
+func (e *Engine) returned(w *worker) *worker {
+	s := w.sources()
+	if !s.HasReturned(w.terminatedAt, max(w.processStart, w.ProcessStart)) {
+		return w
+	}
+	e.Logger.Info("worker has returned", zap.String("worker", w.ID), zap.String("pool", w.Pool), zap.Duration("given-up-for", e.Clock.Now().Sub(w.terminatedAt)))
+	delete(e.workers, w.ID)
+	e.sortedWorkers = nil
+	return e.workerFor(w.ID)
+}
+
 // startPolling requests reports from a worker until it is terminated.
 func (e *Engine) startPolling(w *worker, entry msworker.Worker) {
 	w.entry = entry
