msscheduler: a start is checked against the present life of its worker

Seen by callers: a task could start on a restarted worker that has less room than the life before (a start over capacity), and with an entry that still says draining each start was given up and planned again, a record each time, until the entry came.

Evidence: both tests failed before ("" for "its worker has shrunk", and "its worker drains"). The check now asks msroster, with the newest entry.

--- /dev/null
+++ b/msscheduler/earlierlife_test.go
@@ -0,0 +1,55 @@
+package msscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+// restartedWorker returns the only worker of e after a restart under its ID. change alters its
+// entry, which is that of the life before, and its row in a later list of VMs.
+func restartedWorker(e *Engine, change func(entry *msworker.Worker, vm *msworker.VM)) *worker {
+	now := e.Clock.Now()
+	entry, _ := e.Registry.Worker("w-0000")
+	entry.ProcessStart = 5
+	vm := msworker.VM{Name: "vm-0", Pool: entry.Pool, Rack: entry.Rack, Labels: entry.Labels, Capacity: entry.Capacity, Worker: entry.ID, Up: true}
+	change(&entry, &vm)
+	e.Registry.Set(entry)
+	e.syncWorkers(now)
+	w := e.workers["w-0000"]
+	w.processStart, w.processSeenAt = 7, now
+	e.applyVMs([]msworker.VM{vm}, now.Add(time.Millisecond))
+	return w
+}
+
+// planned adds an attempt that waits for its record to be stored.
+func planned(e *Engine, w *worker) *run {
+	j := e.jobs["0000000000000000"]
+	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1, w)
+	e.addRun(r)
+	return r
+}
+
+// A start was checked against the entry alone, and went to a restarted worker without the room.
+func TestStartIsCheckedAgainstThePresentLife(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(_ *msworker.Worker, vm *msworker.VM) { vm.Capacity.CPU = 2000 })
+	r := planned(e, w)
+	require.Equal(t, "its worker has shrunk", e.unfit(r))
+	require.EqualValues(t, 2000, w.Capacity.CPU)
+}
+
+// The life before was draining, so each start on the restarted worker was given up and planned
+// again.
+func TestStartIsNotRefusedForTheDrainingOfAnEarlierLife(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(entry *msworker.Worker, _ *msworker.VM) { entry.Draining = true })
+	require.True(t, w.usable(e.Clock.Now()))
+	require.Empty(t, e.unfit(planned(e, w)))
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -131,11 +131,15 @@
 	if !ok {
 		return ""
 	}
-	r.w.Capacity = entry.Capacity
+	// The entry may be newer than the latest pass, and of an earlier life.
+	s := r.w.sources()
+	s.Entry, s.Registered = entry, true
+	w := s.Current()
+	r.w.Capacity = w.Capacity
 	switch {
-	case !r.w.used.Fits(r.w.Capacity):
+	case !r.w.used.Fits(w.Capacity):
 		return "its worker has shrunk"
-	case entry.Draining:
+	case w.Draining:
 		return "its worker drains"
 	}
 	return ""
