msscheduler: a worker that only records name keeps its ID

Seen by callers: after a change of leader, a worker whose entry was missing at first got no tasks for the rest of the term, if it had been given up and returned.

Cause: since what is known of a worker is its entry or its row in the list of VMs, and a worker that only the records of an earlier term name has an empty entry. The first list of VMs cleared its ID; its next life was then added under the empty ID, and polled once more with each change of the registry.

Evidence: the test failed before (ID "" for "w-1"). The entry of such a worker now begins with its ID.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -53,3 +53,21 @@
 	require.True(t, w.usable(e.Clock.Now()))
 	require.Empty(t, e.unfit(planned(e, w)))
 }
+
+// A worker that only the records of an earlier term name lost its ID to an empty entry. Its next
+// life was then kept as a worker without an ID.
+func TestAdoptedWorkerWithoutAnEntryKeepsItsID(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 0, 1, 1, 1)
+	w := e.workerFor("w-1")
+	planned(e, w)
+	now := e.Clock.Now()
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Worker: "w-1", Moving: true}}, now)
+	require.True(t, w.terminated)
+	require.Equal(t, "w-1", w.ID)
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Worker: "w-1", Up: true}}, e.Clock.Now().Add(time.Millisecond))
+	require.NotSame(t, w, e.workers["w-1"])
+	require.False(t, e.workers["w-1"].terminated)
+	require.Equal(t, "w-1", e.workers["w-1"].ID)
+	require.Nil(t, e.workers[""])
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -213,7 +213,7 @@
 func (e *Engine) workerFor(id string) *worker {
 	w := e.workers[id]
 	if w == nil {
-		w = &worker{Worker: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
+		w = &worker{Worker: msworker.Worker{ID: id}, entry: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
 		e.workers[id] = w
 		e.registryPending = true
 	}
