msscheduler: a report of a worker that was given up in between is ignored

Seen by callers: a team got less than its limit for the rest of a term.

Cause: a report was taken though its worker was given up while the report waited for the engine's lock. Its attempts were added again as strays of a worker that is never polled again, and so nothing ended them; since that worker may not even be in the table any more.

Evidence: the test failed before (the worker was reachable again). The worker is now looked at once the lock is held.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -1,6 +1,7 @@
 package msscheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -71,3 +72,26 @@
 	require.Equal(t, "w-1", e.workers["w-1"].ID)
 	require.Nil(t, e.workers[""])
 }
+
+// A report that arrives while its worker is given up brought the worker's attempts back. Nothing
+// ended them, so they counted against their team for the rest of the term.
+func TestReportOfAGivenUpWorkerIsIgnored(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	r := planned(e, w)
+	r.state = runStarted
+	e.ctx = t.Context()
+	e.Orders.RenewLease = func(context.Context, msworker.Worker, msworker.LeaseRenewal) (msworker.Report, error) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.terminateWorker(w, "its VM is away or another worker")
+		return msworker.Report{Clock: time.Second, Running: []msworker.Run{{Task: r.task, Attempt: r.attempt}}}, nil
+	}
+	// The poll's context is canceled only after the report was taken.
+	e.requestReport(t.Context(), w)
+	require.False(t, w.reachable)
+	require.Empty(t, e.runs)
+	require.Zero(t, e.teams["team-0"])
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -353,6 +353,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if w.terminated {
+		return false
+	}
 	if err != nil {
 		e.reportFailed(w, err)
 		return false
