msscheduler: a planned attempt doesn't start on another kind of worker

Seen by callers: a task could start on a worker without the label that its step asks for, or of a pool that its queue isn't sent to, and on a worker whose room isn't known.

Cause: an attempt is placed, then its record is stored, then it is started. A worker that restarts in between keeps its ID. What it is was looked at when the attempt was placed only, and the check before the start knew capacity and draining.

The check now also asks for the label and the pool, and that the present life is described by its entry or the list of VMs.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -95,3 +95,33 @@
 	require.Empty(t, e.runs)
 	require.Zero(t, e.teams["team-0"])
 }
+
+// An attempt whose record was still being stored started on the next life of its worker, without
+// the label that it asks for.
+func TestPlannedAttemptDoesNotStartOnAnotherKind(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(entry *msworker.Worker, vm *msworker.VM) {
+		entry.Labels, vm.Labels = []string{"a"}, []string{"b"}
+	})
+	r := planned(e, w)
+	r.job.def.Steps[0].Label = "a"
+	require.Equal(t, "its worker is of another kind", e.unfit(r))
+}
+
+// Whether the next life suits the attempt isn't known before its entry or a list of VMs.
+func TestPlannedAttemptDoesNotStartOnALifeThatIsNotDescribed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(*msworker.Worker, *msworker.VM) {})
+	w.processStart, w.processSeenAt = 9, e.Clock.Now().Add(time.Second)
+	require.Equal(t, "its worker has restarted", e.unfit(planned(e, w)))
+}
+
+// The same for a worker that is back in another pool.
+func TestPlannedAttemptDoesNotStartInAnotherPool(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(_ *msworker.Worker, vm *msworker.VM) { vm.Pool = "pool-1" })
+	require.Equal(t, "its worker is of another pool", e.unfit(planned(e, w)))
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -136,11 +137,19 @@
 	s.Entry, s.Registered = entry, true
 	w := s.Current()
 	r.w.Capacity = w.Capacity
+	step := r.step()
 	switch {
 	case !r.w.used.Fits(w.Capacity):
 		return "its worker has shrunk"
 	case w.Draining:
 		return "its worker drains"
+	case !s.Settled(e.Clock.Now()):
+		return "its worker has restarted"
+	case step != nil && step.Label != "" && !slices.Contains(w.Labels, step.Label):
+		return "its worker is of another kind"
+	}
+	if pool := poolOf(r.job.def, e.Sites.Site()); pool != "" && pool != w.Pool && !r.uncertain {
+		return "its worker is of another pool"
 	}
 	return ""
 }
