msroster: a VM's row that leaves out fields hides nothing of its worker

Seen by callers: a task could start in an evacuated data centre on a worker that has just restarted, and a restarted worker had no room or no pool until its entry came.

Cause: the row in the list of VMs replaced all of what the entry says, also fields that it doesn't have.

Evidence: the test failed before (data centre "" for "north"). A row without a data centre leaves that of the entry, as a VM stays in its place, and one without a pool or a capacity describes no worker.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
 
@@ -62,7 +63,10 @@
 	if s.entryIsOfLife() || !s.vmIsOfLife() {
 		return w
 	}
-	w.Pool, w.DataCentre, w.Rack, w.Labels, w.Capacity = s.VM.Pool, s.VM.DataCentre, s.VM.Rack, s.VM.Labels, s.VM.Capacity
+	w.Pool, w.Rack, w.Labels, w.Capacity = s.VM.Pool, s.VM.Rack, s.VM.Labels, s.VM.Capacity
+	if s.VM.DataCentre != "" {
+		w.DataCentre = s.VM.DataCentre
+	}
 	w.Draining, w.RemainingTime = false, 0
 	return w
 }
@@ -84,7 +88,8 @@
 	return s.Entry.ProcessStart == 0 || s.Entry.ProcessStart >= s.ProcessStart
 }
 
-// vmIsOfLife reports whether the list of VMs was requested during the life that reported last.
+// vmIsOfLife reports whether the list of VMs was requested during the life that reported last,
+// and says in which pool it is and what it has room for.
 func (s *Sources) vmIsOfLife() bool {
-	return s.VM.Up && s.ListedAt.After(s.LifeSeenAt)
+	return s.VM.Up && s.VM.Pool != "" && s.VM.Capacity != (msjob.Resources{}) && s.ListedAt.After(s.LifeSeenAt)
 }
--- a/msroster/roster_test.go
+++ b/msroster/roster_test.go
@@ -66,3 +66,20 @@
 	require.True(t, s.HasReturned(at, 5))
 	require.False(t, s.HasReturned(at, 0), "whether the entry is of a later life isn't known")
 }
+
+// A row without a data centre hid that the worker's is evacuated, and one without a capacity left
+// a restarted worker without room.
+func TestRowThatLeavesOutFieldsHidesNothing(t *testing.T) {
+	t.Parallel()
+	at := time.Unix(1000, 0)
+	entry := msworker.Worker{ID: "w", DataCentre: "north", Capacity: msjob.Resources{CPU: 4000}, ProcessStart: 5}
+	vm := msworker.VM{Pool: "booth", Labels: []string{"b"}, Capacity: msjob.Resources{CPU: 8000}, Up: true}
+	s := Sources{Entry: entry, Registered: true, ProcessStart: 7, LifeSeenAt: at, AnsweredAt: at, VM: vm, ListedAt: at.Add(1)}
+	require.Equal(t, vm.Capacity, s.Current().Capacity)
+	require.Equal(t, "north", s.Current().DataCentre, "a worker stays in its data centre")
+	s.VM.Capacity = msjob.Resources{}
+	require.False(t, s.Settled(at.Add(1)))
+	require.Equal(t, entry, s.Current())
+	s.VM.Capacity, s.VM.Pool = vm.Capacity, ""
+	require.False(t, s.Settled(at.Add(1)))
+}
