msroster, msscheduler: an entry is of the present life whatever the wall clock says

Seen by callers: after a worker restarted on a VM whose clock was set back, tasks could start on it by the label and the room of the life before.

Cause: an entry counted as of the present life if its start time was not the earlier one. Start times are of the worker's wall clock, and the next life's is the earlier one if that clock was set back.

Evidence: the test failed before (labels a for b). An entry with another start time than the reports' now has to be seen later than the life that reports, besides.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -31,11 +31,12 @@
 
 // Sources is what is known of a worker. Its methods are functions of it and the time.
 type Sources struct {
-	// Entry is the latest entry, Registered whether the registry still has it, LapsedAt since
-	// when it doesn't.
-	Entry      msworker.Worker
-	Registered bool
-	LapsedAt   time.Time
+	// Entry is the latest entry, EntrySeenAt when the first one with its start time was seen,
+	// Registered whether the registry still has it, LapsedAt since when it doesn't.
+	Entry       msworker.Worker
+	EntrySeenAt time.Time
+	Registered  bool
+	LapsedAt    time.Time
 	// ProcessStart is the start time of the process that reported last, or 0, and LifeSeenAt
 	// when that process was first seen. AnsweredAt is when the report was requested, or zero
 	// while the worker doesn't answer.
@@ -83,9 +84,11 @@
 }
 
 // entryIsOfLife reports whether the entry isn't of an earlier life than the latest report. Workers
-// need not say when they started.
+// need not say when they started. An earlier life has the later start time if the worker's wall
+// clock was set back in between.
 func (s *Sources) entryIsOfLife() bool {
-	return s.Entry.ProcessStart == 0 || s.Entry.ProcessStart >= s.ProcessStart
+	start := s.Entry.ProcessStart
+	return start == 0 || start == s.ProcessStart || start > s.ProcessStart && !s.EntrySeenAt.Before(s.LifeSeenAt)
 }
 
 // vmIsOfLife reports whether the list of VMs was requested during the life that reported last,
--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -22,8 +22,8 @@
 	e.Registry.Set(entry)
 	e.syncWorkers(now)
 	w := e.workers["w-0000"]
-	w.processStart, w.processSeenAt = 7, now
-	e.applyVMs([]msworker.VM{vm}, now.Add(time.Millisecond))
+	w.processStart, w.processSeenAt = 7, now.Add(time.Millisecond)
+	e.applyVMs([]msworker.VM{vm}, now.Add(2*time.Millisecond))
 	return w
 }
 
@@ -125,3 +125,17 @@
 	w := restartedWorker(e, func(_ *msworker.Worker, vm *msworker.VM) { vm.Pool = "pool-1" })
 	require.Equal(t, "its worker is of another pool", e.unfit(planned(e, w)))
 }
+
+// A wall clock that was set back gives the next life an earlier start time. The entry of the life
+// before was believed then.
+func TestEntryOfAnEarlierLifeWithALaterStartTimeIsNotBelieved(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	w := restartedWorker(e, func(entry *msworker.Worker, vm *msworker.VM) {
+		entry.ProcessStart, entry.Labels, vm.Labels = 9, []string{"a"}, []string{"b"}
+	})
+	require.Equal(t, []string{"b"}, w.Labels)
+	w.processStart, w.processSeenAt = 8, e.Clock.Now().Add(time.Second)
+	w.sourcesChanged()
+	require.True(t, w.outdated(e.Clock.Now()), "nothing describes the life that started at 8")
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -41,11 +41,12 @@
 type worker struct {
 	// Worker is what the sources say of the worker: see msroster.
 	msworker.Worker
-	// entry is the worker's latest entry. registered says that the registry still has it,
-	// lapsedAt since when it doesn't.
-	entry      msworker.Worker
-	registered bool
-	lapsedAt   time.Time
+	// entry is the worker's latest entry, entrySeenAt when the first one with its start time was
+	// seen. registered says that the registry still has it, lapsedAt since when it doesn't.
+	entry       msworker.Worker
+	entrySeenAt time.Time
+	registered  bool
+	lapsedAt    time.Time
 	// listed is the worker's row in the latest VM list, which was requested at listedAt, or
 	// zero if that list doesn't name the worker.
 	listed   msworker.VM
@@ -168,8 +169,8 @@
 // sources returns what is known of the worker.
 func (w *worker) sources() msroster.Sources {
 	s := msroster.Sources{
-		Entry: w.entry, Registered: w.registered, LapsedAt: w.lapsedAt, ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt,
-		VM: w.listed, ListedAt: w.listedAt,
+		Entry: w.entry, EntrySeenAt: w.entrySeenAt, Registered: w.registered, LapsedAt: w.lapsedAt,
+		ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt, VM: w.listed, ListedAt: w.listedAt,
 	}
 	if w.reachable {
 		s.AnsweredAt = w.reportRequestedAt
@@ -186,6 +187,15 @@
 	return s.Exists(now)
 }
 
+// setEntry applies an entry of the worker that was seen at now.
+func (w *worker) setEntry(entry msworker.Worker, now time.Time) {
+	if w.entrySeenAt.IsZero() || entry.ProcessStart != w.entry.ProcessStart {
+		w.entrySeenAt = now
+	}
+	w.entry = entry
+	w.sourcesChanged()
+}
+
 // sourcesChanged applies what the sources say of the worker.
 func (w *worker) sourcesChanged() {
 	s := w.sources()
@@ -241,14 +251,14 @@
 			if w.cancel != nil {
 				w.cancel()
 			}
-			e.startPolling(w, entry)
+			e.startPolling(w, entry, now)
 		}
 		if entry.Draining && !w.entry.Draining {
 			w.drainingSince = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.RemainingTime), zap.Int("runs", len(w.runs)))
 		}
-		w.entry, w.registered = entry, true
-		w.sourcesChanged()
+		w.registered = true
+		w.setEntry(entry, now)
 	}
 	e.registryPending = false
 	for id, w := range e.workers {
@@ -286,9 +296,8 @@
 }
 
 // startPolling requests reports from a worker until it is terminated.
-func (e *Engine) startPolling(w *worker, entry msworker.Worker) {
-	w.entry = entry
-	w.sourcesChanged()
+func (e *Engine) startPolling(w *worker, entry msworker.Worker, now time.Time) {
+	w.setEntry(entry, now)
 	ctx, cancel := context.WithCancel(e.ctx)
 	w.cancel = cancel
 	e.group.Add(1)
