msscheduler: a worker that drains when it is first seen has its time left

Seen by callers: after a change of leader, tasks with checkpoints on a draining worker were stopped at once though they had time to end, and a worker that had drained and restarted under its ID counted as crashed, which speaks against the tasks that ran there.

Cause: the entry was applied before it was compared with the one before, so the time since when a worker drains was noted only if the registry had shown it otherwise. The same held for a next life that drains.

The entries are now compared first, with their start times.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -139,3 +139,17 @@
 	w.sourcesChanged()
 	require.True(t, w.outdated(e.Clock.Now()), "nothing describes the life that started at 8")
 }
+
+// A leader that first sees a worker while it drains took it to have drained for ever: what had
+// time left to end was stopped, and the next life under the ID counted as one after a crash.
+func TestWorkerThatDrainsWhenFirstSeenHasItsTimeLeft(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 0, 1, 1, 1)
+	var cancel context.CancelFunc
+	e.ctx, cancel = context.WithCancel(t.Context())
+	cancel()
+	e.Registry.Set(msworker.Worker{ID: "w-1", Pool: "pool-0", Capacity: msjob.Resources{CPU: 32_000}, Draining: true, RemainingTime: time.Minute})
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	require.Equal(t, now, e.workers["w-1"].drainingSince)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -247,13 +247,15 @@
 			w = e.returned(w)
 		}
 		w.noteWarmup(entry, now)
+		// The next life may drain before the registry has shown it otherwise.
+		drains := entry.Draining && (!w.entry.Draining || w.entry.ProcessStart != entry.ProcessStart)
 		if w.cancel == nil || (w.Address != entry.Address && !w.terminated) {
 			if w.cancel != nil {
 				w.cancel()
 			}
 			e.startPolling(w, entry, now)
 		}
-		if entry.Draining && !w.entry.Draining {
+		if drains {
 			w.drainingSince = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.RemainingTime), zap.Int("runs", len(w.runs)))
 		}
