msscheduler: a pass compares start times before it asks msroster

A pass asks several times of each worker whether what is known describes its present life, and built all its sources for that.

--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -215,6 +215,10 @@
 // outdated reports whether what is known describes an earlier life of a worker that has restarted
 // under its ID. The capacity and labels of the present one may differ.
 func (w *worker) outdated(now time.Time) bool {
+	if w.entry.ProcessStart == w.processStart {
+		// Nearly always, and each pass asks it of each worker.
+		return false
+	}
 	s := w.sources()
 	return !s.Settled(now)
 }
