--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
 
@@ -30,11 +31,12 @@
 
 // Sources is what is known of a worker. Its methods are functions of it and the time.
 type Sources struct {
-	// Entry is the latest entry, Registered whether the registry still has it, LapsedAt since
-	// when it doesn't.
-	Entry      msworker.Worker
-	Registered bool
-	LapsedAt   time.Time
+	// Entry is the latest entry, EntrySeenAt when the first one with its start time was seen,
+	// Registered whether the registry still has it, LapsedAt since when it doesn't.
+	Entry       msworker.Worker
+	EntrySeenAt time.Time
+	Registered  bool
+	LapsedAt    time.Time
 	// ProcessStart is the start time of the process that reported last, or 0, and LifeSeenAt
 	// when that process was first seen. AnsweredAt is when the report was requested, or zero
 	// while the worker doesn't answer.
@@ -62,7 +64,10 @@
 	if s.entryIsOfLife() || !s.vmIsOfLife() {
 		return w
 	}
-	w.Pool, w.DataCentre, w.Rack, w.Labels, w.Capacity = s.VM.Pool, s.VM.DataCentre, s.VM.Rack, s.VM.Labels, s.VM.Capacity
+	w.Pool, w.Rack, w.Labels, w.Capacity = s.VM.Pool, s.VM.Rack, s.VM.Labels, s.VM.Capacity
+	if s.VM.DataCentre != "" {
+		w.DataCentre = s.VM.DataCentre
+	}
 	w.Draining, w.RemainingTime = false, 0
 	return w
 }
@@ -79,12 +84,15 @@
 }
 
 // entryIsOfLife reports whether the entry isn't of an earlier life than the latest report. Workers
-// need not say when they started.
+// need not say when they started. An earlier life has the later start time if the worker's wall
+// clock was set back in between.
 func (s *Sources) entryIsOfLife() bool {
-	return s.Entry.ProcessStart == 0 || s.Entry.ProcessStart >= s.ProcessStart
+	start := s.Entry.ProcessStart
+	return start == 0 || start == s.ProcessStart || start > s.ProcessStart && !s.EntrySeenAt.Before(s.LifeSeenAt)
 }
 
-// vmIsOfLife reports whether the list of VMs was requested during the life that reported last.
+// vmIsOfLife reports whether the list of VMs was requested during the life that reported last,
+// and says in which pool it is and what it has room for.
 func (s *Sources) vmIsOfLife() bool {
-	return s.VM.Up && s.ListedAt.After(s.LifeSeenAt)
+	return s.VM.Up && s.VM.Pool != "" && s.VM.Capacity != (msjob.Resources{}) && s.ListedAt.After(s.LifeSeenAt)
 }
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -131,12 +132,24 @@
 	if !ok {
 		return ""
 	}
-	r.w.Capacity = entry.Capacity
+	// The entry may be newer than the latest pass, and of an earlier life.
+	s := r.w.sources()
+	s.Entry, s.Registered = entry, true
+	w := s.Current()
+	r.w.Capacity = w.Capacity
+	step := r.step()
 	switch {
-	case !r.w.used.Fits(r.w.Capacity):
+	case !r.w.used.Fits(w.Capacity):
 		return "its worker has shrunk"
-	case entry.Draining:
+	case w.Draining:
 		return "its worker drains"
+	case !s.Settled(e.Clock.Now()):
+		return "its worker has restarted"
+	case step != nil && step.Label != "" && !slices.Contains(w.Labels, step.Label):
+		return "its worker is of another kind"
+	}
+	if pool := poolOf(r.job.def, e.Sites.Site()); pool != "" && pool != w.Pool && !r.uncertain {
+		return "its worker is of another pool"
 	}
 	return ""
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -41,11 +41,12 @@
 type worker struct {
 	// Worker is what the sources say of the worker: see msroster.
 	msworker.Worker
-	// entry is the worker's latest entry. registered says that the registry still has it,
-	// lapsedAt since when it doesn't.
-	entry      msworker.Worker
-	registered bool
-	lapsedAt   time.Time
+	// entry is the worker's latest entry, entrySeenAt when the first one with its start time was
+	// seen. registered says that the registry still has it, lapsedAt since when it doesn't.
+	entry       msworker.Worker
+	entrySeenAt time.Time
+	registered  bool
+	lapsedAt    time.Time
 	// listed is the worker's row in the latest VM list, which was requested at listedAt, or
 	// zero if that list doesn't name the worker.
 	listed   msworker.VM
@@ -168,8 +169,8 @@
 // sources returns what is known of the worker.
 func (w *worker) sources() msroster.Sources {
 	s := msroster.Sources{
-		Entry: w.entry, Registered: w.registered, LapsedAt: w.lapsedAt, ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt,
-		VM: w.listed, ListedAt: w.listedAt,
+		Entry: w.entry, EntrySeenAt: w.entrySeenAt, Registered: w.registered, LapsedAt: w.lapsedAt,
+		ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt, VM: w.listed, ListedAt: w.listedAt,
 	}
 	if w.reachable {
 		s.AnsweredAt = w.reportRequestedAt
@@ -186,6 +187,15 @@
 	return s.Exists(now)
 }
 
+// setEntry applies an entry of the worker that was seen at now.
+func (w *worker) setEntry(entry msworker.Worker, now time.Time) {
+	if w.entrySeenAt.IsZero() || entry.ProcessStart != w.entry.ProcessStart {
+		w.entrySeenAt = now
+	}
+	w.entry = entry
+	w.sourcesChanged()
+}
+
 // sourcesChanged applies what the sources say of the worker.
 func (w *worker) sourcesChanged() {
 	s := w.sources()
@@ -205,6 +215,10 @@
 // outdated reports whether what is known describes an earlier life of a worker that has restarted
 // under its ID. The capacity and labels of the present one may differ.
 func (w *worker) outdated(now time.Time) bool {
+	if w.entry.ProcessStart == w.processStart {
+		// Nearly always, and each pass asks it of each worker.
+		return false
+	}
 	s := w.sources()
 	return !s.Settled(now)
 }
@@ -213,7 +227,7 @@
 func (e *Engine) workerFor(id string) *worker {
 	w := e.workers[id]
 	if w == nil {
-		w = &worker{Worker: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
+		w = &worker{Worker: msworker.Worker{ID: id}, entry: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
 		e.workers[id] = w
 		e.registryPending = true
 	}
@@ -237,18 +251,20 @@
 			w = e.returned(w)
 		}
 		w.noteWarmup(entry, now)
+		// The next life may drain before the registry has shown it otherwise.
+		drains := entry.Draining && (!w.entry.Draining || w.entry.ProcessStart != entry.ProcessStart)
 		if w.cancel == nil || (w.Address != entry.Address && !w.terminated) {
 			if w.cancel != nil {
 				w.cancel()
 			}
-			e.startPolling(w, entry)
+			e.startPolling(w, entry, now)
 		}
-		if entry.Draining && !w.entry.Draining {
+		if drains {
 			w.drainingSince = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.RemainingTime), zap.Int("runs", len(w.runs)))
 		}
-		w.entry, w.registered = entry, true
-		w.sourcesChanged()
+		w.registered = true
+		w.setEntry(entry, now)
 	}
 	e.registryPending = false
 	for id, w := range e.workers {
@@ -286,9 +302,8 @@
 }
 
 // startPolling requests reports from a worker until it is terminated.
-func (e *Engine) startPolling(w *worker, entry msworker.Worker) {
-	w.entry = entry
-	w.sourcesChanged()
+func (e *Engine) startPolling(w *worker, entry msworker.Worker, now time.Time) {
+	w.setEntry(entry, now)
 	ctx, cancel := context.WithCancel(e.ctx)
 	w.cancel = cancel
 	e.group.Add(1)
@@ -353,6 +368,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if w.terminated {
+		return false
+	}
 	if err != nil {
 		e.reportFailed(w, err)
 		return false
