--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -16,6 +16,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"marjoramspan/msjob"
 )
 
 // Pool is the size, capacity and demand of a pool.
@@ -35,6 +37,19 @@
 	LongRunning, Demand int64
 	// LongRunningVMs is the number of the pool's VMs that run lasting tasks.
 	LongRunningVMs int
+	// Needs is what the tasks that run or could start now need of the pool's VMs.
+	Needs []Need
+}
+
+// Need is room that a pool must have on VMs of a kind, however little CPU it needs.
+type Need struct {
+	// Label, if set, is a label that the VMs must have.
+	Label string
+	// Size is what one task requires of a VM.
+	Size msjob.Resources
+	// Tasks is how many tasks there must be room for on idle VMs, PerVM how many of them may
+	// run on one VM; 0 is no limit.
+	Tasks, PerVM int
 }
 
 // VM is a VM that Plan may move to another pool.
@@ -45,6 +60,12 @@
 	// Load is the CPU of the tasks that have to end before the VM is idle, in
 	// thousandths of a core.
 	Load int64
+	// Labels and Capacity are those of the VM's worker, as far as it is known.
+	Labels   []string
+	Capacity msjob.Resources
+	// Absent means that the VM has been out of service for so long that it doesn't count for
+	// the needs of its pool.
+	Absent bool
 }
 
 // Move assigns a VM to another pool.
