mscapacity, msscheduler: a pool keeps and gets the VMs that its tasks need

Callers saw tasks wait without end beside VMs that could run them: for a label or a size that only spare VMs or those of other pools have, in a pool without VMs, and, for a second or two (trials of the lead), tasks of a long-running step that may not share a worker.

Cause: the plan of the pools' sizes knew CPU only. It moved, drained and lent the last VMs of a kind, gave a pool any VM, and let a pool without VMs keep its size of 0. For steps with a limit per worker a pool grew by one VM at a time, as its minimum follows the VMs that run such tasks already.

Pools now have needs: a label, a size, a number of tasks and a limit per VM. For long-running steps and gangs these are all tasks, for others one task, so that no job stands still. Needs are minima: no VM leaves a pool by a move, a drain or a loan if the room on the others falls below them. An unmet need takes VMs that fit: surplus and spare ones first, then ones that a pool outside of a burst may lend. A need that no VM fits asks for none. Tasks beyond their team's limit don't count.

--- a/mscapacity/need_test.go
+++ b/mscapacity/need_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"marjoramspan/msjob"
 )
@@ -184,24 +185,166 @@
 	require.Empty(t, tracker.Plan(pools, vmsOfKind(pools, "gpu", "booth-03")), "booth is at its minimum")
 }
 
-// Many different tasks wait in a large fleet.
+// A thousand different tasks wait in a fleet of 3,000 VMs, two of which have the label.
 func BenchmarkPlanWithNeeds(b *testing.B) {
-	pools := []Pool{{Name: "spare", Spare: true, BaseSize: 500, Size: 500, VMMilliCores: 32 * core}}
-	for i := range 5 {
-		p := Pool{Name: fmt.Sprintf("p%d", i), BaseSize: 500, Size: 500, VMMilliCores: 32 * core}
-		for k := range int64(200) {
-			p.Needs = append(p.Needs, Need{Label: "gpu", Size: msjob.Resources{CPU: 100 + k*37%8000, Memory: 100 + k*53%8000}, Tasks: 1})
+	for _, c := range []struct {
+		name, label string
+		needs       int64
+		scale       int64
+	}{{name: "none"}, {name: "met", needs: 200, scale: 1}, {name: "some-too-large", needs: 200, scale: 8}, {name: "label", label: "gpu", needs: 200, scale: 1}} {
+		pools := []Pool{{Name: "spare", Spare: true, BaseSize: 500, Size: 500, VMMilliCores: 32 * core}}
+		for i := range 5 {
+			p := Pool{Name: fmt.Sprintf("p%d", i), BaseSize: 500, Size: 500, VMMilliCores: 32 * core}
+			for k := range c.needs {
+				p.Needs = append(p.Needs, Need{Label: c.label, Size: msjob.Resources{CPU: c.scale * (100 + k*37%8000), Memory: c.scale * (100 + k*5309%8000)}, Tasks: 1})
+			}
+			pools = append(pools, p)
+		}
+		vms := vmsOfKind(pools, "gpu", "p0-07", "spare-17")
+		for i := range vms {
+			vms[i].Capacity.Memory = 32000
 		}
-		pools = append(pools, p)
+		var tracker BurstTracker
+		tracker.Observe(pools, time.Unix(0, 0))
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				tracker.Plan(pools, vms)
+			}
+		})
 	}
-	vms := vmsOfKind(pools, "gpu", "p0-07", "spare-17")
-	for i := range vms {
-		vms[i].Capacity.Memory = 64000
+}
+
+// testFleet is pools and VMs of several kinds that keep their kind as they move.
+type testFleet struct {
+	pools []Pool
+	vms   []VM
+}
+
+func drawFleet(t *rapid.T) *testFleet {
+	f := &testFleet{pools: testPools()}
+	f.vms = poolVMs(f.pools)
+	kinds := rapid.SampledFrom([]string{"", "", "a", "b"})
+	sizes := rapid.SampledFrom([]int64{16, 32, 32, 64})
+	for i := range f.vms {
+		f.vms[i].Labels = []string{kinds.Draw(t, "label")}
+		f.vms[i].Capacity = cores(sizes.Draw(t, "size"))
 	}
-	var tracker BurstTracker
-	tracker.Observe(pools, time.Unix(0, 0))
-	b.ReportAllocs()
-	for b.Loop() {
-		tracker.Plan(pools, vms)
+	return f
+}
+
+// drawLoad draws the demand and the needs of the pools.
+func (f *testFleet) drawLoad(t *rapid.T) {
+	need := rapid.Custom(func(t *rapid.T) Need {
+		return Need{
+			Label: rapid.SampledFrom([]string{"", "a", "b", "none"}).Draw(t, "label"),
+			Size:  cores(rapid.SampledFrom([]int64{1, 20, 40, 99}).Draw(t, "size")),
+			Tasks: rapid.IntRange(1, 12).Draw(t, "tasks"),
+			PerVM: rapid.IntRange(0, 2).Draw(t, "per-vm"),
+		}
+	})
+	for i := range f.pools {
+		if p := &f.pools[i]; !p.Spare {
+			p.Demand = rapid.Int64Range(0, 600*core).Draw(t, "demand")
+			p.Needs = rapid.SliceOfN(need, 0, 4).Draw(t, "needs")
+		}
+	}
+}
+
+func (f *testFleet) apply(o Actions) {
+	for _, m := range o.Moves {
+		for i := range f.vms {
+			if f.vms[i].Name == m.VM {
+				poolByName(f.pools, f.vms[i].Pool).Size--
+				poolByName(f.pools, m.To).Size++
+				f.vms[i].Pool = m.To
+			}
+		}
+	}
+}
+
+// rooms returns how many tasks the pools have room for, up to what each need asks.
+func (f *testFleet) rooms() []int {
+	var all []int
+	for _, p := range f.pools {
+		for _, n := range p.Needs {
+			sum := 0
+			for i := range f.vms {
+				if f.vms[i].Pool == p.Name {
+					sum += n.room(&f.vms[i])
+				}
+			}
+			all = append(all, min(sum, n.Tasks))
+		}
 	}
+	return all
+}
+
+// For any needs, a plan moves or drains no VM twice and leaves no pool with less room than it
+// needs and had. Plans move no VMs once the load has been the same for 41 rounds.
+func TestPlanWithNeedsConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		var tracker BurstTracker
+		now := time.Unix(0, 0)
+		for range 2 {
+			f.drawLoad(t)
+			for round := range 60 {
+				tracker.Observe(f.pools, now)
+				for i := range f.vms {
+					f.vms[i].Idle = round > 20 || rapid.Bool().Draw(t, "idle")
+				}
+				o := tracker.Plan(f.pools, f.vms)
+				seen := map[string]bool{}
+				for _, m := range o.Moves {
+					require.False(t, seen[m.VM])
+					seen[m.VM] = true
+				}
+				for _, vm := range o.Drain {
+					require.False(t, seen[vm])
+					seen[vm] = true
+				}
+				before := f.rooms()
+				f.apply(o)
+				for i, n := range f.rooms() {
+					require.GreaterOrEqual(t, n, before[i], "need %d", i)
+				}
+				if round > 40 {
+					require.Empty(t, o.Moves, "round %d", round)
+				}
+				now = now.Add(500 * time.Millisecond)
+			}
+		}
+	})
+}
+
+// What meets a need meets those that it covers.
+func TestCoveredNeedsAreMet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.drawLoad(t)
+		var all []Need
+		for _, p := range f.pools {
+			all = append(all, p.Needs...)
+		}
+		room := func(n *Need) int {
+			sum := 0
+			for i := range f.vms {
+				if f.vms[i].Pool == "batch" {
+					sum += n.room(&f.vms[i])
+				}
+			}
+			return sum
+		}
+		for i := range all {
+			for k := range all {
+				if a, b := &all[i], &all[k]; a.covers(b) {
+					require.LessOrEqual(t, compareNeeds(*a, *b), 0)
+					if room(a) >= a.Tasks {
+						require.GreaterOrEqual(t, room(b), b.Tasks)
+					}
+				}
+			}
+		}
+	})
 }
--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -41,18 +41,7 @@
 	Needs []Need
 }
 
-// Need is room that a pool must have on VMs of a kind, however little CPU it needs.
-type Need struct {
-	// Label, if set, is a label that the VMs must have.
-	Label string
-	// Size is what one task requires of a VM.
-	Size msjob.Resources
-	// Tasks is how many tasks there must be room for on idle VMs, PerVM how many of them may
-	// run on one VM; 0 is no limit.
-	Tasks, PerVM int
-}
-
-// VM is a VM that Plan may move to another pool.
+// VM is a VM of the fleet. Plan may move it to another pool unless it is pinned.
 type VM struct {
 	Name, Pool, DataCentre string
 	// Idle means that the VM runs no tasks, Pinned that it can't be moved now.
@@ -71,6 +60,8 @@
 // Move assigns a VM to another pool.
 type Move struct {
 	VM, To string
+	// ForNeed says that the pool lacked room for a need.
+	ForNeed bool
 }
 
 // Actions are the actions that Plan requests.
@@ -213,30 +204,78 @@
 	return max(0, p.Size-max(t.sizeForDemand(p), minSize(p), int(math.Ceil(lendingShare*float64(p.BaseSize)))))
 }
 
-// Plan returns the moves that bring the pools to their target sizes. Surplus VMs go
-// to the pool with the largest deficit, or to the spare pool if none has a deficit.
+// planner is the state of one plan. Surplus and deficit are numbers of VMs by pool; lendable is
+// how many each pool can still give to meet the needs of others.
+type planner struct {
+	pools                      []Pool
+	needs                      *needTracker
+	surplus, deficit, lendable map[string]int
+	candidates                 []candidate
+	actions                    Actions
+	// fitting is reused from need to need.
+	fitting []*candidate
+}
+
+// candidate is a VM that isn't pinned. It is taken once the plan moves or drains it.
+type candidate struct {
+	vm    *VM
+	taken bool
+}
+
+// Plan returns the moves that bring the pools to their target sizes and meet their needs.
+// Surplus VMs go to the pool with the largest deficit, or to the spare pool if none has a
+// deficit. No VM leaves a pool that would then lack room for its needs. vms has all VMs of the
+// pools.
 func (t *BurstTracker) Plan(pools []Pool, vms []VM) Actions {
-	surplus, deficit := map[string]int{}, map[string]int{}
+	pl := planner{pools: pools, needs: newNeedTracker(pools, vms), surplus: map[string]int{}, deficit: map[string]int{}, lendable: map[string]int{}}
 	spare := ""
 	for _, p := range pools {
 		if p.Spare {
 			spare = p.Name
-			surplus[p.Name] = p.Size
+			pl.surplus[p.Name] = p.Size
 			continue
 		}
 		if d := p.Size - t.TargetSize(p, pools); d > 0 {
-			surplus[p.Name] = d
+			pl.surplus[p.Name] = min(d, pl.needs.freeOf(p))
 		} else if d < 0 {
-			deficit[p.Name] = -d
+			pl.deficit[p.Name] = -d
+		}
+		if !t.InBurst[p.Name] {
+			pl.lendable[p.Name] = t.lendable(p)
+		}
+	}
+	t.lend(&pl)
+	pl.candidates = sortedCandidates(vms, spare)
+	pl.meetNeeds()
+	for i := range pl.candidates {
+		c := &pl.candidates[i]
+		if c.taken || pl.surplus[c.vm.Pool] <= 0 {
+			continue
 		}
+		to := largestDeficit(pl.deficit)
+		if to == "" {
+			to = spare
+		}
+		if to == "" || to == c.vm.Pool || !pl.needs.leave(c.vm) {
+			continue
+		}
+		pl.take(c, to, false)
 	}
-	t.lend(pools, surplus, deficit)
-	candidates := append([]VM(nil), vms...)
-	// VMs of pools above their target are taken before those of the spare pool, which
-	// cost nothing while they stay there. Idle VMs are taken first, then those with
-	// the lowest load.
-	sort.SliceStable(candidates, func(i, k int) bool {
-		a, b := &candidates[i], &candidates[k]
+	return pl.actions
+}
+
+// sortedCandidates returns the VMs that aren't pinned in the order in which they are taken. VMs of
+// pools above their target come before those of the spare pool, which cost nothing while they stay
+// there. Idle VMs come first, then those with the lowest load.
+func sortedCandidates(vms []VM, spare string) []candidate {
+	all := make([]candidate, 0, len(vms))
+	for i := range vms {
+		if !vms[i].Pinned {
+			all = append(all, candidate{vm: &vms[i]})
+		}
+	}
+	sort.SliceStable(all, func(i, k int) bool {
+		a, b := all[i].vm, all[k].vm
 		if aSpare, bSpare := a.Pool == spare, b.Pool == spare; aSpare != bSpare {
 			return bSpare
 		}
@@ -248,59 +287,52 @@
 		}
 		return a.Name < b.Name
 	})
-	var o Actions
-	for _, vm := range candidates {
-		if vm.Pinned || surplus[vm.Pool] <= 0 {
-			continue
-		}
-		to := largestDeficit(deficit)
-		if to == "" {
-			to = spare
-		}
-		if to == "" || to == vm.Pool {
-			continue
-		}
-		surplus[vm.Pool]--
-		if !vm.Idle {
-			o.Drain = append(o.Drain, vm.Name)
-			continue
-		}
-		if deficit[to] > 0 {
-			deficit[to]--
-		}
-		o.Moves = append(o.Moves, Move{VM: vm.Name, To: to})
+	return all
+}
+
+// take moves a VM to a pool, or drains it if it runs tasks.
+func (pl *planner) take(c *candidate, to string, forNeed bool) {
+	c.taken = true
+	pl.surplus[c.vm.Pool]--
+	pl.lendable[c.vm.Pool]--
+	if !c.vm.Idle {
+		pl.actions.Drain = append(pl.actions.Drain, c.vm.Name)
+		return
+	}
+	if pl.deficit[to] > 0 {
+		pl.deficit[to]--
 	}
-	return o
+	pl.actions.Moves = append(pl.actions.Moves, Move{VM: c.vm.Name, To: to, ForNeed: forNeed})
 }
 
 // lend adds lendable VMs of pools that are not in a burst to surplus, if the pools in a
 // burst lack more VMs than surplus covers. Meanwhile a lending pool requests only the
 // VMs that its own demand needs, not its target size.
-func (t *BurstTracker) lend(pools []Pool, surplus, deficit map[string]int) {
+func (t *BurstTracker) lend(pl *planner) {
 	shortfall := 0
-	for name, n := range deficit {
+	for name, n := range pl.deficit {
 		if t.InBurst[name] {
 			shortfall += n
 		}
 	}
-	for _, n := range surplus {
+	for _, n := range pl.surplus {
 		shortfall -= n
 	}
 	if shortfall <= 0 {
 		return
 	}
-	for _, p := range pools {
+	for _, p := range pl.pools {
 		if p.Spare || t.InBurst[p.Name] {
 			continue
 		}
 		if n := max(t.sizeForDemand(p), minSize(p)) - p.Size; n > 0 {
-			deficit[p.Name] = n
+			pl.deficit[p.Name] = n
 		} else {
-			delete(deficit, p.Name)
+			delete(pl.deficit, p.Name)
 		}
-		extra := min(shortfall, t.lendable(p)-surplus[p.Name])
+		extra := min(shortfall, min(t.lendable(p), pl.needs.freeOf(p))-pl.surplus[p.Name])
 		if extra > 0 {
-			surplus[p.Name] += extra
+			pl.surplus[p.Name] += extra
 			shortfall -= extra
 		}
 	}
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -12,6 +12,7 @@
 	"marjoramspan/mscapacity"
 	"marjoramspan/msjob"
 	"marjoramspan/mssite"
+	"marjoramspan/mswait"
 	"marjoramspan/msworker"
 	"marjoramspan/mszone"
 )
@@ -120,9 +121,11 @@
 // for them are late as well.
 const lateDemandDivisor = 4
 
-// addDemand adds the CPU of the tasks that run and of those that could start now.
+// addDemand adds the CPU of the tasks that run and of those that could start now, and what they
+// need of VMs.
 func (e *Engine) addDemand(by map[string]*mscapacity.Pool, site *mssite.Site) {
 	wall := e.Wall.Now()
+	together := map[needKey]int{}
 	for _, j := range e.active {
 		p := by[j.poolIn(site)]
 		if p == nil {
@@ -144,8 +147,41 @@
 			} else {
 				p.Demand += n * step.Reserved().CPU
 			}
+			e.addNeed(p, j, &r, site, together)
 		}
 	}
+	for k, n := range together {
+		p := by[k.pool]
+		p.Needs = append(p.Needs, mscapacity.Need{Label: k.label, Size: k.size, Tasks: n})
+	}
+}
+
+// needKey identifies long-running tasks that need room beside each other on the same VMs.
+type needKey struct {
+	pool, label string
+	size        msjob.Resources
+}
+
+// addNeed adds what the tasks of a step need of the pool's VMs. together counts the long-running
+// tasks that need a label.
+func (e *Engine) addNeed(p *mscapacity.Pool, j *job, r *readyStep, site *mssite.Site, together map[needKey]int) {
+	step := &j.def.Steps[r.step]
+	waiting := min(r.waiting, e.teamHeadroom(j.def.Team, step.Need, site))
+	if step.Gang && waiting < r.waiting {
+		waiting = 0
+	}
+	tasks := r.assigned + waiting
+	if tasks == 0 || j.blocker == mswait.NewerSite {
+		return
+	}
+	n := mscapacity.Need{Label: step.Label, Size: step.Reserved(), Tasks: 1}
+	if step.LongRunning || step.Gang {
+		n.Tasks, n.PerVM = tasks, step.MaxPerWorker
+	}
+	if step.LongRunning && step.Label != "" {
+		together[needKey{pool: p.Name, label: n.Label, size: n.Size}] += tasks
+	}
+	p.Needs = append(p.Needs, n)
 }
 
 func (w *worker) hostsLongRunning() bool {
@@ -208,15 +244,19 @@
 	}
 	var evacuated []mszone.VM
 	for _, vm := range e.fleet.vms {
-		if !vm.Up || now.Sub(e.pools.movedAt[vm.Name]) < moveCooldown || !e.vmOrders.mayOrder(vm.Name, now) {
-			continue
-		}
+		mayMove := vm.Up && now.Sub(e.pools.movedAt[vm.Name]) >= moveCooldown && e.vmOrders.mayOrder(vm.Name, now)
 		byName[vm.Name] = vm
 		v := e.vmToPlan(vm, spare[vm.Pool])
+		v.Labels, v.Capacity = e.kindOf(vm, now)
 		if since, ok := e.vmEvacuated(vm, now); ok {
-			evacuated = append(evacuated, mszone.VM{Name: v.Name, Pool: v.Pool, Idle: v.Idle, Pinned: v.Pinned, Evacuated: since})
+			if mayMove {
+				evacuated = append(evacuated, mszone.VM{Name: v.Name, Pool: v.Pool, Idle: v.Idle, Pinned: v.Pinned, Evacuated: since})
+			}
 			continue
 		}
+		// A VM that can't be moved now counts for the needs of its pool: it is there, or is
+		// being moved or maintained and will be.
+		v.Pinned = v.Pinned || !mayMove
 		vms = append(vms, v)
 	}
 	orders := e.pools.bursts.Plan(pools, vms)
@@ -243,6 +283,15 @@
 	return orders.Moves, workers
 }
 
+// kindOf returns the labels and the capacity of a VM: what is known of its worker, or what the VM
+// list says if the worker isn't usable.
+func (e *Engine) kindOf(vm msworker.VM, now time.Time) ([]string, msjob.Resources) {
+	if w := e.workers[vm.Worker]; w != nil && w.usable(now) {
+		return w.Labels, w.Capacity
+	}
+	return vm.Labels, vm.Capacity
+}
+
 // undoMoves takes back moves that were chosen and not ordered.
 func (e *Engine) undoMoves(moves []mscapacity.Move, workers []string) {
 	e.mu.Lock()
@@ -290,7 +339,7 @@
 	if err == nil || msworker.VMReasonOf(err) != msworker.VMUnknown {
 		e.vmOrders.settle(m.VM, e.Clock.Now().Add(e.Settings.MinHolderInterval))
 	}
-	e.Logger.Info("move ordered", zap.String("vm", m.VM), zap.String("worker", worker), zap.String("to", m.To), zap.Error(err))
+	e.Logger.Info("move ordered", zap.String("vm", m.VM), zap.String("worker", worker), zap.String("to", m.To), zap.Bool("for-need", m.ForNeed), zap.Error(err))
 	if err == nil {
 		// The next plan counts the VM in its new pool.
 		for i := range e.fleet.vms {
