msscheduler: a rack's failure is seen after its entries have lapsed

Seen by callers: after a rack failed, tasks that had run there could be held for crashing their workers: delayed, put on trial or, in the end, given up.

Cause: other workers of the rack counted as gone only while the registry had them. Entries lapse after three intervals of silence, which may be before the leases end and the attempts are counted.

Evidence: the test failed before once the entries were dropped. A worker that has answered in this term counts as well.

--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -149,7 +149,7 @@
 		}
 	}
 	for _, o := range e.workers {
-		if o != w && o.Rack == w.Rack && o.registered && !o.reachable && o.unreachableSince.Sub(w.unreachableSince).Abs() < rackFailureSpan {
+		if o != w && o.Rack == w.Rack && (o.registered || o.reported) && !o.reachable && o.unreachableSince.Sub(w.unreachableSince).Abs() < rackFailureSpan {
 			gone[o.vmName()] = true
 		}
 	}
--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -30,7 +30,7 @@
 // planned adds an attempt that waits for its record to be stored.
 func planned(e *Engine, w *worker) *run {
 	j := e.jobs["0000000000000000"]
-	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1, w)
+	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1+len(e.runs), w)
 	e.addRun(r)
 	return r
 }
@@ -153,3 +153,21 @@
 	e.syncWorkers(now)
 	require.Equal(t, now, e.workers["w-1"].drainingSince)
 }
+
+// The entries of a rack's workers lapse before their leases end. The failure of the rack was then
+// laid to the tasks that ran there.
+func TestRackFailsAlsoOnceItsEntriesHaveLapsed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 3, 1, 1, 0)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	for _, w := range e.workers {
+		planned(e, w).state = runStarted
+		w.vm, w.reachable, w.unreachableSince = "vm of "+w.ID, false, now
+		e.Registry.Drop(w.ID)
+	}
+	require.True(t, e.rackFails(e.workers["w-0000"]))
+	e.syncWorkers(now.Add(3 * time.Second))
+	require.Len(t, e.workers, 3)
+	require.True(t, e.rackFails(e.workers["w-0000"]))
+}
