msscheduler: a worker that answers again has not crashed

Seen by callers: tasks of a worker that was only cut off counted as having crashed it, for the rest of the term.

Cause: a list of VMs from before a worker joined shows its VM down. If the worker missed a report at that moment it was marked as crashed, and nothing took that back when it answered.

Evidence: the test failed before. An answer now clears the mark.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -171,3 +171,25 @@
 	require.Len(t, e.workers, 3)
 	require.True(t, e.rackFails(e.workers["w-0000"]))
 }
+
+// A list of VMs from before a worker joined showed its VM down while the worker missed a report.
+// It was taken to have crashed for the rest of the term, also when it was only cut off.
+func TestWorkerThatAnswersAgainHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	entry, _ := e.Registry.Worker("w-0000")
+	entry.VM = "vm-0"
+	e.Registry.Set(entry)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	w := e.workers["w-0000"]
+	w.reachable, w.unreachableSince, w.firstReportAt = false, now, now.Add(-time.Second)
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Pool: entry.Pool}}, now.Add(-time.Millisecond))
+	require.True(t, w.crashed)
+	require.False(t, w.terminated)
+	e.handleReport(w, now, msworker.Report{Clock: time.Second})
+	require.False(t, w.crashed)
+	w.reachable, w.unreachableSince = false, now
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Pool: entry.Pool, Worker: w.ID, Up: true}}, now.Add(time.Millisecond))
+	require.Equal(t, cutOff, e.endOf(w, now))
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -413,7 +413,7 @@
 		w.lease.AssumeGranted(e.leaseDuration())
 	}
 	if !w.reachable {
-		w.reachable = true
+		w.reachable, w.crashed = true, false
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
