msscheduler: a worker that answers is kept if a list of VMs lacks its VM

Seen by callers: a task ran twice at the same time.

Cause: a list of VMs is read in pages, and one that changes in between can lack a VM. Its worker was given up on the spot and its tasks started elsewhere, while it answered, held its lease and ran them.

Evidence: the test failed before (one attempt beside another of its task). A worker whose VM isn't in the list at all is now given up once it doesn't answer; one whose VM is listed with another worker, or as away, is still given up at once.

--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,3 +145,32 @@
 		return got.State() != msjob.Queued
 	}, msroster.MaxEntryDelay+2*time.Second, 50*time.Millisecond)
 }
+
+// A list of VMs whose pages were read while the list changed can lack a VM. The tasks of its worker
+// started elsewhere while they still ran there.
+func TestWorkerThatAnswersIsKeptIfAListLacksItsVM(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	var lacking, lacked atomic.Bool
+	w.configure = func(g *Engine) {
+		list := g.VMs.List
+		g.VMs.List = func(ctx context.Context) ([]msworker.VM, error) {
+			all, err := list(ctx)
+			if err != nil || !lacking.Load() || lacked.Swap(true) {
+				return all, err
+			}
+			return nil, nil
+		}
+	}
+	e := w.entry("a")
+	for _, id := range []string{"w-1", "w-2"} {
+		awaitWorker(e, id, func(w *worker) bool { return w.reachable && w.vm != "" })
+	}
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=4s", Steps: []msjob.Step{step(2)}})
+	w.await(e, rosterJob, msjob.Running)
+	lacking.Store(true)
+	w.await(e, rosterJob, msjob.Completed)
+	require.True(t, lacked.Load())
+	w.requireNoDuplicates()
+	require.Len(t, w.journal.Runs(), 2)
+}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -118,8 +118,8 @@
 	return vms, nil
 }
 
-// applyVMs terminates the workers whose VM now runs another worker or is no longer
-// there, and gives up the attempts on unreachable workers whose VM is down. asked is
+// applyVMs terminates the workers whose VM now runs another worker or, if they don't answer, is
+// no longer there, and gives up the attempts on unreachable workers whose VM is down. asked is
 // when the list was requested.
 func (e *Engine) applyVMs(vms []msworker.VM, asked time.Time) {
 	now := e.Clock.Now()
@@ -148,6 +148,8 @@
 			if w.reported && !w.reachable && asked.After(w.unreachableSince) && e.endOf(w, now) == endedByCrash {
 				e.terminateWorker(w, "its VM is down or another worker")
 			}
+		case vm == nil && w.reachable && e.fleet.find(w.vmName()) == nil:
+			// The list lacks the VM. A worker that has ended won't answer the next request.
 		case vm == nil || vm.Maintained || vm.Moving:
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
