msjournal: a follower that runs again loads the newest records

Seen by callers: for the first moments of an entry's second term, tasks were placed by the workers of its first: on workers that had gone or drained since, and not on those that had joined (no-worker).

Cause: entries follow the workers only while they lead. The state of the earlier term was kept, and the follower read on from where it had stopped, through all that each worker had written since.

Evidence: the test failed before (the value from the first run). A follower that runs again more than 5 s later forgets its state and loads the newest record of each key, as in the first term.

--- a/msjournal/follower.go
+++ b/msjournal/follower.go
@@ -26,6 +26,9 @@
 	// after the return of the log a stream is read again: entries have to apply a
 	// configuration within two seconds.
 	probeTimeout = time.Second
+	// maxResumeAge is how old the state may be from which a Follower that runs again reads on.
+	// Loading the newest records takes less than reading all in between.
+	maxResumeAge = 5 * time.Second
 	// lostLogInterval is the time between two log lines about a stream that stays lost.
 	lostLogInterval = 5 * time.Second
 )
@@ -40,7 +43,7 @@
 	// the order of the log, without gaps.
 	Apply func(r Record, offset int64)
 	// Reset is called before the newest records are applied, at the start and after
-	// records have expired before they were read.
+	// records have expired before they were read, and when Run begins again with an old state.
 	Reset func()
 	// Loaded, if set, is called after the newest records have been applied.
 	Loaded func()
@@ -52,9 +55,11 @@
 	// Refusals for the number of reads don't count.
 	Regained func()
 
-	mu          sync.Mutex
-	nextOffset  int64
-	loaded      bool
+	mu         sync.Mutex
+	nextOffset int64
+	loaded     bool
+	// ran is set once Run has been called.
+	ran         bool
 	currentAsOf time.Time
 	// reachedAt is when the latest read was sent whose answer has begun to arrive.
 	reachedAt time.Time
@@ -79,8 +84,9 @@
 	inFlight *catchUpCall
 }
 
-// Run tails the stream until ctx is done.
+// Run tails the stream until ctx is done. It may be called again after that.
 func (f *Follower) Run(ctx context.Context) error {
+	f.forgetOld()
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		err := f.poll(ctx)
@@ -113,6 +119,19 @@
 	return nil
 }
 
+// forgetOld resets the state if an earlier Run has left it and it is old.
+func (f *Follower) forgetOld() {
+	f.loadMu.Lock()
+	defer f.loadMu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ran && f.loaded && f.Clock.Now().Sub(f.currentAsOf) > maxResumeAge {
+		f.loaded = false
+		f.Reset()
+	}
+	f.ran = true
+}
+
 // recordResult stores whether the last read failed. It logs when that changes, and at
 // intervals while reads fail.
 func (f *Follower) recordResult(err error) {
--- a/msjournal/journal_test.go
+++ b/msjournal/journal_test.go
@@ -445,3 +445,36 @@
 	require.ErrorContains(t, err, "record k has 301 bytes, at most 300 are allowed")
 	require.Equal(t, calls, log.Calls())
 }
+
+// An entry that led for a second time began with the workers of its first term, and read all that
+// they had written in between, record by record.
+func TestFollowerThatRunsAgainLoadsTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log msstandin.JobLog
+		log.Put("s", "gone", []byte("x"))
+		v := &view{}
+		f := &msjournal.Follower{Log: log.Log(), Clock: msclock.System{}, Logger: zap.NewNop(), Stream: "s", Apply: v.apply, Reset: v.reset}
+		run := func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- f.Run(ctx) }()
+			synctest.Wait()
+			cancel()
+			require.NoError(t, <-done)
+		}
+		run()
+		require.Equal(t, "x", v.get("gone"))
+		log.Put("s", "gone", nil)
+		log.Put("s", "k", []byte("old"))
+		log.Put("s", "k", []byte("new"))
+		time.Sleep(time.Minute)
+		log.SetFault(msstandin.LogFault{Down: true})
+		run()
+		require.Empty(t, v.get("gone"), "nothing is known until the stream is loaded")
+		log.SetFault(msstandin.LogFault{})
+		reads := log.Reads()
+		run()
+		require.Equal(t, "new", v.get("k"))
+		require.LessOrEqual(t, log.Reads(), reads+1, "no more than the wait for the next record")
+	})
+}
