msscheduler: a worker that has returned is in the data centre of its VM

Seen by callers: a task could start in an evacuated data centre, on a worker that had just returned under its ID and whose entry names no data centre.

Cause: the list of VMs that shows the return was applied to the life that had been given up. The next life knew of no VM until the next list, up to 1.5 s later.

Evidence: the test failed before (data centre "" for "north"). The row is applied to the next life at once.

--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -193,3 +193,21 @@
 	e.applyVMs([]msworker.VM{{Name: "vm-0", Pool: entry.Pool, Worker: w.ID, Up: true}}, now.Add(time.Millisecond))
 	require.Equal(t, cutOff, e.endOf(w, now))
 }
+
+// A worker that had returned was in no data centre until the next list of VMs, if its entry names
+// none, and got tasks though its own was evacuated.
+func TestReturnedWorkerIsInTheDataCentreOfItsVM(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	vm := msworker.VM{Name: "vm-0", Worker: "w-0000", Pool: "pool-0", DataCentre: "north", Moving: true}
+	e.applyVMs([]msworker.VM{vm}, now)
+	require.True(t, e.workers["w-0000"].terminated)
+	vm.Moving, vm.Up = false, true
+	e.applyVMs([]msworker.VM{vm}, e.Clock.Now().Add(time.Millisecond))
+	w := e.workers["w-0000"]
+	require.False(t, w.terminated)
+	require.Equal(t, "north", w.dataCentre())
+	require.Equal(t, "vm-0", w.vm)
+}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -138,7 +138,10 @@
 		w.crashed = w.crashed || w.reported && !w.reachable && vm == nil && e.endOf(w, now) == endedByCrash
 		switch {
 		case w.terminated:
-			e.returned(w)
+			if next := e.returned(w); next != w && vm != nil {
+				next.vm, next.vmDataCentre = vm.Name, vm.DataCentre
+				next.noteListed(vm, asked)
+			}
 		case vm != nil && vm.Up:
 			if w.maintenanceSince.Before(asked) {
 				w.maintenanceSince = time.Time{}
