msscheduler: a worker whose entry has lapsed may miss a report

Seen by callers: jobs waited for no-worker beside a worker that was up and answered, until its entry came back.

But an idle one was forgotten, address and all, as soon as it missed one report, and then it was never asked again.

Evidence: the test failed before (the job isn't completed in 30 s). The worker is kept as long as a recent list of VMs shows its VM up.

--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -106,6 +106,28 @@
 	w.await(e, rosterJob, msjob.Completed)
 }
 
+// Such a worker was forgotten once it missed one report.
+func TestWorkerWhoseEntryLapsedMayMissAReport(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	e := w.entry("a")
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable && w.vm != "" })
+	w.reg.Drop("w-1")
+	awaitWorker(e, "w-1", func(w *worker) bool { return !w.registered })
+	w.loseReports.Store(true)
+	require.Eventually(t, func() bool {
+		g := e.current()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		w := g.workers["w-1"]
+		return w == nil || !w.reachable
+	}, eventually, 5*time.Millisecond)
+	time.Sleep(2 * maxPassInterval)
+	w.loseReports.Store(false)
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, rosterJob, msjob.Completed)
+}
+
 // restartAsKind restarts worker1 as another kind. Its entry remains that of the life before.
 func restartAsKind(w *testCluster, e *entry, label string) {
 	life := w.worker(worker1).Born().UnixMilli()
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -196,6 +196,11 @@
 	w.sourcesChanged()
 }
 
+// listedUp reports whether a recent list of VMs shows the worker's VM up.
+func (w *worker) listedUp(now time.Time) bool {
+	return w.listed.Up && now.Sub(w.listedAt) <= msroster.MaxListAge
+}
+
 // sourcesChanged applies what the sources say of the worker.
 func (w *worker) sourcesChanged() {
 	s := w.sources()
@@ -278,7 +283,7 @@
 			delete(e.workers, id)
 			continue
 		}
-		if len(w.runs) == 0 && !w.reachable {
+		if len(w.runs) == 0 && !w.reachable && !w.listedUp(now) {
 			if w.cancel != nil {
 				w.cancel()
 			}
