--- a/msscheduler/earlierlife_test.go
+++ b/msscheduler/earlierlife_test.go
@@ -30,7 +30,7 @@
 // planned adds an attempt that waits for its record to be stored.
 func planned(e *Engine, w *worker) *run {
 	j := e.jobs["0000000000000000"]
-	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1, w)
+	r := e.newRun(j, msjob.TaskID{Job: j.def.ID}, 1+len(e.runs), w)
 	e.addRun(r)
 	return r
 }
@@ -153,3 +153,61 @@
 	e.syncWorkers(now)
 	require.Equal(t, now, e.workers["w-1"].drainingSince)
 }
+
+// The entries of a rack's workers lapse before their leases end. The failure of the rack was then
+// laid to the tasks that ran there.
+func TestRackFailsAlsoOnceItsEntriesHaveLapsed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 3, 1, 1, 0)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	for _, w := range e.workers {
+		planned(e, w).state = runStarted
+		w.vm, w.reachable, w.unreachableSince = "vm of "+w.ID, false, now
+		e.Registry.Drop(w.ID)
+	}
+	require.True(t, e.rackFails(e.workers["w-0000"]))
+	e.syncWorkers(now.Add(3 * time.Second))
+	require.Len(t, e.workers, 3)
+	require.True(t, e.rackFails(e.workers["w-0000"]))
+}
+
+// A list of VMs from before a worker joined showed its VM down while the worker missed a report.
+// It was taken to have crashed for the rest of the term, also when it was only cut off.
+func TestWorkerThatAnswersAgainHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	entry, _ := e.Registry.Worker("w-0000")
+	entry.VM = "vm-0"
+	e.Registry.Set(entry)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	w := e.workers["w-0000"]
+	w.reachable, w.unreachableSince, w.firstReportAt = false, now, now.Add(-time.Second)
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Pool: entry.Pool}}, now.Add(-time.Millisecond))
+	require.True(t, w.crashed)
+	require.False(t, w.terminated)
+	e.handleReport(w, now, msworker.Report{Clock: time.Second})
+	require.False(t, w.crashed)
+	w.reachable, w.unreachableSince = false, now
+	e.applyVMs([]msworker.VM{{Name: "vm-0", Pool: entry.Pool, Worker: w.ID, Up: true}}, now.Add(time.Millisecond))
+	require.Equal(t, cutOff, e.endOf(w, now))
+}
+
+// A worker that had returned was in no data centre until the next list of VMs, if its entry names
+// none, and got tasks though its own was evacuated.
+func TestReturnedWorkerIsInTheDataCentreOfItsVM(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	vm := msworker.VM{Name: "vm-0", Worker: "w-0000", Pool: "pool-0", DataCentre: "north", Moving: true}
+	e.applyVMs([]msworker.VM{vm}, now)
+	require.True(t, e.workers["w-0000"].terminated)
+	vm.Moving, vm.Up = false, true
+	e.applyVMs([]msworker.VM{vm}, e.Clock.Now().Add(time.Millisecond))
+	w := e.workers["w-0000"]
+	require.False(t, w.terminated)
+	require.Equal(t, "north", w.dataCentre())
+	require.Equal(t, "vm-0", w.vm)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -196,6 +196,11 @@
 	w.sourcesChanged()
 }
 
+// listedUp reports whether a recent list of VMs shows the worker's VM up.
+func (w *worker) listedUp(now time.Time) bool {
+	return w.listed.Up && now.Sub(w.listedAt) <= msroster.MaxListAge
+}
+
 // sourcesChanged applies what the sources say of the worker.
 func (w *worker) sourcesChanged() {
 	s := w.sources()
@@ -278,7 +283,7 @@
 			delete(e.workers, id)
 			continue
 		}
-		if len(w.runs) == 0 && !w.reachable {
+		if len(w.runs) == 0 && !w.reachable && !w.listedUp(now) {
 			if w.cancel != nil {
 				w.cancel()
 			}
@@ -413,7 +418,7 @@
 		w.lease.AssumeGranted(e.leaseDuration())
 	}
 	if !w.reachable {
-		w.reachable = true
+		w.reachable, w.crashed = true, false
 		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
 		e.wakeLoop()
 	}
