mscapacity, msscheduler: a pool keeps the VM that a long-running task goes on with

Cause, by reading: a pool keeps one VM more than run long-running tasks. The list that shows one of these VMs away has its tasks wait, so fewer VMs run some, and the plan that follows in the same step counts one VM less as the pool's minimum. If it comes before the pass that places the tasks, it moves away the VM that was kept for them, where they may not share one of the others.

The needs of long-running steps with a limit per worker now have a reserve of one VM. A pool keeps it and doesn't ask for it. Nothing changes while all tasks run, as the pool's minimum has it then.

TestVMKeptForALostTaskStays failed before.

--- a/mscapacity/need.go
+++ b/mscapacity/need.go
@@ -16,6 +16,8 @@
 	// Tasks is how many tasks there must be room for on idle VMs, PerVM how many of them may
 	// run on one VM; 0 is no limit.
 	Tasks, PerVM int
+	// Reserve is for how many more tasks the pool keeps room that it has. It asks for none.
+	Reserve int
 }
 
 // room returns how many of the tasks an idle VM has room for.
@@ -41,7 +43,7 @@
 
 // covers reports whether VMs that meet n meet o as well.
 func (n *Need) covers(o *Need) bool {
-	return (o.Label == "" || o.Label == n.Label) && o.Tasks <= n.Tasks && o.Size.Fits(n.Size) &&
+	return (o.Label == "" || o.Label == n.Label) && o.Tasks <= n.Tasks && o.Reserve <= n.Reserve && o.Size.Fits(n.Size) &&
 		(n.PerVM == o.PerVM || o.PerVM == 0 || n.PerVM > 0 && n.PerVM < o.PerVM)
 }
 
@@ -49,7 +51,8 @@
 func compareNeeds(a, b Need) int {
 	return cmp.Or(
 		cmp.Compare(b.Size.CPU, a.Size.CPU), cmp.Compare(b.Size.Memory, a.Size.Memory), cmp.Compare(b.Size.GPUs, a.Size.GPUs),
-		cmp.Compare(b.Label, a.Label), cmp.Compare(b.Tasks, a.Tasks), cmp.Compare(uint(a.PerVM)-1, uint(b.PerVM)-1),
+		cmp.Compare(b.Label, a.Label), cmp.Compare(b.Tasks, a.Tasks), cmp.Compare(b.Reserve, a.Reserve),
+		cmp.Compare(uint(a.PerVM)-1, uint(b.PerVM)-1),
 	)
 }
 
@@ -179,14 +182,15 @@
 	return p.Size
 }
 
-// leave takes the VM out of its pool, unless the pool would then lack room for its needs.
+// leave takes the VM out of its pool, unless the pool would then lack room for its needs and their
+// reserves.
 func (t *needTracker) leave(vm *VM) bool {
 	return leave(t.pools[vm.Pool], vm)
 }
 
 func leave(needs []trackedNeed, vm *VM) bool {
 	for i := range needs {
-		if r := needs[i].room(vm); r > 0 && needs[i].have-r < needs[i].Tasks {
+		if r := needs[i].room(vm); r > 0 && needs[i].have-r < needs[i].Tasks+needs[i].Reserve {
 			return false
 		}
 	}
--- a/mscapacity/need_test.go
+++ b/mscapacity/need_test.go
@@ -139,6 +139,24 @@
 	require.Len(t, tracker.Plan(pools, vmsOfKind(pools, "")).Moves, 3)
 }
 
+// A wave takes one of five VMs with tasks that must spread, and for a moment the task that was
+// there waits. The plan moved away the VM that was kept for it.
+func TestVMKeptForALostTaskStays(t *testing.T) {
+	pools := testPools()
+	p := poolByName(pools, "batch")
+	p.Size, p.LongRunning, p.LongRunningVMs = 6, 5*core, 4
+	p.Needs = []Need{{Size: cores(1), Tasks: 5, PerVM: 1, Reserve: 1}}
+	vms := vmsOfKind(pools, "")
+	for i := range vms {
+		vms[i].Pinned = vms[i].Pool == "batch" && vms[i].Name != "batch-05"
+	}
+	for _, m := range afterBursts().Plan(pools, vms).Moves {
+		require.NotEqual(t, "batch-05", m.VM)
+	}
+	p.Needs = nil
+	require.Contains(t, afterBursts().Plan(pools, vms).Moves, Move{VM: "batch-05", To: "spare"})
+}
+
 // An empty pool kept its size of 0, whatever waited.
 func TestEmptyPoolGetsAVM(t *testing.T) {
 	pools := []Pool{
@@ -243,7 +261,7 @@
 			Label: rapid.SampledFrom([]string{"", "a", "b", "none"}).Draw(t, "label"),
 			Size:  cores(rapid.SampledFrom([]int64{1, 20, 40, 99}).Draw(t, "size")),
 			Tasks: rapid.IntRange(1, 12).Draw(t, "tasks"),
-			PerVM: rapid.IntRange(0, 2).Draw(t, "per-vm"),
+			PerVM: rapid.IntRange(0, 2).Draw(t, "per-vm"), Reserve: rapid.IntRange(0, 2).Draw(t, "reserve"),
 		}
 	})
 	for i := range f.pools {
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -178,6 +178,10 @@
 	if step.LongRunning || step.Gang {
 		n.Tasks, n.PerVM = tasks, step.MaxPerWorker
 	}
+	if step.LongRunning {
+		// A VM that is taken away leaves tasks that need another one.
+		n.Reserve = step.MaxPerWorker
+	}
 	if step.LongRunning && step.Label != "" {
 		together[needKey{pool: p.Name, label: n.Label, size: n.Size}] += tasks
 	}
