--- a/mscapacity/need.go
+++ b/mscapacity/need.go
@@ -20,6 +20,18 @@
 	Reserve int
 }
 
+// AddNeed adds a need to those of the pool. Of needs that differ in the numbers of tasks alone the
+// most counts, as jobs share VMs.
+func (p *Pool) AddNeed(n Need) {
+	for i := range p.Needs {
+		if o := &p.Needs[i]; o.Size == n.Size && o.PerVM == n.PerVM && o.Label == n.Label {
+			o.Tasks, o.Reserve = max(o.Tasks, n.Tasks), max(o.Reserve, n.Reserve)
+			return
+		}
+	}
+	p.Needs = append(p.Needs, n)
+}
+
 // room returns how many of the tasks an idle VM has room for.
 func (n *Need) room(vm *VM) int {
 	if vm.Absent || !n.Size.Fits(vm.Capacity) || n.Label != "" && !slices.Contains(vm.Labels, n.Label) {
--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -152,7 +152,7 @@
 	}
 	for k, n := range together {
 		p := by[k.pool]
-		p.Needs = append(p.Needs, mscapacity.Need{Label: k.label, Size: k.size, Tasks: n})
+		p.AddNeed(mscapacity.Need{Label: k.label, Size: k.size, Tasks: n})
 	}
 }
 
@@ -166,26 +166,28 @@
 // tasks that need a label.
 func (e *Engine) addNeed(p *mscapacity.Pool, j *job, r *readyStep, site *mssite.Site, together map[needKey]int) {
 	step := &j.def.Steps[r.step]
-	waiting := min(r.waiting, e.teamHeadroom(j.def.Team, step.Need, site))
-	if step.Gang && waiting < r.waiting {
-		waiting = 0
-	}
-	tasks := r.assigned + waiting
-	if tasks == 0 || j.blocker == mswait.NewerSite {
-		return
-	}
 	n := mscapacity.Need{Label: step.Label, Size: step.Reserved(), Tasks: 1}
-	if step.LongRunning || step.Gang {
-		n.Tasks, n.PerVM = tasks, step.MaxPerWorker
+	all := step.LongRunning || step.Gang
+	if all || r.assigned == 0 {
+		waiting := min(r.waiting, e.teamHeadroom(j.def.Team, step.Need, site))
+		if step.Gang && waiting < r.waiting {
+			waiting = 0
+		}
+		if r.assigned+waiting == 0 || j.blocker == mswait.NewerSite {
+			return
+		}
+		if all {
+			n.Tasks, n.PerVM = r.assigned+waiting, step.MaxPerWorker
+		}
 	}
 	if step.LongRunning {
 		// A VM that is taken away leaves tasks that need another one.
 		n.Reserve = step.MaxPerWorker
 	}
 	if step.LongRunning && step.Label != "" {
-		together[needKey{pool: p.Name, label: n.Label, size: n.Size}] += tasks
+		together[needKey{pool: p.Name, label: n.Label, size: n.Size}] += n.Tasks
 	}
-	p.Needs = append(p.Needs, n)
+	p.AddNeed(n)
 }
 
 func (w *worker) hostsLongRunning() bool {
--- a/msscheduler/need_test.go
+++ b/msscheduler/need_test.go
@@ -1,12 +1,15 @@
 package msscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"marjoramspan/mscapacity"
 	"marjoramspan/msjob"
+	"marjoramspan/mssite"
 	"marjoramspan/msworker"
 )
 
@@ -68,3 +71,50 @@
 	w.await(e, "0000000000000001", msjob.Completed)
 	require.Empty(t, w.vmOrdersOf("a"))
 }
+
+// Only tasks that could run count: not those beyond their team's limit, nor those whose turn has
+// not come. Ordinary jobs need room for one task.
+func TestNeedsOfAPool(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 0, 1, 0, 0)
+	site := *e.Sites.Site()
+	site.Version = 2
+	site.Teams = map[string]mssite.Team{"full": {Name: "full", Limit: msjob.Resources{CPU: 2000}}, "half": {Name: "half", Limit: msjob.Resources{CPU: 3000}}}
+	e.Sites.Set(&site)
+	e.teams["full"] = msjob.Resources{CPU: 2000}
+	labelled := func(label string, s msjob.Step) msjob.Step {
+		s.Label = label
+		return s
+	}
+	spread := longRunning(5, 1)
+	spread.MaxPerWorker = 1
+	gang := step(4)
+	gang.Gang = true
+	next := labelled("next", step(1))
+	next.After = []int{0}
+	for i, c := range []struct {
+		team  string
+		steps []msjob.Step
+	}{
+		{"", []msjob.Step{labelled("one", step(9)), next}},
+		{"", []msjob.Step{labelled("one", step(3))}},
+		{"", []msjob.Step{labelled("spread", spread)}},
+		{"", []msjob.Step{labelled("spread", spread)}},
+		{"", []msjob.Step{labelled("gang", gang)}},
+		{"full", []msjob.Step{labelled("full", spread)}},
+		{"half", []msjob.Step{labelled("half", spread)}},
+		{"half", []msjob.Step{labelled("gang-half", gang)}},
+	} {
+		e.addJob(msjob.TableEntry{Job: &msjob.Job{ID: fmt.Sprintf("%016x", i), Queue: "queue-0", Pool: "pool-0", Team: c.team, Steps: c.steps, Accepted: time.Now()}})
+	}
+	e.fleet.vms = []msworker.VM{{Name: "vm", Pool: "pool-0", Up: true, Capacity: msjob.Resources{CPU: 4000}}}
+	size := step(1).Need
+	require.ElementsMatch(t, []mscapacity.Need{
+		{Label: "one", Size: size, Tasks: 1},
+		{Label: "spread", Size: size, Tasks: 5, PerVM: 1, Reserve: 1},
+		{Label: "spread", Size: size, Tasks: 10},
+		{Label: "gang", Size: size, Tasks: 4},
+		{Label: "half", Size: size, Tasks: 3, PerVM: 1, Reserve: 1},
+		{Label: "half", Size: size, Tasks: 3},
+	}, e.measurePools(e.Clock.Now())[0].Needs)
+}
--- a/msscheduler/pass_bench_test.go
+++ b/msscheduler/pass_bench_test.go
@@ -121,6 +121,26 @@
 	}
 }
 
+// BenchmarkChooseMoves measures one plan of the pools' sizes.
+func BenchmarkChooseMoves(b *testing.B) {
+	for _, workers := range []int{350, 3000} {
+		b.Run(strconv.Itoa(workers)+"-workers", func(b *testing.B) {
+			e := saturatedEngine(b, workers, 5, 20, 1000)
+			e.Term = validTerm(b)
+			for _, w := range e.workers {
+				e.fleet.vms = append(e.fleet.vms, msworker.VM{Name: "vm-" + w.ID, Pool: w.Pool, Worker: w.ID, Rack: w.Rack, Up: true, Capacity: w.Capacity})
+			}
+			e.mu.Lock()
+			e.pass(e.Clock.Now())
+			e.mu.Unlock()
+			b.ReportAllocs()
+			for b.Loop() {
+				e.chooseMoves()
+			}
+		})
+	}
+}
+
 // validTerm returns a term that stays valid for as long as the benchmark runs.
 func validTerm(tb testing.TB) msleader.Term {
 	tb.Helper()
