--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -309,6 +309,9 @@
 	since, down := e.fleet.downSince[vm.Name]
 	if w := e.workers[vm.Worker]; !down && vm.Up && w != nil && !w.reachable {
 		since, down = w.unreachableSince, true
+		if w.terminatedAt.After(since) {
+			since = w.terminatedAt
+		}
 	}
 	return down && now.Sub(since) >= absenceGrace
 }
--- a/msscheduler/need_test.go
+++ b/msscheduler/need_test.go
@@ -118,3 +118,32 @@
 		{Label: "half", Size: size, Tasks: 3},
 	}, e.measurePools(e.Clock.Now())[0].Needs)
 }
+
+// A VM is absent once it has been down or its worker silent for some time, not if it is moved or
+// maintained. A worker that was given up while it answered has just become silent.
+func TestAbsentVMs(t *testing.T) {
+	t.Parallel()
+	at := time.Unix(1000, 0)
+	e := &Engine{workers: map[string]*worker{
+		"answers": {reachable: true},
+		"silent":  {unreachableSince: at},
+		"gone":    {unreachableSince: at.Add(-time.Hour), terminated: true, terminatedAt: at},
+	}}
+	vms := []msworker.VM{
+		{Name: "down"},
+		{Name: "silent", Worker: "silent", Up: true},
+		{Name: "gone", Worker: "gone", Up: true},
+		{Name: "answers", Worker: "answers", Up: true},
+		{Name: "moving", Moving: true},
+		{Name: "maintained", Maintained: true},
+	}
+	e.fleet.set(vms, at, at)
+	e.fleet.set(vms, at.Add(time.Second), at.Add(time.Second))
+	for i, vm := range vms {
+		require.False(t, e.isAbsent(vm, at.Add(absenceGrace-1)), vm.Name)
+		require.Equal(t, i < 3, e.isAbsent(vm, at.Add(absenceGrace)), vm.Name)
+	}
+	vms[0].Up = true
+	e.fleet.set(vms, at.Add(2*time.Second), at.Add(2*time.Second))
+	require.False(t, e.isAbsent(vms[0], at.Add(absenceGrace)))
+}
