--- a/mscapacity/plan.go
+++ b/mscapacity/plan.go
@@ -10,6 +10,9 @@
 // configured, or all of it until the first burst of any pool has ended: a VM takes
 // seconds to arrive, and the first jobs of the burst would be late. It lends part
 // of its VMs to a pool that lacks VMs when no others are available.
+//
+// VMs differ in labels and size, and tasks may need several VMs. Whatever the CPU, a pool
+// keeps and gets the VMs on which its tasks have room: see Need.
 package mscapacity
 
 import (
