msscheduler: the begin of a term sets the workers under the engine's lock

The race detector found a read of the workers under the lock, in the tests' awaitWorker, beside their setting without it: in four of six runs at a time of the tests of pools, waves and the roster; in none of 18 since. In the product nothing was seen to read them so early.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -276,12 +276,14 @@
 	for _, f := range e.JobJournals {
 		e.jobStreams = append(e.jobStreams, appender{stream: f.Stream})
 	}
+	e.mu.Lock()
 	e.workers, e.runs = map[string]*worker{}, map[runKey]*run{}
 	e.teams = map[string]msjob.Resources{}
 	e.waves = map[int64]*wave{}
 	e.adviceByStep = map[stepKey]*advice{}
 	e.othersWait = map[string]bool{}
 	e.pools.movedAt = map[string]time.Time{}
+	e.mu.Unlock()
 	if err := e.takeOver(ctx); err != nil {
 		return err
 	}
