msscheduler: a worker that is back is kept though the list of VMs lags

Cause: one list was believed against a worker that answers. A life that was first seen to answer after its VM had left, by our order or by an earlier list, is kept as long as it answers now; a life from before is given up at once. TestWorkerThatIsBackIsKeptThoughTheListLags failed before (each task ran twice) and passes 3 of 3.

--- a/msscheduler/capacity.go
+++ b/msscheduler/capacity.go
@@ -365,6 +365,7 @@
 	}
 	e.Logger.Info("move ordered", zap.String("vm", m.VM), zap.String("worker", worker), zap.String("to", m.To), zap.Bool("for-need", m.ForNeed), zap.Error(err))
 	if err == nil {
+		e.fleet.noteOrder(m.VM, e.Clock.Now())
 		// The next plan counts the VM in its new pool.
 		for i := range e.fleet.vms {
 			if vm := &e.fleet.vms[i]; vm.Name == m.VM {
--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -196,3 +196,33 @@
 	w.requireNoDuplicates()
 	require.Len(t, w.journal.Runs(), 2)
 }
+
+// A list of VMs that lags shows a VM still in maintenance whose worker runs tasks already. The
+// worker was given up, and its tasks ran twice.
+func TestWorkerThatIsBackIsKeptThoughTheListLags(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	w.vms.Away = vmListMaxAge + time.Second
+	var lagsUntil atomic.Int64
+	w.configure = func(g *Engine) {
+		list := g.VMs.List
+		g.VMs.List = func(ctx context.Context) ([]msworker.VM, error) {
+			all, err := list(ctx)
+			for i := range all {
+				if all[i].Worker != "w-1" && time.Now().UnixMilli() < lagsUntil.Load() {
+					all[i].Up, all[i].Maintained = false, true
+				}
+			}
+			return all, err
+		}
+	}
+	e := w.entry("a")
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable && w.vm != "" })
+	lagsUntil.Store(time.Now().Add(w.vms.Away + 4*time.Second).UnixMilli())
+	require.NoError(t, w.vms.VMs().Maintain(t.Context(), msworker.VMOrder{VM: "vm-0", Holder: "another", Token: 0}, 1))
+	awaitWorker(e, "w-2", func(w *worker) bool { return w.reachable })
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=3s", Steps: []msjob.Step{step(2)}})
+	w.await(e, rosterJob, msjob.Completed)
+	w.requireNoDuplicates()
+	require.Len(t, w.journal.Runs(), 2)
+}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -31,6 +31,17 @@
 	endedAt map[string]time.Time
 	// downSince is since when lists have shown a VM down, neither moved nor maintained.
 	downSince map[string]time.Time
+	// awaySince is since when VMs are moved or maintained: since the order, or the first list
+	// that showed it.
+	awaySince map[string]time.Time
+}
+
+// noteOrder notes that an order to move or maintain a VM was carried out.
+func (f *fleet) noteOrder(vm string, now time.Time) {
+	if f.awaySince == nil {
+		f.awaySince = map[string]time.Time{}
+	}
+	f.awaySince[vm] = now
 }
 
 // set replaces the list by one that was requested at asked.
@@ -39,7 +50,7 @@
 	for i := range f.vms {
 		before[f.vms[i].Name] = &f.vms[i]
 	}
-	ended, down := map[string]time.Time{}, map[string]time.Time{}
+	ended, down, away := map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	for i := range vms {
 		vm := &vms[i]
 		if !vm.Up && !vm.Moving && !vm.Maintained {
@@ -48,6 +59,13 @@
 				down[vm.Name] = at
 			}
 		}
+		since, known := f.awaySince[vm.Name]
+		switch {
+		case known && (vm.Moving || vm.Maintained || since.After(asked)):
+			away[vm.Name] = since
+		case vm.Moving || vm.Maintained:
+			away[vm.Name] = asked
+		}
 		if at, ok := f.endedAt[vm.Name]; ok && now.Sub(at) < rackFailureSpan {
 			ended[vm.Name] = at
 		}
@@ -56,7 +74,7 @@
 			ended[vm.Name] = now
 		}
 	}
-	f.vms, f.readAt, f.endedAt, f.downSince = vms, asked, ended, down
+	f.vms, f.readAt, f.endedAt, f.downSince, f.awaySince = vms, asked, ended, down, away
 }
 
 // manageVMs refreshes the VM list, runs maintenance waves and resizes pools until ctx is
@@ -161,6 +179,8 @@
 			}
 		case vm == nil && w.reachable && e.fleet.find(w.vmName()) == nil:
 			// The list lacks the VM. A worker that has ended won't answer the next request.
+		case vm != nil && (vm.Maintained || vm.Moving) && w.reachable && w.lifeSeenAt().After(e.fleet.awaySince[vm.Name]):
+			// The list lags: the VM is back, as this life of its worker began since it left.
 		case vm == nil || vm.Maintained || vm.Moving:
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
@@ -190,6 +210,14 @@
 	w.sourcesChanged()
 }
 
+// lifeSeenAt is when the present life of the worker was first seen to answer.
+func (w *worker) lifeSeenAt() time.Time {
+	if w.processSeenAt.After(w.firstReportAt) {
+		return w.processSeenAt
+	}
+	return w.firstReportAt
+}
+
 func (e *Engine) runWaves(ctx context.Context, waves []*wave, vms []msworker.VM) {
 	for _, w := range waves {
 		e.runWave(ctx, w, vms)
--- a/msscheduler/wave.go
+++ b/msscheduler/wave.go
@@ -377,6 +377,9 @@
 		wv.done[vm.Name], wv.dirty = true, true
 		wv.p.Done = append(wv.p.Done, vm.Name)
 		wv.orderedAt[vm.Name] = e.Clock.Now()
+		if err == nil {
+			e.fleet.noteOrder(vm.Name, e.Clock.Now())
+		}
 		e.wakeLoop()
 	case reason == msworker.VMFenced:
 		e.endTerm(err)
