msscheduler: an order to a VM marks one life of its worker only

A worker that came back under its ID before a list showed its VM away stayed marked as reserved, moving or in maintenance: by reading, its jobs would wait for the reason leaving. Cause: the marks are of the ID, and what clears them is the answer to the order or a later list. A restart clears them now, as it has ended what the order was for. TestNextLifeIsNotBoundByTheOrderToTheOneBefore failed before.

--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -226,3 +226,15 @@
 	w.requireNoDuplicates()
 	require.Len(t, w.journal.Runs(), 2)
 }
+
+// An order marks a worker as leaving. Its next life under the same ID was taken to leave as well.
+func TestNextLifeIsNotBoundByTheOrderToTheOneBefore(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.reserved, w.moving, w.maintenanceSince = true, true, e.Clock.Now()
+	e.handleRestart(w, 9)
+	require.True(t, w.stays(e.Clock.Now()))
+	require.Zero(t, w.maintenanceSince)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -537,6 +537,8 @@
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
 	w.failures, w.stalls = mspause.Failures{}, mspause.Stalls{}
+	// An order to the VM has ended the life before, or its answer sets these again.
+	w.reserved, w.moving, w.maintenanceSince = false, false, time.Time{}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
