msserver, platform: callers' connections and headers are bounded

What callers saw: a crowd of connections that send nothing, or part of a request, held memory and descriptors of an entry without a limit, up to its end.

Cause: the limits of the configuration for headers and idle connections were read and never applied, and nothing bounded the open connections.

Guard follows each connection from its listener on. At the maximum number of connections, which leaves descriptors and memory for the entry's own work, a new one takes the place of the one whose caller has sent nothing complete for the longest time; a request that has arrived completely is not cut, and neither is a graceful stop.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -109,7 +109,7 @@
 	heapShare = 0.6
 	// platformGCPercent keeps the heap small; memory is scarcer than processor time.
 	platformGCPercent = 100
-	// readHeaderTimeout bounds the wait for a caller's headers.
+	// readHeaderTimeout bounds the wait for a request's headers at the other listeners.
 	readHeaderTimeout = 10 * time.Second
 )
 
@@ -197,6 +197,7 @@
 	leader        *msleader.Elector
 	intake        *msintake.Intake
 	metrics       *msscheduler.Metrics
+	guardMetrics  *msserver.GuardMetrics
 	stalls        msclock.StallDetector
 	orders        msworker.Orders
 	vms           msworker.VMs
@@ -215,6 +216,7 @@
 	set := n.set.Load()
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
+	n.guardMetrics = msserver.NewGuardMetrics(n.reg)
 	calls := &platform.Calls{Clock: n.clock, Logger: n.log}
 	n.reg.MustRegister(calls, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marjoramspan_leads", Help: "1 while this entry schedules, otherwise 0.",
@@ -600,6 +602,11 @@
 // serveCallers answers until outer is done and the balancer sends no more, or
 // until inner is done.
 func (n *node) serveCallers(outer, inner context.Context, l net.Listener) error {
+	guard := &msserver.Guard{
+		Logger: n.log, Listener: "callers", Metrics: n.guardMetrics,
+		Limits: func() msserver.Limits { return platform.CallerLimits(n.set.Load(), n.sites.Site()) },
+	}
+	l = guard.Listen(l)
 	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
 		// Without an endpoint kratos asks the kernel for interfaces, which the
 		// platform's VMs don't answer.
@@ -616,9 +623,10 @@
 		defer context.AfterFunc(serving, cancel)()
 		h.ServeHTTP(w, r.WithContext(ctx))
 	}))
-	srv.ReadHeaderTimeout = readHeaderTimeout
 	var conns msserver.Connections
 	conns.Track(srv.Server)
+	guard.Attach(srv.Server)
+	go func() { _ = guard.Run(inner) }()
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Start(context.WithoutCancel(inner)) }()
 	select {
