msbudget, platform, msintake: bodies that are not complete hold a bounded part of the memory

What callers saw: an entry that held bodies of legal size from a crowd that stopped short of their end ran out of memory, and ordinary jobs had no entry.

Cause: a body was read whole, into a buffer that doubles, without a bound on the time or on the bytes of all bodies; one that was larger than allowed, or that no answer depends on, was read as well. A job with many steps takes some 50 times its body once it is decoded, in any number of requests at a time.

Each request for a job now claims its bytes before it reads them, the declared length at once and chunks in steps of 16 KiB, then what its decoded form may take, and releases them once it is handed in. When the budget is used up, the request that began first and isn't complete is refused: one that is sent at once is done long before it is the oldest. Complete requests keep their claims, and small ones have a reserve, so that a few large jobs don't keep them out. A body has the time that its caller waits, and 30 s at most. What can't be served is answered before its body: 413 by the declared length, 401 and 400 without it.

A refusal says what holds: 429 if the job was not handed in and the table, which is as new as the request, doesn't have it; 504 if an earlier request with the job may have been accepted; 200 if it was. It reads nothing from the log, so that a crowd doesn't decide how often the log is read.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -198,6 +198,7 @@
 	intake        *msintake.Intake
 	metrics       *msscheduler.Metrics
 	guardMetrics  *msserver.GuardMetrics
+	callers       platform.CallersHandler
 	stalls        msclock.StallDetector
 	orders        msworker.Orders
 	vms           msworker.VMs
@@ -217,6 +218,8 @@
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
 	n.guardMetrics = msserver.NewGuardMetrics(n.reg)
+	n.callers.Bodies.Limit = func() int64 { return n.set.Load().BodyBudget() }
+	n.callers.Metrics = platform.NewBodyMetrics(n.reg, &n.callers.Bodies)
 	calls := &platform.Calls{Clock: n.clock, Logger: n.log}
 	n.reg.MustRegister(calls, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marjoramspan_leads", Help: "1 while this entry schedules, otherwise 0.",
@@ -611,7 +614,8 @@
 		// Without an endpoint kratos asks the kernel for interfaces, which the
 		// platform's VMs don't answer.
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
-	h := &platform.CallersHandler{Intake: n.intake}
+	h := &n.callers
+	h.Intake = n.intake
 	serving, giveUp := context.WithCancel(context.WithoutCancel(inner))
 	defer giveUp()
 	srv.HandlePrefix("/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
