marjoramspan: the readiness and metrics listeners are bounded

The listeners beside the callers' had no limit on connections and took headers of 1 MB, so that whoever reaches them could end the process. They are guarded as the callers' listener is, with limits of their own.

--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -109,8 +109,8 @@
 	heapShare = 0.6
 	// platformGCPercent keeps the heap small; memory is scarcer than processor time.
 	platformGCPercent = 100
-	// readHeaderTimeout bounds the wait for a request's headers at the other listeners.
-	readHeaderTimeout = 10 * time.Second
+	// maxMetricsRequests is how many requests for the metrics are answered at a time.
+	maxMetricsRequests = 4
 )
 
 type platformCmd struct {
@@ -576,21 +576,38 @@
 	add("settings", n.watchSettings)
 	add("stalls", n.stalls.Run)
 	add("offers", n.offerToLead)
-	n.addServer(g, set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
-	n.addServer(g, net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
+	n.addServer(g, "ready", set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
+	n.addServer(g, "metrics", net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	add("callers", func(pctx context.Context) error { return n.serveCallers(ctx, pctx, callers) })
 	err = g.Run()
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
-func (n *node) addServer(g *run.Group, address string, h http.Handler) {
-	srv := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+// serviceLimits are those of the listeners for readiness checks and metrics. A load balancer or a
+// collector has one connection or two, and sends a request without a body every few seconds.
+var serviceLimits = msserver.Limits{
+	MaxConns: 32, MaxHeaderBytes: 16 << 10,
+	HeaderTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, WriteTimeout: 10 * time.Second,
+}
+
+func (n *node) addServer(g *run.Group, name, address string, h http.Handler) {
+	guard := &msserver.Guard{Logger: n.log, Listener: name, Metrics: n.guardMetrics, Limits: func() msserver.Limits { return serviceLimits }}
+	srv := &http.Server{Handler: h}
+	guard.Attach(srv)
+	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
-		err := srv.ListenAndServe()
+		go func() { _ = guard.Run(ctx) }()
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err == nil {
+			err = srv.Serve(guard.Listen(l))
+		}
 		n.log.Warn("listener ended", zap.String("address", address), zap.Error(err))
 		return err
-	}, func(error) { _ = srv.Close() })
+	}, func(error) {
+		cancel()
+		_ = srv.Close()
+	})
 }
 
 func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
