msentry, mssetting: connections of serve are bounded

What callers saw: serve has had bounds on headers and idle connections, and none on the number of connections, the time of a body, or at its admin address; a crowd could hold all descriptors of the process.

The listeners for callers and operators are guarded as those of platform. The setting [limits] max-connections, 4096 by default, bounds callers' connections; a body has as long as the slowest request that a drain waits for; the admin address takes 64 connections.

--- a/msentry/daemon.go
+++ b/msentry/daemon.go
@@ -23,6 +23,10 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout bounds how long an idle connection of a caller stays open.
 	idleTimeout = 2 * time.Minute
+	// writeTimeout is how long a caller may accept no byte of a response.
+	writeTimeout = 30 * time.Second
+	// maxAdminConnections bounds the connections of operators, load balancer and collectors.
+	maxAdminConnections = 64
 	// drainPollInterval is the pause between two checks for work that still runs.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -58,9 +62,11 @@
 	lns := listeners{caller: ls[0], admin: ls[1], peer: ls[2]}
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	admin := e.adminServer()
+	admin, guard := e.adminServer()
+	lns.admin = guard.Listen(lns.admin)
 	go func() { _ = admin.Serve(lns.admin) }()
 	defer func() { _ = admin.Close() }()
+	go func() { _ = guard.Run(base) }()
 	if err := e.boot(ctx); err != nil {
 		_ = lns.caller.Close()
 		_ = lns.peer.Close()
@@ -70,8 +76,29 @@
 	return e.runGroup(ctx, base, lns).Run()
 }
 
-func (e *Entry) adminServer() *http.Server {
-	return &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: headerTimeout}
+func (e *Entry) adminServer() (*http.Server, *msserver.Guard) {
+	srv := &http.Server{Handler: e.adminHandler()}
+	guard := e.newGuard("admin", func() msserver.Limits {
+		return msserver.Limits{
+			MaxConns: maxAdminConnections, MaxHeaderBytes: maxHeaderBytes,
+			HeaderTimeout: headerTimeout, BodyTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		}
+	})
+	guard.Attach(srv)
+	return srv, guard
+}
+
+func (e *Entry) newGuard(listener string, limits func() msserver.Limits) *msserver.Guard {
+	return &msserver.Guard{Logger: e.Log, Listener: listener, Limits: limits, Metrics: e.metrics.connections}
+}
+
+// callerLimits returns the limits of callers' connections. A body may take as long as the
+// slowest request.
+func (e *Entry) callerLimits() msserver.Limits {
+	return msserver.Limits{
+		MaxConns: e.Settings.Limits.MaxConnections, MaxHeaderBytes: maxHeaderBytes,
+		HeaderTimeout: headerTimeout, BodyTimeout: e.drainTimeout(0), IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+	}
 }
 
 // runGroup returns the group of all concurrent parts of the entry. When one ends, all do.
@@ -89,6 +116,7 @@
 	e.addActor(base, g, e.flushAccount)
 	e.addActor(base, g, (&driver{e: e}).run)
 	srv := e.newCallerServer(lns.caller)
+	e.addActor(base, g, srv.guard.Run)
 	e.addActor(base, g, func(inner context.Context) error { return e.serveCallers(ctx, inner, srv) })
 	return g
 }
@@ -103,17 +131,18 @@
 	*khttp.Server
 	listener net.Listener
 	conns    msserver.Connections
+	guard    *msserver.Guard
 	// served gets the result of Start.
 	served chan error
 }
 
 func (e *Entry) newCallerServer(l net.Listener) *callerServer {
-	srv := &callerServer{Server: khttp.NewServer(khttp.Listener(l), khttp.Timeout(0)), listener: l, served: make(chan error, 1)}
+	guard := e.newGuard("callers", e.callerLimits)
+	l = guard.Listen(l)
+	srv := &callerServer{Server: khttp.NewServer(khttp.Listener(l), khttp.Timeout(0)), listener: l, guard: guard, served: make(chan error, 1)}
 	srv.conns.Track(srv.Server.Server)
 	srv.HandlePrefix(PathQueues, e)
-	srv.MaxHeaderBytes = maxHeaderBytes
-	srv.ReadHeaderTimeout = headerTimeout
-	srv.IdleTimeout = idleTimeout
+	guard.Attach(srv.Server.Server)
 	return srv
 }
 
--- a/msentry/harness_test.go
+++ b/msentry/harness_test.go
@@ -18,6 +18,12 @@
 // runEntry runs an entry against a stand-in for the platform and one upstream with
 // 64 slots, and returns the address for callers.
 func runEntry(t testing.TB, upstream string) string {
+	t.Helper()
+	return runEntryWith(t, upstream, func(*mssetting.Settings) {}).Listen
+}
+
+// runEntryWith is runEntry with changed settings; it returns the entry's addresses.
+func runEntryWith(t testing.TB, upstream string, change func(set *mssetting.Settings)) mssetting.Entry {
 	t.Helper()
 	platform := &msstandin.Platform{}
 	srv := httptest.NewServer(platform)
@@ -40,6 +46,7 @@
 	set.Entry = mssetting.Entry{Name: "e", DataCentre: "dc", Rack: "r", Listen: freeAddress(t), AdminListen: freeAddress(t), PeerListen: freeAddress(t)}
 	set.Entry.Advertise = set.Entry.PeerListen
 	set.Drain.BalancerLag = 0
+	change(&set)
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{Settings: set}
 	done := make(chan error, 1)
@@ -49,7 +56,7 @@
 		<-done
 	})
 	require.Eventually(t, func() bool { return post("http://"+set.Entry.Listen+PathQueues+"q/x") == nil }, 10*time.Second, 10*time.Millisecond)
-	return set.Entry.Listen
+	return set.Entry
 }
 
 func freeAddress(t testing.TB) string {
--- a/msentry/metrics.go
+++ b/msentry/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marjoramspan/msaccount"
+	"marjoramspan/msserver"
 )
 
 // metrics holds the entry's Prometheus metrics.
@@ -13,11 +14,14 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	// connections counts those of callers and at the admin address.
+	connections *msserver.GuardMetrics
 }
 
 func newMetrics(r *prometheus.Registry, e *Entry) metrics {
 	m := metrics{
-		registry: r,
+		registry:    r,
+		connections: msserver.NewGuardMetrics(r),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marjoramspan_requests_total",
 			Help: "Requests by what their callers were told.",
--- a/mssetting/settings.go
+++ b/mssetting/settings.go
@@ -61,6 +61,8 @@
 	MaxRun time.Duration
 	// MaxBody is the maximum size of a request body, in bytes.
 	MaxBody int64
+	// MaxConnections is the maximum number of callers' connections.
+	MaxConnections int
 	// MaxWaiting is the maximum number of requests waiting for one pool.
 	MaxWaiting int
 	// IdempotencyWindow is how long the result of an idempotency key is kept.
@@ -106,6 +108,7 @@
 			Lease:                  4 * time.Second,
 			MaxRun:                 30 * time.Second,
 			MaxBody:                64 * mebibyte,
+			MaxConnections:         4096,
 			MaxWaiting:             1000,
 			IdempotencyWindow:      10 * time.Minute,
 			ConnectionsPerUpstream: 7,
--- a/mssetting/table.go
+++ b/mssetting/table.go
@@ -36,6 +36,7 @@
 	{"limits", "lease", false, duration(func(s *Settings) *time.Duration { return &s.Limits.Lease })},
 	{"limits", "max-run", false, duration(func(s *Settings) *time.Duration { return &s.Limits.MaxRun })},
 	{"limits", "max-body", false, size(func(s *Settings) *int64 { return &s.Limits.MaxBody })},
+	{"limits", "max-connections", false, count(func(s *Settings) *int { return &s.Limits.MaxConnections })},
 	{"limits", "max-waiting", false, count(func(s *Settings) *int { return &s.Limits.MaxWaiting })},
 	{"limits", "idempotency-window", false, duration(func(s *Settings) *time.Duration { return &s.Limits.IdempotencyWindow })},
 	{"limits", "connections-per-upstream", false, count(func(s *Settings) *int { return &s.Limits.ConnectionsPerUpstream })},
