msbudget: the largest request finds room beside ordinary ones

A claim of more than the budget was granted only while nothing else was held. With max_body_bytes of 1 MiB, a job of many steps claims more than the 35 MB of a VM with 284 MB, so it was refused whenever any other job was being handed in, also in calm. One claim now counts as three fourths of the limit at most.

--- a/msbudget/budget.go
+++ b/msbudget/budget.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// largestShare is the share of the limit that one claim counts as at most, so that the
+	// largest request finds room beside ordinary ones.
+	largestShare = 0.75
 	// smallShare is the largest share of the limit that a small claim has, and reserveShare the
 	// share beyond the limit that is for small claims. So a few large requests that are decoded
 	// don't keep ordinary ones out.
@@ -55,8 +58,8 @@
 }
 
 // Grow adds n bytes to the claim and reports whether it holds them. Older claims that are not
-// sealed lose theirs, oldest first, if the bytes don't suffice. A claim of more than the limit
-// counts as the limit, and is granted while there is no other.
+// sealed lose theirs, oldest first, if the bytes don't suffice. A claim of more than largestShare
+// counts as that.
 func (c *Claim) Grow(n int64) bool {
 	b := c.budget
 	limit := int64(math.MaxInt64)
@@ -68,7 +71,7 @@
 	if c.revoked {
 		return false
 	}
-	n = max(0, min(n, limit-c.bytes))
+	n = max(0, min(n, int64(float64(limit)*largestShare)-c.bytes))
 	if b.Limit != nil && float64(c.bytes+n) <= float64(limit)*smallShare {
 		limit += int64(float64(limit) * reserveShare)
 	}
