--- a/cmd/marjoramspan/platform.go
+++ b/cmd/marjoramspan/platform.go
@@ -109,8 +109,8 @@
 	heapShare = 0.6
 	// platformGCPercent keeps the heap small; memory is scarcer than processor time.
 	platformGCPercent = 100
-	// readHeaderTimeout bounds the wait for a caller's headers.
-	readHeaderTimeout = 10 * time.Second
+	// maxMetricsRequests is how many requests for the metrics are answered at a time.
+	maxMetricsRequests = 4
 )
 
 type platformCmd struct {
@@ -197,6 +197,8 @@
 	leader        *msleader.Elector
 	intake        *msintake.Intake
 	metrics       *msscheduler.Metrics
+	guardMetrics  *msserver.GuardMetrics
+	callers       platform.CallersHandler
 	stalls        msclock.StallDetector
 	orders        msworker.Orders
 	vms           msworker.VMs
@@ -215,6 +217,9 @@
 	set := n.set.Load()
 	n.reg = prometheus.NewRegistry()
 	n.metrics = msscheduler.NewMetrics(n.reg)
+	n.guardMetrics = msserver.NewGuardMetrics(n.reg)
+	n.callers.Bodies.Limit = func() int64 { return n.set.Load().BodyBudget() }
+	n.callers.Metrics = platform.NewBodyMetrics(n.reg, &n.callers.Bodies)
 	calls := &platform.Calls{Clock: n.clock, Logger: n.log}
 	n.reg.MustRegister(calls, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marjoramspan_leads", Help: "1 while this entry schedules, otherwise 0.",
@@ -571,21 +576,38 @@
 	add("settings", n.watchSettings)
 	add("stalls", n.stalls.Run)
 	add("offers", n.offerToLead)
-	n.addServer(g, set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
-	n.addServer(g, net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{}))
+	n.addServer(g, "ready", set.ReadyListenAddr, http.HandlerFunc(n.serveReady))
+	n.addServer(g, "metrics", net.JoinHostPort(set.IP, strconv.Itoa(metricsPort)), promhttp.HandlerFor(n.reg, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	add("callers", func(pctx context.Context) error { return n.serveCallers(ctx, pctx, callers) })
 	err = g.Run()
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
-func (n *node) addServer(g *run.Group, address string, h http.Handler) {
-	srv := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+// serviceLimits are those of the listeners for readiness checks and metrics. A load balancer or a
+// collector has one connection or two, and sends a request without a body every few seconds.
+var serviceLimits = msserver.Limits{
+	MaxConns: 32, MaxHeaderBytes: 16 << 10,
+	HeaderTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, WriteTimeout: 10 * time.Second,
+}
+
+func (n *node) addServer(g *run.Group, name, address string, h http.Handler) {
+	guard := &msserver.Guard{Logger: n.log, Listener: name, Metrics: n.guardMetrics, Limits: func() msserver.Limits { return serviceLimits }}
+	srv := &http.Server{Handler: h}
+	guard.Attach(srv)
+	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
-		err := srv.ListenAndServe()
+		go func() { _ = guard.Run(ctx) }()
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err == nil {
+			err = srv.Serve(guard.Listen(l))
+		}
 		n.log.Warn("listener ended", zap.String("address", address), zap.Error(err))
 		return err
-	}, func(error) { _ = srv.Close() })
+	}, func(error) {
+		cancel()
+		_ = srv.Close()
+	})
 }
 
 func (n *node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -600,11 +622,17 @@
 // serveCallers answers until outer is done and the balancer sends no more, or
 // until inner is done.
 func (n *node) serveCallers(outer, inner context.Context, l net.Listener) error {
+	guard := &msserver.Guard{
+		Logger: n.log, Listener: "callers", Metrics: n.guardMetrics,
+		Limits: func() msserver.Limits { return platform.CallerLimits(n.set.Load(), n.sites.Site()) },
+	}
+	l = guard.Listen(l)
 	srv := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
 		// Without an endpoint kratos asks the kernel for interfaces, which the
 		// platform's VMs don't answer.
 		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
-	h := &platform.CallersHandler{Intake: n.intake}
+	h := &n.callers
+	h.Intake = n.intake
 	serving, giveUp := context.WithCancel(context.WithoutCancel(inner))
 	defer giveUp()
 	srv.HandlePrefix("/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -616,9 +644,10 @@
 		defer context.AfterFunc(serving, cancel)()
 		h.ServeHTTP(w, r.WithContext(ctx))
 	}))
-	srv.ReadHeaderTimeout = readHeaderTimeout
 	var conns msserver.Connections
 	conns.Track(srv.Server)
+	guard.Attach(srv.Server)
+	go func() { _ = guard.Run(inner) }()
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Start(context.WithoutCancel(inner)) }()
 	select {
--- a/mswait/wait.go
+++ b/mswait/wait.go
@@ -25,10 +25,10 @@
 	// SourcesDiffer says that workers could run the task by the list of VMs, and can't by their
 	// entries.
 	SourcesDiffer Reason = "sources-differ"
-	// NoLabel says that no worker has the task's label, NoSize that none of those with the label
-	// is large enough for it.
+	// NoLabel says that no worker has the task's label.
 	NoLabel Reason = "no-label"
-	NoSize  Reason = "no-size"
+	// NoSize says that no worker with the task's label is large enough for it.
+	NoSize Reason = "no-size"
 	// Spread says that each worker with the label and the size runs as many tasks of the step
 	// as may share a worker.
 	Spread Reason = "spread"
