msroster, msscheduler: a list of VMs that lags doesn't end a worker that has just begun

Cause: a life was protected from a list that lags only if an order or an earlier list had shown the VM away before. A life that is younger than lists get old is protected now as well, as long as it answers; an order that came after it isn't outweighed. msroster.ListLags decides.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -83,6 +83,16 @@
 	return s.VM.Up && s.ListedAt.After(givenUpAt) || s.Registered && processStart != 0 && s.Entry.ProcessStart > processStart
 }
 
+// ListLags reports whether a list of VMs, requested at asked, that shows a VM away is of before the
+// life of its worker that was first seen at lifeSeenAt. orderedAt is when the VM was ordered away,
+// awaySince when the first list was requested that showed it away; either may be zero.
+func ListLags(lifeSeenAt, orderedAt, awaySince, asked time.Time) bool {
+	if !orderedAt.IsZero() {
+		return lifeSeenAt.After(orderedAt)
+	}
+	return lifeSeenAt.After(awaySince) || asked.Sub(lifeSeenAt) < MaxListAge
+}
+
 // entryIsOfLife reports whether the entry isn't of an earlier life than the latest report. Workers
 // need not say when they started. An earlier life has the later start time if the worker's wall
 // clock was set back in between.
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"marjoramspan/msclock"
+	"marjoramspan/msroster"
 	"marjoramspan/msworker"
 )
 
@@ -31,17 +32,29 @@
 	endedAt map[string]time.Time
 	// downSince is since when lists have shown a VM down, neither moved nor maintained.
 	downSince map[string]time.Time
-	// awaySince is since when VMs are moved or maintained: since the order, or the first list
-	// that showed it.
-	awaySince map[string]time.Time
+	// awaySince is since when lists have shown a VM not up. orderedAt is when an order to move or
+	// maintain a VM was carried out, until a later list shows it up.
+	awaySince, orderedAt map[string]time.Time
 }
 
 // noteOrder notes that an order to move or maintain a VM was carried out.
 func (f *fleet) noteOrder(vm string, now time.Time) {
-	if f.awaySince == nil {
-		f.awaySince = map[string]time.Time{}
+	if f.orderedAt == nil {
+		f.orderedAt = map[string]time.Time{}
 	}
-	f.awaySince[vm] = now
+	f.orderedAt[vm] = now
+}
+
+// lagsBehind reports whether the list, requested at asked, shows a VM as it was before a life of
+// its worker that was first seen at seenAt.
+func (f *fleet) lagsBehind(vm *msworker.VM, seenAt, asked time.Time) bool {
+	if vm == nil {
+		return true // A list is read in pages, and one that changes can lack a VM.
+	}
+	if vm.Up {
+		return false
+	}
+	return msroster.ListLags(seenAt, f.orderedAt[vm.Name], f.awaySince[vm.Name], asked)
 }
 
 // set replaces the list by one that was requested at asked.
@@ -59,12 +72,13 @@
 				down[vm.Name] = at
 			}
 		}
-		since, known := f.awaySince[vm.Name]
-		switch {
-		case known && (vm.Moving || vm.Maintained || since.After(asked)):
-			away[vm.Name] = since
-		case vm.Moving || vm.Maintained:
+		if !vm.Up {
 			away[vm.Name] = asked
+			if at, ok := f.awaySince[vm.Name]; ok {
+				away[vm.Name] = at
+			}
+		} else if f.orderedAt[vm.Name].Before(asked) {
+			delete(f.orderedAt, vm.Name)
 		}
 		if at, ok := f.endedAt[vm.Name]; ok && now.Sub(at) < rackFailureSpan {
 			ended[vm.Name] = at
@@ -177,10 +191,8 @@
 			if w.reported && !w.reachable && asked.After(w.unreachableSince) && e.endOf(w, now) == endedByCrash {
 				e.terminateWorker(w, "its VM is down or another worker")
 			}
-		case vm == nil && w.reachable && e.fleet.find(w.vmName()) == nil:
-			// The list lacks the VM. A worker that has ended won't answer the next request.
-		case vm != nil && (vm.Maintained || vm.Moving) && w.reachable && w.lifeSeenAt().After(e.fleet.awaySince[vm.Name]):
-			// The list lags: the VM is back, as this life of its worker began since it left.
+		case w.reachable && e.fleet.lagsBehind(e.fleet.find(w.vmName()), w.lifeSeenAt(), asked):
+			// A worker that has ended won't answer the next request.
 		case vm == nil || vm.Maintained || vm.Moving:
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
