--- a/msserver/guard.go
+++ b/msserver/guard.go
@@ -80,6 +80,8 @@
 // cut. Its fields must be set before use.
 type Guard struct {
 	Logger *zap.Logger
+	// Clock is the system's by default.
+	Clock msclock.Clock
 	// Listener names the server in logs and metrics.
 	Listener string
 	// Limits returns the limits in force. They may change at any time.
@@ -104,6 +106,13 @@
 	headerBytes int64
 }
 
+func (g *Guard) clock() msclock.Clock {
+	if g.Clock == nil {
+		return msclock.System{}
+	}
+	return g.Clock
+}
+
 // Attach makes g follow the requests of srv. It must be called before srv serves, and after
 // Connections.Track.
 func (g *Guard) Attach(srv *http.Server) {
@@ -161,7 +170,7 @@
 
 // admit returns the guarded connection, or closes it and returns nil.
 func (g *Guard) admit(conn net.Conn) net.Conn {
-	limit, now := g.Limits().MaxConns, msclock.System{}.Now()
+	limit, now := g.Limits().MaxConns, g.clock().Now()
 	c := &guardedConn{Conn: conn, guard: g, since: now}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -211,7 +220,7 @@
 }
 
 func (g *Guard) enter(c *guardedConn, p phase) {
-	now := msclock.System{}.Now()
+	now := g.clock().Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.phase, c.since, c.headerBytes = p, now, 0
@@ -223,7 +232,7 @@
 	defer g.mu.Unlock()
 	switch c.phase {
 	case phaseIdle:
-		c.phase, c.since = phaseHeader, msclock.System{}.Now()
+		c.phase, c.since = phaseHeader, g.clock().Now()
 	case phaseHeader:
 	case phaseBody, phaseAnswer:
 		return true
@@ -239,8 +248,8 @@
 
 // Run closes connections whose time is over until ctx is done.
 func (g *Guard) Run(ctx context.Context) error {
-	for msclock.Sleep(ctx, msclock.System{}, sweepInterval) == nil {
-		g.sweep(msclock.System{}.Now())
+	for msclock.Sleep(ctx, g.clock(), sweepInterval) == nil {
+		g.sweep(g.clock().Now())
 	}
 	return nil
 }
