msworker, msroster: an entry that can't be used names no worker

Found by the review: an entry that can't be read was dropped, which counted as lapsed, so that its worker was still used once it answered and its VM was up. The platform's pages say that such an entry names no worker to use. The registry tells the two apart now. TestWorkerWhoseEntryCannotBeUsedGetsNoTasks.

--- a/msroster/roster.go
+++ b/msroster/roster.go
@@ -37,6 +37,8 @@
 	EntrySeenAt time.Time
 	Registered  bool
 	LapsedAt    time.Time
+	// Refused is set while the latest entry can't be used. It names no worker then.
+	Refused bool
 	// ProcessStart is the start time of the process that reported last, or 0, and LifeSeenAt
 	// when that process was first seen. AnsweredAt is when the report was requested, or zero
 	// while the worker doesn't answer.
@@ -52,8 +54,8 @@
 // Exists reports whether there is such a worker: by its entry, or, once that has lapsed, by a
 // report and a list of VMs that are both later.
 func (s *Sources) Exists(now time.Time) bool {
-	if s.Registered {
-		return true
+	if s.Registered || s.Refused {
+		return s.Registered
 	}
 	return s.AnsweredAt.After(s.LapsedAt) && s.VM.Up && s.ListedAt.After(s.LapsedAt) && now.Sub(s.ListedAt) <= MaxListAge
 }
--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -255,3 +255,18 @@
 	e.applyVMs([]msworker.VM{vm}, e.Clock.Now().Add(time.Second+msroster.MaxListAge))
 	require.True(t, w.terminated, "lists don't lag for so long")
 }
+
+// An entry that can't be used names no worker, unlike one that has lapsed.
+func TestWorkerWhoseEntryCannotBeUsedGetsNoTasks(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 2)
+	e := w.entry("a")
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable && w.vm != "" })
+	w.reg.Refuse("w-1")
+	awaitWorker(e, "w-1", func(w *worker) bool { return !w.registered })
+	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(8)}})
+	w.await(e, rosterJob, msjob.Completed)
+	for _, r := range w.journal.Runs() {
+		require.Equal(t, "w-2", r.Worker)
+	}
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -45,8 +45,9 @@
 	// seen. registered says that the registry still has it, lapsedAt since when it doesn't.
 	entry       msworker.Worker
 	entrySeenAt time.Time
-	registered  bool
-	lapsedAt    time.Time
+	// refused says that its latest entry can't be used.
+	registered, refused bool
+	lapsedAt            time.Time
 	// listed is the worker's row in the latest VM list, which was requested at listedAt, or
 	// zero if that list doesn't name the worker.
 	listed   msworker.VM
@@ -169,7 +170,7 @@
 // sources returns what is known of the worker.
 func (w *worker) sources() msroster.Sources {
 	s := msroster.Sources{
-		Entry: w.entry, EntrySeenAt: w.entrySeenAt, Registered: w.registered, LapsedAt: w.lapsedAt,
+		Entry: w.entry, EntrySeenAt: w.entrySeenAt, Registered: w.registered, Refused: w.refused, LapsedAt: w.lapsedAt,
 		ProcessStart: w.processStart, LifeSeenAt: w.processSeenAt, VM: w.listed, ListedAt: w.listedAt,
 	}
 	if w.reachable {
@@ -268,7 +269,7 @@
 			w.drainingSince = now
 			e.Logger.Info("worker drains", zap.String("worker", id), zap.Duration("leaves", entry.RemainingTime), zap.Int("runs", len(w.runs)))
 		}
-		w.registered = true
+		w.registered, w.refused = true, false
 		w.setEntry(entry, now)
 	}
 	e.registryPending = false
@@ -279,6 +280,7 @@
 		if w.registered {
 			w.registered, w.lapsedAt = false, now
 		}
+		w.refused = e.Registry.Refused(id)
 		if w.terminated {
 			delete(e.workers, id)
 			continue
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -218,6 +218,8 @@
 
 	mu      sync.Mutex
 	workers map[string]Worker
+	// refused has the IDs whose latest entry can't be used.
+	refused map[string]bool
 	version int64
 }
 
@@ -236,6 +238,7 @@
 		r.workers = map[string]Worker{}
 	}
 	r.workers[w.ID] = w
+	delete(r.refused, w.ID)
 	r.version++
 	fn := r.OnChange
 	r.mu.Unlock()
@@ -248,6 +251,7 @@
 func (r *Registry) Drop(id string) {
 	r.mu.Lock()
 	delete(r.workers, id)
+	delete(r.refused, id)
 	r.version++
 	fn := r.OnChange
 	r.mu.Unlock()
@@ -256,11 +260,34 @@
 	}
 }
 
+// Refuse removes a worker whose latest entry can't be used.
+func (r *Registry) Refuse(id string) {
+	r.mu.Lock()
+	delete(r.workers, id)
+	if r.refused == nil {
+		r.refused = map[string]bool{}
+	}
+	r.refused[id] = true
+	r.version++
+	fn := r.OnChange
+	r.mu.Unlock()
+	if fn != nil {
+		fn()
+	}
+}
+
+// Refused reports whether the latest entry of a worker can't be used.
+func (r *Registry) Refused(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused[id]
+}
+
 // Reset removes all workers. It doesn't call OnChange.
 func (r *Registry) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.workers = nil
+	r.workers, r.refused = nil, nil
 	r.version++
 }
 
