msscheduler: a start that has reached the next life of its worker is not lost

An attempt that had ended already was started again. Cause: a restart was taken to end all attempts that are known on the ID. Those that the new life's report lists, running or ended, are of that life. TestStartThatReachedTheNextLifeIsNotLost failed before.

--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -234,7 +234,7 @@
 	e.syncWorkers(e.Clock.Now())
 	w := e.workers["w-0000"]
 	w.reserved, w.moving, w.maintenanceSince = true, true, e.Clock.Now()
-	e.handleRestart(w, 9)
+	e.handleRestart(w, msworker.Report{ProcessStart: 9})
 	require.True(t, w.stays(e.Clock.Now()))
 	require.Zero(t, w.maintenanceSince)
 }
@@ -270,3 +270,28 @@
 		require.Equal(t, "w-2", r.Worker)
 	}
 }
+
+// A start that reached the next life of its worker before that had reported counted as lost with the
+// life before, and as a crash. After two of them the task was given up.
+func TestStartThatReachedTheNextLifeIsNotLost(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	e.handleReport(w, e.Clock.Now(), msworker.Report{ProcessStart: 5})
+	r, ended := planned(e, w), e.newRun(e.jobs["0000000000000000"], msjob.TaskID{Job: "0000000000000000", Index: 1}, 1, w)
+	e.addRun(ended)
+	for _, r := range []*run{r, ended} {
+		r.state, r.answeredAt = runStarted, e.Clock.Now()
+	}
+	e.handleReport(w, e.Clock.Now(), msworker.Report{
+		ProcessStart: 9,
+		Running:      []msworker.Run{{Task: r.task, Attempt: r.attempt}},
+		Ended:        []msworker.End{{Seq: 1, Task: ended.task, Attempt: ended.attempt, Reason: msworker.EndDone}},
+	})
+	require.Same(t, r, e.runs[r.runKey])
+	require.Equal(t, runStarted, r.state)
+	tasks := e.jobs["0000000000000000"].p.Occurrences[0].Steps[0]
+	require.Zero(t, tasks[0].MaxCrashes())
+	require.Equal(t, msjob.Done, tasks[1].Phase)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -408,7 +409,7 @@
 func (e *Engine) handleReport(w *worker, sent time.Time, rep msworker.Report) {
 	now := e.Clock.Now()
 	if w.reported && rep.ProcessStart != w.processStart {
-		e.handleRestart(w, rep.ProcessStart)
+		e.handleRestart(w, rep)
 	}
 	if rep.ProcessStart != w.processStart {
 		w.processStart, w.processSeenAt = rep.ProcessStart, now
@@ -527,14 +528,15 @@
 }
 
 // handleRestart handles the restart of a worker under the same ID: its earlier attempts
-// no longer run, and the sequence numbers of its ends start again.
-func (e *Engine) handleRestart(w *worker, processStart int64) {
-	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", processStart), zap.Int("runs", len(w.runs)))
+// no longer run, and the sequence numbers of its ends start again. Starts may have reached the
+// next life before the report did: those that it lists are of that life.
+func (e *Engine) handleRestart(w *worker, rep msworker.Report) {
+	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", rep.ProcessStart), zap.Int("runs", len(w.runs)))
 	end := restarted
 	if !w.drainingSince.IsZero() {
 		end, w.drainingSince = endedAsPlanned, time.Time{}
 	}
-	runs := w.allRuns()
+	runs := slices.DeleteFunc(w.allRuns(), func(r *run) bool { return listsRun(rep, r.runKey) })
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = msworker.Lease{}
@@ -553,6 +555,12 @@
 	}
 }
 
+// listsRun reports whether a report lists an attempt as running or ended.
+func listsRun(rep msworker.Report, k runKey) bool {
+	return slices.ContainsFunc(rep.Running, func(r msworker.Run) bool { return r.Task == k.task && r.Attempt == k.attempt }) ||
+		slices.ContainsFunc(rep.Ended, func(r msworker.End) bool { return r.Task == k.task && r.Attempt == k.attempt })
+}
+
 // expireLeases gives up the attempts on unreachable workers whose lease has certainly
 // ended.
 func (e *Engine) expireLeases(now time.Time) {
