--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -263,7 +263,10 @@
 	e := w.entry("a")
 	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable && w.vm != "" })
 	w.reg.Refuse("w-1")
-	awaitWorker(e, "w-1", func(w *worker) bool { return !w.registered })
+	// A report and a list of VMs that are later than a lapse vouch for a worker.
+	awaitWorker(e, "w-1", func(w *worker) bool {
+		return !w.registered && w.reachable && w.reportRequestedAt.After(w.lapsedAt) && w.listedAt.After(w.lapsedAt)
+	})
 	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(8)}})
 	w.await(e, rosterJob, msjob.Completed)
 	for _, r := range w.journal.Runs() {
