msscheduler: log the lease ends and clocks by which a worker is given up

Whether a worker held a longer lease than its leader knew couldn't be told from the log. The restart of a worker now shows the new clock beside the latest lease end of the earlier life, the first answer shows both as well, and there is a line for a lease that has expired.

--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -422,7 +422,8 @@
 	}
 	if !w.reachable {
 		w.reachable, w.crashed = true, false
-		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))
+		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)),
+			zap.Duration("worker-clock", rep.Clock), zap.Duration("lease-end", w.lease.Until()))
 		e.wakeLoop()
 	}
 	if !w.reported {
@@ -531,7 +532,8 @@
 // no longer run, and the sequence numbers of its ends start again. Starts may have reached the
 // next life before the report did: those that it lists are of that life.
 func (e *Engine) handleRestart(w *worker, rep msworker.Report) {
-	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", rep.ProcessStart), zap.Int("runs", len(w.runs)))
+	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", rep.ProcessStart), zap.Int("runs", len(w.runs)),
+		zap.Duration("worker-clock", rep.Clock), zap.Duration("earlier-lease-end", w.lease.Until()))
 	end := restarted
 	if !w.drainingSince.IsZero() {
 		end, w.drainingSince = endedAsPlanned, time.Time{}
@@ -576,6 +578,8 @@
 		}
 		end := e.endOf(w, now)
 		runs := w.allRuns()
+		e.Logger.Info("lease of unreachable worker expired", zap.String("worker", w.ID), zap.Int("runs", len(runs)), zap.Bool("reported", w.reported),
+			zap.Duration("worker-clock", w.lease.Clock(now)), zap.Duration("lease-end", w.lease.Until()))
 		e.noteEnd(w, end, "lease expired", runs)
 		for _, r := range runs {
 			e.markLost(r, end, "lease expired while the worker was unreachable")
--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -39,6 +39,11 @@
 	return end
 }
 
+// Clock returns the least that the worker's clock shows at now, if it runs slow by clockDrift.
+func (l *Lease) Clock(now time.Time) time.Duration {
+	return l.clock + time.Duration(float64(now.Sub(l.observedAt))*(1-clockDrift))
+}
+
 // Until returns the latest lease end ever sent, on the worker's clock.
 func (l *Lease) Until() time.Duration {
 	return l.latestEnd
@@ -53,6 +58,5 @@
 // Expired reports whether every lease sent has certainly expired on the worker's clock,
 // even if that clock runs slow by clockDrift.
 func (l *Lease) Expired(now time.Time) bool {
-	passed := time.Duration(float64(now.Sub(l.observedAt)) * (1 - clockDrift))
-	return l.clock+passed > l.latestEnd
+	return l.Clock(now) > l.latestEnd
 }
