--- a/Makefile
+++ b/Makefile
@@ -84,10 +84,11 @@
 measure: build
 	bin/marjorammeasure --seed $(SEED)
 
-# soak runs the real programs under faults; it ends non-zero on a breach.
+# soak runs the real programs under faults; it ends non-zero on a breach. With RESTARTS=1 workers
+# restart and are cut off.
 soak: FOR ?= 60s
 soak:
-	SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) SOAK_LOGS=$(CURDIR)/soak-logs go test -run '^TestSoak$$' -count=1 -timeout 30m -v ./platform
+	SOAK_RESTARTS=$(RESTARTS) SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) SOAK_LOGS=$(CURDIR)/soak-logs go test -run '^TestSoak$$' -count=1 -timeout 30m -v ./platform
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -26,6 +26,10 @@
 	Worker msworker.Worker
 	// Clock is the system's by default.
 	Clock msclock.Clock
+	// FirstClock is what the worker's own clock shows as a life begins.
+	FirstClock time.Duration
+	// MaxLease, if not 0, is the longest lease. Longer ones are shortened to it.
+	MaxLease time.Duration
 	// Journal, if set, hears of every start and end.
 	Journal *JobJournal
 	// OnCrash is called, without locks held, when a task has crashed the worker.
@@ -172,16 +176,25 @@
 
 // clock is the worker's own clock.
 func (w *JobWorker) clock() time.Duration {
-	return w.now().Sub(w.born)
+	return w.FirstClock + w.now().Sub(w.born)
 }
 
-// advance ends what has ended since the last call. The caller holds mu.
+// extendLease takes the end of a lease on the worker's own clock. The caller holds mu.
+func (w *JobWorker) extendLease(until time.Duration) {
+	if w.MaxLease > 0 {
+		until = min(until, w.clock()+w.MaxLease)
+	}
+	w.until = max(w.until, until)
+}
+
+// advance ends what has ended since the last call. What the end of the lease has ended, ended
+// then. The caller holds mu.
 func (w *JobWorker) advance() {
 	now := w.now()
-	if w.until > 0 && w.clock() > w.until {
-		for k := range w.running {
-			w.end(k, msworker.EndLapsed, now)
-		}
+	clock := w.clock()
+	lapsed := w.until > 0 && clock > w.until
+	if lapsed {
+		now = now.Add(w.until - clock)
 	}
 	var done []jobRun
 	for k, r := range w.running {
@@ -201,6 +214,11 @@
 			w.end(k, msworker.EndDone, now)
 		}
 	}
+	if lapsed {
+		for k := range w.running {
+			w.end(k, msworker.EndLapsed, now)
+		}
+	}
 }
 
 func (w *JobWorker) end(k jobRun, how msworker.EndReason, now time.Time) {
@@ -271,7 +289,7 @@
 	if s.Until <= w.clock() {
 		return &msworker.Error{Worker: w.Worker.ID, Reason: msworker.Late}
 	}
-	w.until = max(w.until, s.Until)
+	w.extendLease(s.Until)
 	k := jobRun{task: s.Task, attempt: s.Attempt}
 	if w.running[k] != nil {
 		return nil
@@ -377,7 +395,9 @@
 	if err := w.enter(h.Token); err != nil {
 		return msworker.Report{}, err
 	}
-	w.until = max(w.until, h.Until)
+	if h.Until > 0 {
+		w.extendLease(h.Until)
+	}
 	for len(w.ended) > 0 && w.ended[0].Seq <= h.Acked {
 		w.Journal.ack(jobRun{task: w.ended[0].Task, attempt: w.ended[0].Attempt}, w.Worker.ID)
 		w.ended = w.ended[1:]
