--- a/msstandin/jobjournal_test.go
+++ b/msstandin/jobjournal_test.go
@@ -29,4 +29,13 @@
 	require.Empty(t, j.Doubled(), "after an end that nobody knows of")
 	j.ack(first, "w-1")
 	require.Len(t, j.Doubled(), 1, "after an end that was acknowledged")
+	j.lapse(first, "w-1")
+	require.Len(t, j.Doubled(), 1, "a lapse after the acknowledgement changes nothing")
+	j = JobJournal{}
+	j.start(first, "w-1", "", at(1))
+	j.end(first, at(2), "done")
+	j.lapse(first, "w-1")
+	j.start(second, "w-2", "", at(3))
+	j.ack(first, "w-1")
+	require.Empty(t, j.Doubled(), "after an end that was acknowledged once the lease had lapsed")
 }
