platform, msscheduler: what is for one life of a worker reaches no other

Cause: the end of a lease is a time on the worker's own clock, which begins anew with each life. A renewal or start over a new connection carried one on the clock of the life that the leader knew, and the next life under the ID took it. Where that lies ahead on the new clock, the worker held the longest lease there is (6 s here), while the leader, or the next one, counted 4 s. The start itself ran there as well. The class: a number that means something to one process only is sent to whichever answers at its address.

Lease ends, acknowledgements and starts go only over connections of the life that they are for; over a new one, the first call asks for the report alone.

With it, a start is never repeated to another life, so its unanswered tries are no longer counted as a crash each: six idle connections to a worker that had restarted were reset one after another, and a sound task was given up as having crashed six workers.

--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -115,7 +115,7 @@
 	rackFails := e.rackFails(w)
 	alone := len(suspects) == 1 && end != endedUnknown && !rackFails
 	for _, r := range runs {
-		e.recordCrash(r, end, evidenceAgainst(r, end, likely(r), rackFails), alone && likely(r))
+		e.recordCrash(r, evidenceAgainst(r, end, likely(r), rackFails), alone && likely(r))
 	}
 }
 
@@ -161,7 +161,7 @@
 
 // recordCrash counts the end of a worker against an attempt that may have run there. alone
 // says that no other job had a likely cause there.
-func (e *Engine) recordCrash(r *run, end workerEnd, evidence msjob.CrashEvidence, alone bool) {
+func (e *Engine) recordCrash(r *run, evidence msjob.CrashEvidence, alone bool) {
 	if !r.mayHaveStarted() || r.state == runStopping || r.job == nil || r.job.p.State.Final() {
 		return
 	}
@@ -169,14 +169,7 @@
 	if t == nil || t.Phase != msjob.Assigned || r.confirmedRuntime() >= r.exoneratingRuntime() {
 		return
 	}
-	n := 1
-	if evidence == msjob.CrashUnconfirmed && end == restarted && r.confirmedAt.IsZero() {
-		// The worker may have crashed with each of the starts.
-		n = r.unanswered
-	}
-	for range n {
-		t.RecordCrash(evidence, r.confirmedRuntime())
-	}
+	t.RecordCrash(evidence, r.confirmedRuntime())
 	e.markDirty(r.job)
 	if !t.CrashesWorkers(alone) {
 		return
--- a/msscheduler/harness_test.go
+++ b/msscheduler/harness_test.go
@@ -24,6 +24,9 @@
 // being reached sooner.
 const eventually = 30 * time.Second
 
+// testMaxLease is the longest lease of a worker.
+const testMaxLease = 6 * time.Second
+
 // testCluster is a log, workers and VMs that entries share.
 type testCluster struct {
 	t       *testing.T
@@ -97,7 +100,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	entry := msworker.Worker{ID: vm.Worker, Address: vm.Worker, Pool: vm.Pool, DataCentre: vm.DataCentre, Rack: vm.Rack, Labels: vm.Labels, Capacity: vm.Capacity, VM: vm.Name}
-	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal, OnCrash: w.crash}
+	w.workers[vm.Worker] = &msstandin.JobWorker{Worker: entry, Journal: &w.journal, OnCrash: w.crash, MaxLease: testMaxLease}
 	w.reg.Set(entry)
 }
 
@@ -249,7 +252,7 @@
 				ReportStream: "reports",
 				Clock:        clock, Wall: msclock.System{}, Logger: logger,
 				Settings: Settings{
-					MaxLease: 6 * time.Second, StatusRetention: time.Minute,
+					MaxLease: testMaxLease, StatusRetention: time.Minute,
 					MinHolderInterval: w.minHolderInterval, MaintenanceDuration: 300 * time.Millisecond,
 				},
 			}
--- /dev/null
+++ b/msscheduler/lives_test.go
@@ -0,0 +1,36 @@
+package msscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"marjoramspan/msjob"
+	"marjoramspan/msworker"
+)
+
+// A worker that had restarted under its ID took the end of a lease on the clock of its earlier
+// life, and so held the longest lease there is. Its leader counted a shorter one, and once the worker
+// was cut off, its task ran on two workers.
+func TestTaskRunsOnceWhenARestartedWorkerIsCutOff(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	first := w.all()[0]
+	first.FirstClock = time.Hour
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "00000000000000aa", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+	w.await(e, "00000000000000aa", msjob.Completed)
+	first.RestartAt(0)
+	w.submit(&msjob.Job{ID: "00000000000000bb", Team: "fitters", Spec: "run=20s", Steps: []msjob.Step{step(1)}})
+	w.awaitRunning(1)
+	first.SetDown(true)
+	w.vms.Add(msworker.VM{Name: "vm-second", Pool: "booth", Rack: "r9", Up: true, Capacity: msjob.Resources{CPU: 4000, Memory: 8000}})
+	require.Eventually(t, func() bool {
+		runs := w.journal.Runs()
+		return len(runs) == 3 && runs[2].Worker != first.Worker.ID
+	}, eventually, 5*time.Millisecond, "the task doesn't run elsewhere")
+	first.SetDown(false)
+	require.Eventually(t, func() bool { return !w.journal.Runs()[1].End.IsZero() }, eventually, 5*time.Millisecond)
+	w.requireNoDuplicates()
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -96,7 +96,7 @@
 		s.Checkpoint = t.Checkpoint
 	}
 	if r.needsReport() {
-		return s, r.w.Worker, true
+		return s, r.w.presentLife(), true
 	}
 	if r.w.lease.Known() && e.Term.Valid() && e.operatorsCurrent(e.Clock.Now()) {
 		s.Until = r.w.lease.Until()
@@ -108,7 +108,7 @@
 		r.sentAt = e.Clock.Now()
 		r.unanswered++
 	}
-	return s, r.w.Worker, true
+	return s, r.w.presentLife(), true
 }
 
 // needsReport reports whether a start without an answer may be repeated only after the next
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -198,6 +198,14 @@
 	w.sourcesChanged()
 }
 
+// presentLife returns the worker with the start time of the life that reported last, which its
+// lease and the numbers of its ends are of. It is 0 before the first report.
+func (w *worker) presentLife() msworker.Worker {
+	life := w.Worker
+	life.ProcessStart = w.processStart
+	return life
+}
+
 // listedUp reports whether a recent list of VMs shows the worker's VM up.
 func (w *worker) listedUp(now time.Time) bool {
 	return w.listed.Up && now.Sub(w.listedAt) <= msroster.MaxListAge
@@ -366,10 +374,10 @@
 			renewal.Wait = idleReportWait
 		}
 	}
-	entry := w.Worker
+	life := w.presentLife()
 	e.mu.Unlock()
 	reportCtx, cancel := context.WithTimeout(ctx, renewal.Wait+reportTimeoutMargin)
-	report, err := e.Orders.RenewLease(reportCtx, entry, renewal)
+	report, err := e.Orders.RenewLease(reportCtx, life, renewal)
 	cancel()
 	if ctx.Err() != nil {
 		return false
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -98,6 +98,9 @@
 	return msworker.Orders{
 		Start: func(ctx context.Context, w msworker.Worker, s msworker.Start) (time.Duration, error) {
 			if j := find(w.ID); j != nil {
+				if w.ProcessStart != j.Born().UnixMilli() {
+					return 0, &msworker.Error{Worker: w.ID, Reason: msworker.NotSent}
+				}
 				return j.Start(ctx, s)
 			}
 			return 0, silent(ctx, w)
@@ -116,6 +119,9 @@
 		},
 		RenewLease: func(ctx context.Context, w msworker.Worker, h msworker.LeaseRenewal) (msworker.Report, error) {
 			if j := find(w.ID); j != nil {
+				if w.ProcessStart != j.Born().UnixMilli() {
+					h = msworker.LeaseRenewal{Token: h.Token}
+				}
 				return j.Hold(ctx, h)
 			}
 			return msworker.Report{}, silent(ctx, w)
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -130,6 +130,10 @@
 
 // Orders holds the calls to a worker. Each returns the worker's clock, and an *Error if
 // the order was not executed or may not have been.
+//
+// Start and RenewLease are for the life of the worker that Worker.ProcessStart names, as lease
+// ends are on its clock and it numbers its ends. To another life, Start isn't sent, and RenewLease
+// asks for the report only.
 type Orders struct {
 	Start      func(ctx context.Context, w Worker, s Start) (time.Duration, error)
 	Stop       func(ctx context.Context, w Worker, s Stop) (time.Duration, error)
