msscheduler: the answer of an earlier life doesn't set the clock of the next one

By reading, of the same class as the lease ends that reached another life: an answer to a start bears a clock and no start time. If it arrives after the restart of the worker was seen, the leader takes the clock of the ended life for that of the new one. Its lease ends are then ahead by the difference, the worker holds the longest lease, and the leader counts its own.

A clock counts only if it is of the life that reported last. That an answer is of the life that the start was for follows from its connection.

TestAnswerOfAnEarlierLifeDoesNotSetTheClock fails 2 of 2 on the code before (the clock is an hour ahead) and passes.

--- a/msscheduler/lives_test.go
+++ b/msscheduler/lives_test.go
@@ -34,3 +34,20 @@
 	require.Eventually(t, func() bool { return !w.journal.Runs()[1].End.IsZero() }, eventually, 5*time.Millisecond)
 	w.requireNoDuplicates()
 }
+
+// The answer to a start of the earlier life came after the restart was seen and set the clock of the
+// next one. The ends of its leases were then too late by any time.
+func TestAnswerOfAnEarlierLifeDoesNotSetTheClock(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.reported, w.reachable = false, false
+	e.handleReport(w, e.Clock.Now(), msworker.Report{ProcessStart: 5, Clock: time.Hour})
+	r := planned(e, w)
+	r.state = runOrdered
+	life := w.presentLife()
+	e.handleReport(w, e.Clock.Now(), msworker.Report{ProcessStart: 6, Clock: time.Second})
+	e.handleStartAnswer(r, life, time.Hour, nil)
+	require.Less(t, w.lease.Clock(e.Clock.Now()), time.Minute)
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -45,7 +45,7 @@
 // startRun sends a start until its outcome is known or the attempt is no longer wanted.
 func (e *Engine) startRun(ctx context.Context, r *run) {
 	for ctx.Err() == nil {
-		s, entry, ok := e.prepareStart(r)
+		s, life, ok := e.prepareStart(r)
 		if !ok {
 			return
 		}
@@ -57,13 +57,13 @@
 		}
 		octx, cancel := context.WithTimeout(ctx, orderTimeout)
 		sent := e.Clock.Now()
-		clock, err := e.Orders.Start(octx, entry, s)
+		clock, err := e.Orders.Start(octx, life, s)
 		cancel()
 		e.Metrics.order("start", err, e.Clock.Now().Sub(sent))
 		if ctx.Err() != nil {
 			return
 		}
-		if e.handleStartAnswer(r, clock, err) {
+		if e.handleStartAnswer(r, life, clock, err) {
 			return
 		}
 		_ = msclock.Sleep(ctx, e.Clock, orderRetryDelay)
@@ -154,13 +154,13 @@
 	return ""
 }
 
-// handleStartAnswer handles the answer to a start and reports whether the order is
-// settled.
-func (e *Engine) handleStartAnswer(r *run, clock time.Duration, err error) bool {
+// handleStartAnswer handles the answer of a worker's life to a start and reports whether the
+// order is settled.
+func (e *Engine) handleStartAnswer(r *run, life msworker.Worker, clock time.Duration, err error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	if clock > 0 {
+	if clock > 0 && life.ProcessStart == r.w.processStart {
 		r.w.lease.Observe(clock, now)
 	}
 	if msworker.ReasonOf(err) != msworker.Unknown {
