msscheduler: the next leader counts leases that were granted by a slow clock

By reading, beside the leases of an earlier life: a leader grants a lease by its latest reading of the worker's clock, up to 2.7 s old, and that clock may run 2% slow, so the lease lasts up to 54 ms longer than 4 s. The next leader counted 4 s from its first report, and could start a task elsewhere 34 ms before the lease of a worker that is cut off right then had ended. Before the first report it already counted 5% more.

TestNextLeaderCountsTheLeasesOfSlowClocks fails on the code before and passes.

--- a/msscheduler/lives_test.go
+++ b/msscheduler/lives_test.go
@@ -51,3 +51,24 @@
 	e.handleStartAnswer(r, life, time.Hour, nil)
 	require.Less(t, w.lease.Clock(e.Clock.Now()), time.Minute)
 }
+
+// A lease that the leader before had granted by an old reading of a slow clock ended after the next
+// leader had counted it as expired.
+func TestNextLeaderCountsTheLeasesOfSlowClocks(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Settings.MaxLease = testMaxLease
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.reported, w.reachable = false, false
+	slow := func(d time.Duration) time.Duration { return d * 98 / 100 }
+	age := idleReportWait + reportTimeoutMargin
+	var earlier msworker.Lease
+	earlier.Observe(0, time.Time{})
+	end := earlier.Grant(time.Time{}.Add(age), e.leaseDuration())
+	e.handleReport(w, e.Clock.Now(), msworker.Report{ProcessStart: 5, Clock: slow(age)})
+	seen := e.Clock.Now()
+	for d := time.Duration(0); slow(age+d) <= end; d += time.Millisecond {
+		require.False(t, w.lease.Expired(seen.Add(d)), "%s before its end", end-slow(age+d))
+	}
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -426,7 +426,7 @@
 	w.lease.Observe(rep.Clock, now)
 	if !w.reported {
 		// An earlier leader may have granted a lease just before it was fenced.
-		w.lease.AssumeGranted(e.leaseDuration())
+		w.lease.AssumeGranted(e.inheritedLease())
 	}
 	if !w.reachable {
 		w.reachable, w.crashed = true, false
@@ -598,9 +598,14 @@
 // maxUnknownLease is how long after the start of a term a worker that has not been
 // reached in it may run attempts that earlier leaders started.
 func (e *Engine) maxUnknownLease() time.Duration {
-	l := e.leaseDuration() + e.leaseDuration()/20
 	if e.Term.Released {
-		return l
+		return e.inheritedLease()
 	}
-	return renewalGrace + l
+	return renewalGrace + e.inheritedLease()
+}
+
+// inheritedLease bounds how long a lease of an earlier leader lasts. Its reading of the worker's
+// clock may have been old, and the clock runs slow.
+func (e *Engine) inheritedLease() time.Duration {
+	return e.leaseDuration() + e.leaseDuration()/20
 }
