--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -155,13 +155,19 @@
 
 // Restart ends the worker's life and begins another under the same id.
 func (w *JobWorker) Restart() {
-	w.RestartAt(w.FirstClock)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restart(w.FirstClock)
 }
 
 // RestartAt is Restart for a life whose own clock shows the given time as it begins.
 func (w *JobWorker) RestartAt(clock time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.restart(clock)
+}
+
+func (w *JobWorker) restart(clock time.Duration) {
 	w.begin()
 	w.advance()
 	now := w.now()
