msscheduler: the test of a VM shown moving begins once its worker has answered

The test was wrong. Each list showed the VM moving from the start.

It shows the VM moving only once the worker has answered, so that it is given up each time. What is checked is as before.

--- a/msscheduler/roster_test.go
+++ b/msscheduler/roster_test.go
@@ -72,15 +72,13 @@
 func TestWorkerOfAVMThatIsStillShownMovingIsUsed(t *testing.T) {
 	t.Parallel()
 	w := newTestCluster(t, 1)
-	shownUp := make(chan struct{})
+	var moving atomic.Bool
 	w.configure = func(g *Engine) {
 		list := g.VMs.List
 		g.VMs.List = func(ctx context.Context) ([]msworker.VM, error) {
 			all, err := list(ctx)
 			for i := range all {
-				select {
-				case <-shownUp:
-				default:
+				if moving.Load() {
 					all[i].Up, all[i].Moving = false, true
 				}
 			}
@@ -88,8 +86,11 @@
 		}
 	}
 	e := w.entry("a")
+	// A worker that is first seen after a list that shows its VM away is kept.
+	awaitWorker(e, "w-1", func(w *worker) bool { return w.reachable })
+	moving.Store(true)
 	awaitWorker(e, "w-1", func(w *worker) bool { return w.terminated })
-	close(shownUp)
+	moving.Store(false)
 	w.submit(&msjob.Job{ID: rosterJob, Spec: "run=50ms", Steps: []msjob.Step{step(1)}})
 	w.await(e, rosterJob, msjob.Completed)
 }
