msscheduler: the answer to a start doesn't set the worker's clock

What callers would see: the tasks of a worker start elsewhere while they run.

If the next life answers before its first report, its clock, which may be far ahead, made all leases of the earlier one count as expired. The same class: a number of one process is taken for that of another.

Change: only reports, which name their life, set the clock.

Measured: TestAnswerOfTheNextLifeDoesNotSetTheClock fails without the change, with a clock of an hour. TestAnswerOfAnEarlierLifeDoesNotSetTheClock sends the start, as the answer's clock is no longer passed on; it checks the same.

--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -134,7 +134,7 @@
 	fenced := &msworker.Error{Worker: w.ID, Reason: msworker.Fenced}
 	r := planned(e, w)
 	r.state = runOrdered
-	require.False(t, e.handleStartAnswer(r, w.presentLife(), earlier, 0, fenced), "the start is sent again")
+	require.False(t, e.handleStartAnswer(r, w.presentLife(), earlier, fenced), "the start is sent again")
 	require.False(t, e.handleStopAnswer(r, earlier, fenced))
 	e.reportFailed(w, earlier, fenced)
 	require.Empty(t, e.termEnded)
--- a/msscheduler/lives_test.go
+++ b/msscheduler/lives_test.go
@@ -1,6 +1,7 @@
 package msscheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -40,15 +41,39 @@
 func TestAnswerOfAnEarlierLifeDoesNotSetTheClock(t *testing.T) {
 	t.Parallel()
 	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.Orders.Stop = func(context.Context, msworker.Worker, msworker.Stop) (time.Duration, error) { return time.Hour, nil }
 	e.syncWorkers(e.Clock.Now())
 	w := e.workers["w-0000"]
 	w.reported, w.reachable = false, false
 	e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{ProcessStart: 5, Clock: time.Hour})
 	r := planned(e, w)
 	r.state = runOrdered
-	life := w.presentLife()
-	e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{ProcessStart: 6, Clock: time.Second})
-	e.handleStartAnswer(r, life, e.Term.Epoch, time.Hour, nil)
+	e.Orders.Start = func(context.Context, msworker.Worker, msworker.Start) (time.Duration, error) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{ProcessStart: 6, Clock: time.Second})
+		return time.Hour, nil
+	}
+	e.startRun(t.Context(), r)
+	require.EqualValues(t, 6, w.processStart)
+	require.Less(t, w.lease.Clock(e.Clock.Now()), time.Minute)
+}
+
+// The next life answered a start before the restart was seen, and its clock, far ahead, was taken for
+// that of the life before: the tasks there counted as lost while they ran.
+func TestAnswerOfTheNextLifeDoesNotSetTheClock(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.reported, w.reachable = false, false
+	e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{ProcessStart: 5, Clock: time.Second})
+	r := planned(e, w)
+	r.state = runOrdered
+	e.Orders.Start = func(context.Context, msworker.Worker, msworker.Start) (time.Duration, error) { return time.Hour, nil }
+	e.startRun(t.Context(), r)
 	require.Less(t, w.lease.Clock(e.Clock.Now()), time.Minute)
 }
 
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -57,13 +57,14 @@
 		}
 		octx, cancel := context.WithTimeout(ctx, orderTimeout)
 		sent := e.Clock.Now()
-		clock, err := e.Orders.Start(octx, life, s)
+		// The answer doesn't say which life has given it, and so whose clock it bears.
+		_, err := e.Orders.Start(octx, life, s)
 		cancel()
 		e.Metrics.order("start", err, e.Clock.Now().Sub(sent))
 		if ctx.Err() != nil {
 			return
 		}
-		if e.handleStartAnswer(r, life, s.Token, clock, err) {
+		if e.handleStartAnswer(r, life, s.Token, err) {
 			return
 		}
 		_ = msclock.Sleep(ctx, e.Clock, orderRetryDelay)
@@ -157,13 +158,10 @@
 
 // handleStartAnswer handles the answer of a worker to a start for one of its lives, with the given
 // token, and reports whether the order is settled.
-func (e *Engine) handleStartAnswer(r *run, life msworker.Worker, token int64, clock time.Duration, err error) bool {
+func (e *Engine) handleStartAnswer(r *run, life msworker.Worker, token int64, err error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	if clock > 0 && life.ProcessStart == r.w.processStart {
-		r.w.lease.Observe(clock, now)
-	}
 	if msworker.ReasonOf(err) != msworker.Unknown {
 		r.unanswered = max(0, r.unanswered-1)
 	}
