msscheduler, platform, msworker: a start that finds another life asks for the report at once

What callers saw: after a restart that no report had shown yet, starts on the worker were given up after 0.8 s each and placed anew, for up to 2.7 s.

Cause: the leader learns of the restart by the report request that is open, and the start that found the next life told nobody.

Change: the error names the life that answered, and the open request is ended so that the next one follows at once.

Measured: TestStartThatFindsAnotherLifeAsksForTheReportAtOnce waits for the end of the request without the change.

--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -167,3 +167,27 @@
 	require.False(t, next.lease.Fenced())
 	require.Equal(t, time.Second+testMaxLease, next.lease.Until())
 }
+
+// A start found that its worker had restarted, and starts there were given up until the open report
+// request ended, up to 2.7 s later.
+func TestStartThatFindsAnotherLifeAsksForTheReportAtOnce(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.processStart = 5
+	asked := make(chan struct{})
+	e.Orders.RenewLease = func(ctx context.Context, _ msworker.Worker, _ msworker.LeaseRenewal) (msworker.Report, error) {
+		close(asked)
+		<-ctx.Done()
+		return msworker.Report{}, &msworker.Error{Worker: w.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+	}
+	done := make(chan bool)
+	go func() { done <- e.requestReport(t.Context(), w) }()
+	<-asked
+	r := planned(e, w)
+	r.state, r.orderedAt = runOrdered, e.Clock.Now()
+	e.handleStartAnswer(r, w.presentLife(), w.token, &msworker.Error{Worker: w.ID, Reason: msworker.NotSent, ProcessStart: 6})
+	require.True(t, <-done, "the next request follows at once")
+	require.True(t, w.reachable)
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -165,6 +165,9 @@
 	if msworker.ReasonOf(err) != msworker.Unknown {
 		r.unanswered = max(0, r.unanswered-1)
 	}
+	if msworker.FoundOtherLife(err) {
+		e.foundOtherLife(r.w, life)
+	}
 	if e.runs[r.runKey] != r || r.state != runOrdered {
 		return true
 	}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -95,6 +95,10 @@
 	crashed bool
 	// reportRequestedAt is when the latest report was requested.
 	reportRequestedAt time.Time
+	// cancelReport ends the open report request. reportOverdue says that it was ended because
+	// the worker has restarted since.
+	cancelReport  context.CancelFunc
+	reportOverdue bool
 	// pauses are the times for which the worker gets no new tasks, failures and stalls what
 	// speaks for another. pausedFor is why the latest pass has paused it.
 	pauses    mspause.Pauses
@@ -407,8 +411,9 @@
 		}
 	}
 	life := w.presentLife()
-	e.mu.Unlock()
 	reportCtx, cancel := context.WithTimeout(ctx, renewal.Wait+reportTimeoutMargin)
+	w.cancelReport = cancel
+	e.mu.Unlock()
 	report, err := e.Orders.RenewLease(reportCtx, life, renewal)
 	cancel()
 	if ctx.Err() != nil {
@@ -419,6 +424,12 @@
 	if w.terminated {
 		return false
 	}
+	if w.reportOverdue {
+		w.reportOverdue = false
+		if err != nil {
+			return true
+		}
+	}
 	if err != nil {
 		e.reportFailed(w, renewal.Token, err)
 		return false
@@ -446,6 +457,16 @@
 	}
 }
 
+// foundOtherLife handles an order that found another life than the given one. The next report shows
+// what it runs, so the open request isn't waited for.
+func (e *Engine) foundOtherLife(w *worker, life msworker.Worker) {
+	if w.processStart != life.ProcessStart || w.cancelReport == nil || w.reportOverdue {
+		return
+	}
+	w.reportOverdue = true
+	w.cancelReport()
+}
+
 // reportFailed handles a report request with the given token that failed.
 func (e *Engine) reportFailed(w *worker, token int64, err error) {
 	switch msworker.ReasonOf(err) {
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -98,8 +98,8 @@
 	return msworker.Orders{
 		Start: func(ctx context.Context, w msworker.Worker, s msworker.Start) (time.Duration, error) {
 			if j := find(w.ID); j != nil {
-				if w.ProcessStart != j.Born().UnixMilli() {
-					return 0, &msworker.Error{Worker: w.ID, Reason: msworker.NotSent}
+				if born := j.Born().UnixMilli(); w.ProcessStart != born {
+					return 0, &msworker.Error{Worker: w.ID, Reason: msworker.NotSent, ProcessStart: born}
 				}
 				return j.Start(ctx, s)
 			}
--- a/msworker/worker.go
+++ b/msworker/worker.go
@@ -188,7 +188,10 @@
 type Error struct {
 	Worker string
 	Reason Reason
-	Err    error
+	// ProcessStart is the start time of the life that answered, if it isn't the one that the
+	// order was for.
+	ProcessStart int64
+	Err          error
 }
 
 // Error returns the worker, the reason and the cause.
@@ -214,6 +217,12 @@
 	return Unknown
 }
 
+// FoundOtherLife reports whether an order wasn't sent because another life of the worker answers.
+func FoundOtherLife(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.ProcessStart != 0
+}
+
 // Registry is the list of workers. The zero value is empty and ready to use. It is safe
 // for concurrent use.
 type Registry struct {
