msscheduler: the log and counters show which life a call was for and why a lease was counted

What operators saw: of a task that had run twice, the log showed the lease end that was counted, but neither the life of the attempt, nor the fencing token of a call, nor whether the end was granted or assumed.

Two counters: first answers of restarted workers by whether they were fenced, and workers given up by the source of the lease.

--- a/msscheduler/metrics.go
+++ b/msscheduler/metrics.go
@@ -1,6 +1,7 @@
 package msscheduler
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -42,6 +43,9 @@
 	waits *prometheus.GaugeVec
 	// paused counts the paused workers, by reason.
 	paused *prometheus.GaugeVec
+	// nextLives counts the first answers of restarted workers, expiredLeases the workers that
+	// were given up as their lease had expired.
+	nextLives, expiredLeases *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with reg.
@@ -114,7 +118,13 @@
 	m.paused = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "marjoramspan_paused_workers", Help: "Workers that get no new tasks for a time, by reason.",
 	}, []string{"reason"})
-	reg.MustRegister(m.interferingPairs, m.apart, m.waits, m.paused)
+	m.nextLives = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_worker_lives_total", Help: "First answers of the next lives of workers under their IDs, by whether the answer already fenced off calls for earlier lives.",
+	}, []string{"fenced"})
+	m.expiredLeases = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marjoramspan_leases_expired_total", Help: "Workers with attempts whose lease expired while they were unreachable, by the source of the lease.",
+	}, []string{"source"})
+	reg.MustRegister(m.interferingPairs, m.apart, m.waits, m.paused, m.nextLives, m.expiredLeases)
 	reg.MustRegister(m.passes, m.orders, m.ends, m.jobs, m.losses, m.workers, m.givenUp, m.delayedRestarts, m.newerSites, m.teamCores, m.teamShare)
 	return m
 }
@@ -167,6 +177,18 @@
 	}
 }
 
+func (m *Metrics) nextLife(fenced bool) {
+	if m != nil {
+		m.nextLives.WithLabelValues(strconv.FormatBool(fenced)).Inc()
+	}
+}
+
+func (m *Metrics) leaseExpired(source msworker.LeaseSource) {
+	if m != nil {
+		m.expiredLeases.WithLabelValues(string(source)).Inc()
+	}
+}
+
 func (m *Metrics) cancel(stage string, took time.Duration) {
 	if m != nil {
 		m.cancels.WithLabelValues(stage).Observe(took.Seconds())
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -108,6 +108,7 @@
 	if s.Until != 0 {
 		r.sentAt = e.Clock.Now()
 		r.unanswered++
+		r.life = r.w.processStart
 		r.w.lease.Sent(s.Token)
 	}
 	return s, r.w.presentLife(), true
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -65,7 +65,10 @@
 	// late.
 	uncertain bool
 	// orderedAt is when the start was first sent.
-	orderedAt  time.Time
+	orderedAt time.Time
+	// life is the start time of the life that the latest start was sent to, or that has listed the
+	// attempt since.
+	life       int64
 	checkpoint string
 	// checkpointTooLarge is set once a checkpoint of the attempt was too large to be stored.
 	checkpointTooLarge bool
@@ -223,7 +226,7 @@
 		return
 	}
 	e.Logger.Info("attempt lost", zap.String("task", r.task.String()), zap.Int("attempt", r.attempt),
-		zap.String("worker", r.w.ID), zap.Int64("born", r.w.processStart), zap.String("reason", reason), zap.String("worker-end", end.String()),
+		zap.String("worker", r.w.ID), zap.Int64("born", r.life), zap.String("reason", reason), zap.String("worker-end", end.String()),
 		zap.Bool("uncertain", r.uncertain), zap.Bool("confirmed", !r.confirmedAt.IsZero()), zap.Duration("ran", r.confirmedRuntime()))
 	e.Metrics.lost(end)
 	t.Phase = msjob.Waiting
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -480,8 +480,7 @@
 	if w.reachable {
 		w.reachable = false
 		w.unreachableSince = e.Clock.Now()
-		e.Logger.Info("worker lost", zap.String("worker", w.ID), zap.Int64("born", w.processStart), zap.Int64("token", token), zap.Int("runs", len(w.runs)),
-			zap.Duration("lease-end", w.lease.Until()), zap.String("lease-source", string(w.lease.Source())), zap.Error(err))
+		e.Logger.Info("worker lost", append(w.leaseFields(e.Clock.Now()), zap.Int64("token", token), zap.Int("runs", len(w.runs)), zap.Error(err))...)
 	}
 }
 
@@ -489,7 +488,8 @@
 // was requested, and token the fencing token of the request.
 func (e *Engine) handleReport(w *worker, sent time.Time, token int64, rep msworker.Report) {
 	now := e.Clock.Now()
-	if w.reported && rep.ProcessStart != w.processStart {
+	hasRestarted := w.reported && rep.ProcessStart != w.processStart
+	if hasRestarted {
 		e.handleRestart(w, rep)
 	}
 	if rep.ProcessStart != w.processStart {
@@ -497,10 +497,12 @@
 		w.sourcesChanged()
 	}
 	w.lease.Observe(rep.Clock, now)
-	if fenced := w.lease.Fenced(); !fenced {
+	if !w.lease.Fenced() {
 		w.lease.Answered(token, e.Settings.MaxLease)
-		e.Logger.Info("next life of a worker answered", zap.String("worker", w.ID), zap.Int64("born", rep.ProcessStart), zap.Int64("token", token),
-			zap.Bool("fenced", w.lease.Fenced()), zap.Duration("worker-clock", rep.Clock), zap.Duration("lease-end", w.lease.Until()), zap.String("lease-source", string(w.lease.Source())))
+		e.Logger.Info("next life of a worker answered", append(w.leaseFields(now), zap.Int64("token", token))...)
+	}
+	if hasRestarted {
+		e.Metrics.nextLife(w.lease.Fenced())
 	}
 	if !w.reported {
 		// An earlier leader may have granted a lease just before it was fenced.
@@ -508,8 +510,7 @@
 	}
 	if !w.reachable {
 		w.reachable, w.crashed = true, false
-		e.Logger.Info("worker found", zap.String("worker", w.ID), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)),
-			zap.Duration("worker-clock", rep.Clock), zap.Duration("lease-end", w.lease.Until()))
+		e.Logger.Info("worker found", append(w.leaseFields(now), zap.Int64("token", token), zap.Int("runs", len(rep.Running)), zap.Int("ends", len(rep.Ended)))...)
 		e.wakeLoop()
 	}
 	if !w.reported {
@@ -573,6 +574,7 @@
 
 // updateRun applies what a report says of a known attempt.
 func (e *Engine) updateRun(r *run, row msworker.Run, now time.Time) {
+	r.life = r.w.processStart
 	if r.state == runAdopted || r.state == runOrdered {
 		r.state = runStarted
 		if r.answeredAt.IsZero() {
@@ -664,8 +666,8 @@
 		}
 		end := e.endOf(w, now)
 		runs := w.allRuns()
-		e.Logger.Info("lease of unreachable worker expired", zap.String("worker", w.ID), zap.Int("runs", len(runs)), zap.Bool("reported", w.reported), zap.Int64("born", w.processStart), zap.Int64("token", w.token), zap.Bool("fenced", w.lease.Fenced()),
-			zap.Duration("worker-clock", w.lease.Clock(now)), zap.Duration("lease-end", w.lease.Until()), zap.String("lease-source", string(w.lease.Source())))
+		e.Logger.Info("lease of unreachable worker expired", append(w.leaseFields(now), zap.Int("runs", len(runs)), zap.Bool("reported", w.reported))...)
+		e.Metrics.leaseExpired(w.lease.Source())
 		e.noteEnd(w, end, "lease expired", runs)
 		for _, r := range runs {
 			e.markLost(r, end, "lease expired while the worker was unreachable")
@@ -673,6 +675,15 @@
 	}
 }
 
+// leaseFields returns the life of the worker that is known and the lease that it may hold, as
+// logged.
+func (w *worker) leaseFields(now time.Time) []zap.Field {
+	return []zap.Field{
+		zap.String("worker", w.ID), zap.Int64("born", w.processStart), zap.Bool("fenced", w.lease.Fenced()), zap.Duration("worker-clock", w.lease.Clock(now)),
+		zap.Duration("lease-end", w.lease.Until()), zap.String("lease-source", string(w.lease.Source())),
+	}
+}
+
 // maxUnknownLease is how long after the start of a term a worker that has not been
 // reached in it may run attempts that earlier leaders started.
 func (e *Engine) maxUnknownLease(w *worker) time.Duration {
--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -131,8 +131,12 @@
 	}
 }
 
-// Source returns the kind of call that Until comes from, or "" if there was none.
+// Source returns the kind of call that Until comes from. That of a worker which has not answered
+// this scheduler is known to earlier ones only.
 func (l *Lease) Source() LeaseSource {
+	if l.source == "" {
+		return OfEarlierScheduler
+	}
 	return l.source
 }
 
