--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -116,7 +116,8 @@
 
 // needsReport reports whether a start without an answer may be repeated only after the next
 // report: the worker may have restarted since, because of the task or without a label that the
-// step asks for, and the report shows that.
+// step asks for, and the report shows that. The connection that a start goes over doesn't, as
+// whichever life is there when it arrives may carry it out.
 func (r *run) needsReport() bool {
 	if !r.uncertain || r.sentAt.IsZero() || r.w.reportRequestedAt.After(r.sentAt) {
 		return false
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -617,8 +617,9 @@
 }
 
 // handleRestart handles the restart of a worker under the same ID: its earlier attempts
-// no longer run, and the sequence numbers of its ends start again. Starts may have reached the
-// next life before the report did: those that it lists are of that life.
+// no longer run, and the sequence numbers of its ends start again. The next life may have carried
+// out starts without an answer before its first report: those that the report lists are of that
+// life.
 func (e *Engine) handleRestart(w *worker, rep msworker.Report) {
 	e.Logger.Info("worker restarted", zap.String("worker", w.ID), zap.Int64("born", rep.ProcessStart), zap.Int64("earlier-born", w.processStart), zap.Int("runs", len(w.runs)),
 		zap.Duration("worker-clock", rep.Clock), zap.Duration("earlier-lease-end", w.lease.Until()), zap.Int64("earlier-token", w.token))
