msscheduler: a report request is replaced once when a start finds another life

Cause: ended whatever request was open each time a start found another life, also the one that the first such start had asked for, and kept a mark where none was open.

Change: the mark belongs to the request, and one request is replaced for each life.

Found by review.

--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -191,3 +191,59 @@
 	require.True(t, <-done, "the next request follows at once")
 	require.True(t, w.reachable)
 }
+
+// Each further start that found the other life canceled the request that the first one had asked for.
+func TestRequestForTheReportOfAnotherLifeIsNotCanceledAgain(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.processStart = 5
+	asked := make(chan struct{})
+	e.Orders.RenewLease = func(ctx context.Context, _ msworker.Worker, _ msworker.LeaseRenewal) (msworker.Report, error) {
+		asked <- struct{}{}
+		select {
+		case <-ctx.Done():
+			return msworker.Report{}, &msworker.Error{Worker: w.ID, Reason: msworker.Unknown, Err: ctx.Err()}
+		case <-time.After(50 * time.Millisecond):
+			return msworker.Report{ProcessStart: 6, Clock: time.Second}, nil
+		}
+	}
+	other := &msworker.Error{Worker: w.ID, Reason: msworker.NotSent, ProcessStart: 6}
+	r := planned(e, w)
+	r.state, r.orderedAt, r.uncertain = runOrdered, e.Clock.Now(), true
+	canceled := 0
+	for range 20 {
+		done := make(chan bool)
+		go func() { done <- e.requestReport(t.Context(), w) }()
+		<-asked
+		e.handleStartAnswer(r, w.presentLife(), w.token, other)
+		<-done
+		if w.processStart == 6 {
+			break
+		}
+		canceled++
+	}
+	require.LessOrEqual(t, canceled, 1)
+}
+
+// A start found another life while no request was open, and the next failed request wasn't noticed.
+func TestFailureOfTheReportAfterAnotherLifeWasFoundIsNoticed(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.processStart = 5
+	e.Orders.RenewLease = func(context.Context, msworker.Worker, msworker.LeaseRenewal) (msworker.Report, error) {
+		return msworker.Report{ProcessStart: 5, Clock: time.Second}, nil
+	}
+	require.True(t, e.requestReport(t.Context(), w))
+	e.foundOtherLife(w, w.presentLife()) // No request is open.
+	e.Orders.RenewLease = func(context.Context, msworker.Worker, msworker.LeaseRenewal) (msworker.Report, error) {
+		return msworker.Report{}, &msworker.Error{Worker: w.ID, Reason: msworker.Unknown}
+	}
+	require.False(t, e.requestReport(t.Context(), w))
+	require.False(t, w.reachable)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -95,10 +95,10 @@
 	crashed bool
 	// reportRequestedAt is when the latest report was requested.
 	reportRequestedAt time.Time
-	// cancelReport ends the open report request. reportOverdue says that it was ended because
-	// the worker has restarted since.
-	cancelReport  context.CancelFunc
-	reportOverdue bool
+	// request is the open report request, or nil. replacedFor is the start time of the life for
+	// which a request was last replaced by another one.
+	request     *reportRequest
+	replacedFor int64
 	// pauses are the times for which the worker gets no new tasks, failures and stalls what
 	// speaks for another. pausedFor is why the latest pass has paused it.
 	pauses    mspause.Pauses
@@ -412,7 +412,8 @@
 	}
 	life := w.presentLife()
 	reportCtx, cancel := context.WithTimeout(ctx, renewal.Wait+reportTimeoutMargin)
-	w.cancelReport = cancel
+	request := &reportRequest{cancel: cancel}
+	w.request = request
 	e.mu.Unlock()
 	report, err := e.Orders.RenewLease(reportCtx, life, renewal)
 	cancel()
@@ -424,11 +425,9 @@
 	if w.terminated {
 		return false
 	}
-	if w.reportOverdue {
-		w.reportOverdue = false
-		if err != nil {
-			return true
-		}
+	w.request = nil
+	if err != nil && request.replaced {
+		return true
 	}
 	if err != nil {
 		e.reportFailed(w, renewal.Token, err)
@@ -457,14 +456,21 @@
 	}
 }
 
+// reportRequest is an open report request. replaced says that it was ended so that another one
+// follows at once.
+type reportRequest struct {
+	cancel   context.CancelFunc
+	replaced bool
+}
+
 // foundOtherLife handles an order that found another life than the given one. The next report shows
-// what it runs, so the open request isn't waited for.
+// what it runs, so the open request, which the given life won't answer, isn't waited for.
 func (e *Engine) foundOtherLife(w *worker, life msworker.Worker) {
-	if w.processStart != life.ProcessStart || w.cancelReport == nil || w.reportOverdue {
+	if w.request == nil || w.processStart != life.ProcessStart || w.replacedFor == life.ProcessStart {
 		return
 	}
-	w.reportOverdue = true
-	w.cancelReport()
+	w.replacedFor, w.request.replaced = life.ProcessStart, true
+	w.request.cancel()
 }
 
 // reportFailed handles a report request with the given token that failed.
