msscheduler: a restarted worker gets tasks again within a second

What callers would see: after a restart beside a start without an answer, a worker got no task for 2.1 to 3.3 s; a start that it had not answered granted it up to the longest lease.

Cause: withholds starts until a life has answered a token above all earlier ones. Starts to a worker that didn't answer were repeated every 60 ms and counted as sent with the raised token, although none got there, so that the first answer fenced nothing; the next request then waited as for an idle worker. Their lease end was the latest one that the worker might hold for any cause, which may lie beyond what the next leader counts.

Change: nothing but report requests goes to a worker that doesn't answer. A life that isn't fenced is asked every 0.1 s until a renewal of the term brings a higher token.

--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -247,3 +247,113 @@
 	require.False(t, e.requestReport(t.Context(), w))
 	require.False(t, w.reachable)
 }
+
+// maxRestartDelay bounds how long a restarted worker gets no task because it may still carry out
+// calls for its earlier life.
+const maxRestartDelay = time.Second
+
+// A start that waits for a worker which is down counted as sent to the next life, which then got no
+// task for up to 3.3 s.
+func TestRestartBesideAnUnansweredStartDoesNotWithholdAWorkerForSeconds(t *testing.T) {
+	t.Parallel()
+	for i := range 4 {
+		c := newTestCluster(t, 1)
+		first := c.all()[0]
+		var mu sync.Mutex
+		dark, lost := false, false
+		c.configure = func(g *Engine) {
+			renew, start := g.Orders.RenewLease, g.Orders.Start
+			g.Orders.RenewLease = func(ctx context.Context, entry msworker.Worker, l msworker.LeaseRenewal) (msworker.Report, error) {
+				mu.Lock()
+				d := dark
+				mu.Unlock()
+				if d {
+					return msworker.Report{}, &msworker.Error{Worker: entry.ID, Reason: msworker.NotSent}
+				}
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
+				go func() { // The crash ends open connections.
+					for ctx.Err() == nil {
+						time.Sleep(2 * time.Millisecond)
+						mu.Lock()
+						d := dark
+						mu.Unlock()
+						if d {
+							cancel()
+						}
+					}
+				}()
+				r, err := renew(ctx, entry, l)
+				if ctx.Err() != nil {
+					return msworker.Report{}, &msworker.Error{Worker: entry.ID, Reason: msworker.Unknown}
+				}
+				return r, err
+			}
+			g.Orders.Start = func(ctx context.Context, entry msworker.Worker, s msworker.Start) (time.Duration, error) {
+				mu.Lock()
+				d := dark
+				if !lost && s.Task.Job == "00000000000000bb" {
+					lost, dark = true, true
+					mu.Unlock()
+					return 0, &msworker.Error{Worker: entry.ID, Reason: msworker.Unknown}
+				}
+				mu.Unlock()
+				if d {
+					return 0, &msworker.Error{Worker: entry.ID, Reason: msworker.NotSent}
+				}
+				return start(ctx, entry, s)
+			}
+		}
+		e := c.entry("a")
+		c.submit(&msjob.Job{ID: "00000000000000aa", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+		c.await(e, "00000000000000aa", msjob.Completed)
+		time.Sleep(time.Duration(i) * 133 * time.Millisecond)
+		c.submit(&msjob.Job{ID: "00000000000000bb", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+		require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return lost }, eventually, time.Millisecond)
+		c.submit(&msjob.Job{ID: "00000000000000cc", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+		time.Sleep(600 * time.Millisecond)
+		first.RestartAt(0)
+		mu.Lock()
+		dark = false
+		mu.Unlock()
+		at := time.Now()
+		c.await(e, "00000000000000cc", msjob.Completed)
+		require.Less(t, time.Since(at), maxRestartDelay)
+	}
+}
+
+// The worker was asked with the wait of one without tasks, and got none for 2 s or more.
+func TestUnfencedWorkerIsAskedAgainSoon(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	w := restartedLife(t, e)
+	var wait time.Duration
+	e.Orders.RenewLease = func(_ context.Context, _ msworker.Worker, l msworker.LeaseRenewal) (msworker.Report, error) {
+		wait = l.Wait
+		return msworker.Report{ProcessStart: 6, Clock: 2 * time.Second}, nil
+	}
+	e.requestReport(t.Context(), w)
+	require.Equal(t, unfencedReportWait, wait)
+}
+
+// A start to a worker that doesn't answer granted the longest lease that it may hold for any cause,
+// where the next leader counts what leaders grant.
+func TestNothingIsSentToAWorkerThatDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	w := restartedLife(t, e)
+	require.Eventually(t, func() bool { return e.tokenFor(w) > e.Term.Epoch }, eventually, time.Millisecond)
+	e.handleReport(w, e.Clock.Now(), w.token, msworker.Report{ProcessStart: 6, Clock: 2 * time.Second})
+	w.reachable = false
+	r := planned(e, w)
+	r.state, r.orderedAt = runOrdered, e.Clock.Now()
+	s, _, ok := e.prepareStart(r)
+	require.True(t, ok)
+	require.Zero(t, s.Until)
+	r.orderedAt = e.Clock.Now().Add(-maxUnsentTime)
+	_, _, ok = e.prepareStart(r)
+	require.False(t, ok)
+	require.Empty(t, e.runs, "the task is placed anew")
+}
--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -50,8 +50,8 @@
 			return
 		}
 		if s.Until == 0 {
-			// No lease can be granted yet: the worker's clock isn't known, or the term
-			// isn't valid.
+			// No lease can be granted yet: the worker doesn't answer or isn't fenced, or
+			// the term isn't valid.
 			_ = msclock.Sleep(ctx, e.Clock, orderRetryDelay)
 			continue
 		}
@@ -96,14 +96,15 @@
 	if t := r.job.p.Task(r.task); t != nil {
 		s.Checkpoint = t.Checkpoint
 	}
+	if !r.w.reachable && r.unanswered == 0 && !r.uncertain && e.Clock.Now().Sub(r.orderedAt) >= maxUnsentTime {
+		e.markLost(r, notEnded, "its worker doesn't answer")
+		return msworker.Start{}, msworker.Worker{}, false
+	}
 	if r.needsReport() {
 		return s, r.w.presentLife(), true
 	}
-	if r.w.lease.Known() && r.w.lease.Fenced() && e.Term.Valid() && e.operatorsCurrent(e.Clock.Now()) {
-		s.Until = r.w.lease.Until()
-		if r.w.reachable {
-			s.Until = r.w.lease.Grant(e.Clock.Now(), e.leaseDuration())
-		}
+	if r.w.reachable && r.w.lease.Known() && r.w.lease.Fenced() && e.Term.Valid() && e.operatorsCurrent(e.Clock.Now()) {
+		s.Until = r.w.lease.Grant(e.Clock.Now(), e.leaseDuration())
 	}
 	if s.Until != 0 {
 		r.sentAt = e.Clock.Now()
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -27,6 +27,10 @@
 	servingReportWait = 300 * time.Millisecond
 	// idleReportWait is the same for a worker without tasks.
 	idleReportWait = 2 * time.Second
+	// unfencedReportWait is the same for a worker that may still carry out calls for an earlier
+	// life. Nothing starts there before it answers a higher token, which comes with the next
+	// renewal of the term.
+	unfencedReportWait = 100 * time.Millisecond
 	// reportTimeoutMargin is added to the wait to bound a report request.
 	reportTimeoutMargin = 700 * time.Millisecond
 	// reportRetryDelay is the delay after a failed report request.
@@ -409,6 +413,9 @@
 		if len(w.runs) == 0 {
 			renewal.Wait = idleReportWait
 		}
+		if !w.lease.Fenced() {
+			renewal.Wait = unfencedReportWait
+		}
 	}
 	life := w.presentLife()
 	reportCtx, cancel := context.WithTimeout(ctx, renewal.Wait+reportTimeoutMargin)
