msscheduler: a list of VMs of before a restart doesn't end a worker that is cut off

What callers would see: a task that runs on two workers at once, where a worker is cut off soon after a restart and the list of VMs lags.

Cause: whether a list is older than the life was asked only of workers that answer. Of one that doesn't, a VM that had been shown down since before the restart counted as proof that the worker had ended, within its lease.

Change: while the lists have shown the VM away since before the life was first seen, and for no longer than lists lag, its lease decides.

Found by review. Measured: TestLaggingListDoesNotGiveUpAWorkerThatIsCutOff fails without the change.

--- a/msscheduler/lives_test.go
+++ b/msscheduler/lives_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/msroster"
 	"marjoramspan/msworker"
 )
 
@@ -97,3 +98,32 @@
 		require.False(t, w.lease.Expired(seen.Add(d)), "%s before its end", end-slow(age+d))
 	}
 }
+
+// A list of VMs that lagged showed the VM of a worker as before its restart. The worker was cut off, and
+// its tasks started elsewhere within its lease.
+func TestLaggingListDoesNotGiveUpAWorkerThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Settings.MaxLease = testMaxLease
+	now := e.Clock.Now()
+	entry, _ := e.Registry.Worker("w-0000")
+	e.syncWorkers(now)
+	w := e.workers["w-0000"]
+	w.vm = "vm-0"
+	w.reported, w.reachable = false, false
+	e.handleReport(w, now, e.tokenFor(w), msworker.Report{ProcessStart: 5, Clock: time.Hour})
+	down := msworker.VM{Name: "vm-0", Pool: entry.Pool, Worker: w.ID}
+	e.applyVMs([]msworker.VM{down}, now.Add(-time.Second)) // The life before has crashed.
+	e.handleReport(w, now, e.tokenFor(w), msworker.Report{ProcessStart: 6, Clock: time.Second})
+	w.lease.Grant(now, e.leaseDuration())
+	r := planned(e, w)
+	r.state, r.orderedAt, r.answeredAt, r.confirmedAt = runStarted, now, now, now
+	w.reachable, w.unreachableSince = false, now // Cut off.
+	asked := now.Add(time.Second)
+	require.True(t, e.fleet.lagsBehind(&down, w.lifeSeenAt(), asked))
+	require.False(t, w.lease.Expired(asked))
+	e.applyVMs([]msworker.VM{down}, asked)
+	require.Contains(t, e.runs, r.runKey)
+	e.applyVMs([]msworker.VM{down}, now.Add(msroster.MaxListAge+time.Second))
+	require.NotContains(t, e.runs, r.runKey, "no list lags for so long")
+}
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -57,6 +57,15 @@
 	return msroster.ListLags(seenAt, f.orderedAt[vm.Name], f.awaySince[vm.Name], asked)
 }
 
+// isOfEarlierLife reports whether the list, requested at asked, may show a VM as it was before a
+// life of its worker that was first seen at seenAt: the VM has been away in each list since before
+// then, and lists that lag don't lag for longer.
+func (f *fleet) isOfEarlierLife(name string, seenAt, asked time.Time) bool {
+	vm := f.find(name)
+	since, away := f.awaySince[name]
+	return vm != nil && !vm.Up && away && seenAt.After(since) && asked.Sub(seenAt) < msroster.MaxListAge
+}
+
 // set replaces the list by one that was requested at asked.
 func (f *fleet) set(vms []msworker.VM, asked, now time.Time) {
 	before := make(map[string]*msworker.VM, len(f.vms))
@@ -193,6 +202,8 @@
 			}
 		case w.reachable && e.fleet.lagsBehind(e.fleet.find(w.vmName()), w.lifeSeenAt(), asked):
 			// A worker that has ended won't answer the next request.
+		case e.fleet.isOfEarlierLife(w.vmName(), w.lifeSeenAt(), asked):
+			// A worker that is cut off soon after a restart goes on.
 		case vm == nil || vm.Maintained || vm.Moving:
 			e.terminateWorker(w, "its VM is away or another worker")
 		case !w.reachable:
