msscheduler: a worker that returns long after it was dropped doesn't end the term

What callers would see: a change of leader for nothing, and the second or so that it takes.

If the same life returned later, it was called with the term's first token, which it rejected, and that was taken for a call of another leader.

Change: a worker that isn't known is called with the latest token of the term, which is above all that the term has used. Only leases of dropped workers are kept.

Found by review. Measured: the test fails without the change.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -123,8 +123,8 @@
 	// since it was last stored, recurring the active ones with several occurrences.
 	active, dirty, recurring map[string]*job
 	workers                  map[string]*worker
-	// dropped has the workers that were dropped lately, by ID.
-	dropped map[string]droppedWorker
+	// dropped has the leases of workers that were dropped lately, by ID.
+	dropped map[string]droppedLease
 	// registryVersion is the version of the registry that workers has, and
 	// registryPending is set while workers has any that the registry lacks or may lack.
 	registryVersion int64
--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -357,3 +357,23 @@
 	require.False(t, ok)
 	require.Empty(t, e.runs, "the task is placed anew")
 }
+
+// A worker that came back long after it was dropped was called with the term's first token, below the
+// one that it had seen. It rejected the call, and the term ended.
+func TestWorkerThatReturnsLongAfterItWasDroppedDoesNotEndTheTerm(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 2, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w, other := e.workers["w-0000"], e.workers["w-0001"]
+	w.reported, w.reachable = false, false
+	e.handleReport(w, e.Clock.Now(), e.tokenFor(w), msworker.Report{ProcessStart: 5, Clock: time.Second})
+	w.lease.Sent(e.tokenFor(w))
+	w.reachable = false
+	require.Eventually(t, func() bool { return e.tokenFor(w) > e.Term.Epoch }, eventually, time.Millisecond)
+	seen := w.token // The worker has answered a call with it.
+	e.dropWorker(w, e.Clock.Now())
+	e.dropWorker(other, e.Clock.Now().Add(msworker.MaxCallDelay+time.Second))
+	require.NotContains(t, e.dropped, w.ID)
+	require.GreaterOrEqual(t, e.tokenFor(e.workerFor("w-0000")), seen)
+}
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -255,8 +255,10 @@
 	w := e.workers[id]
 	if w == nil {
 		w = &worker{Worker: msworker.Worker{ID: id}, entry: msworker.Worker{ID: id}, runs: map[runKey]*run{}, stored: make(chan struct{}), unreachableSince: e.Clock.Now()}
-		if d, ok := e.dropped[id]; ok {
-			w.lease, w.token = d.lease, d.token
+		// This term may have called it before, with any token so far.
+		w.token = e.Term.LatestToken()
+		if lease, ok := e.dropped[id]; ok {
+			w.lease = lease.Lease
 			delete(e.dropped, id)
 		}
 		e.workers[id] = w
@@ -332,25 +334,22 @@
 	return e.workerFor(w.ID)
 }
 
-// droppedWorker is what the next life under a dropped worker's ID may still be sent.
-type droppedWorker struct {
-	lease msworker.Lease
-	token int64
-	at    time.Time
+// droppedLease is the lease of the next life under the ID of a worker that was dropped at a time.
+type droppedLease struct {
+	msworker.Lease
+	at time.Time
 }
 
-// dropWorker removes a worker, and keeps what matters to a next life under its ID for as long as
-// calls for this one may be carried out.
+// dropWorker removes a worker, and keeps the lease of the next life under its ID for as long as calls
+// for this one may be carried out.
 func (e *Engine) dropWorker(w *worker, now time.Time) {
 	delete(e.workers, w.ID)
 	e.sortedWorkers = nil
 	if e.dropped == nil {
-		e.dropped = map[string]droppedWorker{}
-	}
-	maps.DeleteFunc(e.dropped, func(_ string, d droppedWorker) bool { return now.Sub(d.at) > msworker.MaxCallDelay })
-	if w.reported || w.token > 0 {
-		e.dropped[w.ID] = droppedWorker{lease: w.lease.Next(), token: w.token, at: now}
+		e.dropped = map[string]droppedLease{}
 	}
+	maps.DeleteFunc(e.dropped, func(_ string, l droppedLease) bool { return now.Sub(l.at) > msworker.MaxCallDelay })
+	e.dropped[w.ID] = droppedLease{Lease: w.lease.Next(), at: now}
 }
 
 // startPolling requests reports from a worker until it is terminated.
