msworker: the lease of a life that isn't fenced may still grow

What callers would see: a task that runs on two workers at once, where a start that was carried out late runs on a life which is cut off before it is fenced.

Cause: the bound of such a life was the longest lease from its latest answer, though it may carry out calls for earlier lives after it.

Change: until it is fenced, the bound is the longest lease from when such calls are too late, or the earlier end. The first fenced answer brings it back to the longest lease from there.

Found by review. Measured: TestLifeTakesStrayCallsUntilItIsFenced fails without the change.

--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -40,6 +40,8 @@
 	earlierEnd   time.Duration
 	earlierToken int64
 	unfenced     bool
+	// strayEnd is until when this life may hold a lease from a call for an earlier one.
+	strayEnd time.Duration
 }
 
 // LeaseSource is the kind of call that a lease end comes from, as in logs.
@@ -74,8 +76,13 @@
 	if !l.unfenced {
 		return
 	}
-	l.extend(min(l.earlierEnd, l.clock+maxLease), OfEarlierLife)
 	l.unfenced = token <= l.earlierToken
+	l.strayEnd = min(l.earlierEnd, l.clock+maxLease)
+	if l.unfenced {
+		l.strayEnd = min(l.earlierEnd, l.clock+MaxCallDelay+maxLease)
+		return
+	}
+	l.extend(l.strayEnd, OfEarlierLife)
 }
 
 // Known reports whether the worker's clock is known.
@@ -134,14 +141,21 @@
 // Source returns the kind of call that Until comes from. That of a worker which has not answered
 // this scheduler is known to earlier ones only.
 func (l *Lease) Source() LeaseSource {
-	if l.source == "" {
+	switch {
+	case l.unfenced && l.strayEnd > l.latestEnd:
+		return OfEarlierLife
+	case l.source == "":
 		return OfEarlierScheduler
 	}
 	return l.source
 }
 
-// Until returns the latest lease end that this life may hold, on the worker's clock.
+// Until returns the latest lease end that this life may hold, on the worker's clock. One that
+// isn't fenced may still carry out calls for earlier lives after its latest answer.
 func (l *Lease) Until() time.Duration {
+	if l.unfenced {
+		return max(l.latestEnd, l.strayEnd)
+	}
 	return l.latestEnd
 }
 
@@ -159,7 +173,7 @@
 // Expired reports whether every lease that this life may hold has certainly expired on the
 // worker's clock, even if that clock runs slow by clockDrift.
 func (l *Lease) Expired(now time.Time) bool {
-	return l.Clock(now) > l.latestEnd
+	return l.Clock(now) > l.Until()
 }
 
 // InheritedLease returns the longest lease that a life of the given age may hold from calls of
