msscheduler: a worker that a new leader has not reached may hold the longest lease

What callers would see: a task that runs on two workers at once, where the leader changes and a worker is cut off after a restart that its entry doesn't show yet.

Cause: how long the next leader waits for a worker that it can't reach followed from the age of the worker by its entry, and before from what leaders grant. The entry may be of the life before, and the present one may hold the longest lease.

Change: it waits for the longest lease, on a slow clock.

Found by review. It costs up to 2 s (6 s where the longest lease is 10 s) after a change of leader beside a cut; VMs that lists show down don't wait for it.

--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -674,7 +674,7 @@
 		if w.lease.Known() && !w.lease.Expired(now) {
 			continue
 		}
-		if !w.lease.Known() && now.Sub(e.startedAt) < e.maxUnknownLease(w) {
+		if !w.lease.Known() && now.Sub(e.startedAt) < e.maxUnknownLease() {
 			continue
 		}
 		end := e.endOf(w, now)
@@ -698,9 +698,10 @@
 }
 
 // maxUnknownLease is how long after the start of a term a worker that has not been
-// reached in it may run attempts that earlier leaders started.
-func (e *Engine) maxUnknownLease(w *worker) time.Duration {
-	d := msworker.InheritedLease(e.inheritedLease(), e.Settings.MaxLease, e.ageOf(w.entry.ProcessStart))
+// reached in it may run attempts that earlier leaders started. Its entry may be of an earlier
+// life, so that the present one may hold the longest lease.
+func (e *Engine) maxUnknownLease() time.Duration {
+	d := max(e.inheritedLease(), e.Settings.MaxLease+e.Settings.MaxLease/20)
 	if e.Term.Released {
 		return d
 	}
