msscheduler: an unanswered start is barred on the next life before its task starts elsewhere

What callers would see: a task that runs on two workers at once, where a worker crashes as it is sent a start, its VM is shown down, and the next life carries the start out.

Cause: attempts were dropped with their worker also if their start had no answer, and nothing says that it was not carried out later. docs/design/27 left that open; a review showed it by a test.

Change: such an attempt is kept for the worker's next life and stopped there. It is given up once that life has answered the stop or the fence, and 6 s after its start was first sent at the latest, so that the task of a VM that is gone for good starts elsewhere within the 7 s for which a task may wait. The end of the worker counts once against it. A life that comes later than that may still carry the start out before its first answer.

--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/msstandin"
 	"marjoramspan/msworker"
 )
 
@@ -146,6 +147,7 @@
 func TestDroppedWorkerThatReturnsMayTakeCallsForItsEarlierLife(t *testing.T) {
 	t.Parallel()
 	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term = validTerm(t)
 	w := restartedLife(t, e)
 	entry, _ := e.Registry.Worker(w.ID)
 	e.Registry.Drop(w.ID)
@@ -158,11 +160,11 @@
 		<-ctx.Done()
 		return msworker.Report{}, ctx.Err()
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.syncWorkers(e.Clock.Now())
 	next := e.workers[w.ID]
 	require.NotSame(t, w, next)
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.handleReport(next, e.Clock.Now(), e.tokenFor(next), msworker.Report{ProcessStart: 7, Clock: time.Second})
 	require.False(t, next.lease.Fenced())
 	require.GreaterOrEqual(t, next.lease.Until(), time.Second+testMaxLease)
@@ -377,3 +379,85 @@
 	require.NotContains(t, e.dropped, w.ID)
 	require.GreaterOrEqual(t, e.tokenFor(e.workerFor("w-0000")), seen)
 }
+
+// crashAtFirstStart returns a cluster of one worker that crashes as it is sent its first start, which gets
+// no answer. Lists show its VM down until up is called. late returns that start.
+func crashAtFirstStart(t *testing.T) (c *testCluster, first *msstandin.JobWorker, late func() msworker.Start, up func()) {
+	t.Helper()
+	c = newTestCluster(t, 1)
+	first = c.all()[0]
+	first.FirstClock = time.Hour
+	c.vms.KeepIDs = true
+	var mu sync.Mutex
+	var sent *msworker.Start
+	down := false
+	c.configure = func(g *Engine) {
+		start, list := g.Orders.Start, g.VMs.List
+		g.Orders.Start = func(ctx context.Context, entry msworker.Worker, s msworker.Start) (time.Duration, error) {
+			mu.Lock()
+			isFirst := sent == nil
+			if isFirst {
+				sent, down = &s, true
+				first.SetDown(true)
+				c.vms.Add(msworker.VM{Name: "vm-second", Pool: "booth", Rack: "r9", Up: true, Capacity: msjob.Resources{CPU: 4000, Memory: 8000}})
+			}
+			mu.Unlock()
+			if isFirst {
+				return 0, &msworker.Error{Worker: entry.ID, Reason: msworker.Unknown}
+			}
+			return start(ctx, entry, s)
+		}
+		g.VMs.List = func(ctx context.Context) ([]msworker.VM, error) {
+			vms, err := list(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			for i := range vms {
+				vms[i].Up = vms[i].Up && (!down || vms[i].Worker != first.Worker.ID)
+			}
+			return vms, err
+		}
+	}
+	late = func() msworker.Start {
+		mu.Lock()
+		defer mu.Unlock()
+		if sent == nil {
+			return msworker.Start{}
+		}
+		return *sent
+	}
+	up = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		down = false
+		first.RestartAt(0)
+	}
+	return c, first, late, up
+}
+
+// The attempt of a start without an answer was dropped as a list showed its VM down. The next life
+// carried the start out before it was fenced, and the task ran on two workers.
+func TestTaskRunsOnceWhenALateStartReachesTheNextLifeOfAVMThatWasDown(t *testing.T) {
+	t.Parallel()
+	c, first, late, up := crashAtFirstStart(t)
+	e := c.entry("a")
+	c.submit(&msjob.Job{ID: "00000000000000bb", Team: "fitters", Spec: "run=1s", Steps: []msjob.Step{step(1)}})
+	require.Eventually(t, func() bool { return late().Attempt > 0 }, eventually, time.Millisecond)
+	time.Sleep(2 * time.Second) // Lists show the VM down.
+	up()
+	first.SetDown(false)
+	_, _ = first.Start(t.Context(), late()) // Its answer is lost.
+	c.await(e, "00000000000000bb", msjob.Completed)
+	c.requireNoDuplicates()
+}
+
+// A VM that is gone for good kept the task of a start without an answer from starting elsewhere.
+func TestTaskOfAnUnansweredStartRunsElsewhereIfItsVMStaysDown(t *testing.T) {
+	t.Parallel()
+	c, _, late, _ := crashAtFirstStart(t)
+	e := c.entry("a")
+	c.submit(&msjob.Job{ID: "00000000000000bb", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(1)}})
+	require.Eventually(t, func() bool { return late().Attempt > 0 }, eventually, time.Millisecond)
+	at := time.Now()
+	c.await(e, "00000000000000bb", msjob.Completed)
+	require.Less(t, time.Since(at), 7*time.Second)
+}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -45,6 +45,8 @@
 	// answeredAt is when a start or a stop was answered; only a report requested after
 	// it shows whether the worker has the attempt.
 	answeredAt time.Time
+	// endNoted says that the end of its worker has been counted.
+	endNoted bool
 	// suspect is set if a worker may have crashed because of the task, isolated if it has to
 	// start apart from others: beside tasks of its group only.
 	suspect, isolated bool
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -214,11 +214,7 @@
 					runs = append(runs, r)
 				}
 			}
-			end := e.endOf(w, now)
-			e.noteEnd(w, end, "VM down", runs)
-			for _, r := range runs {
-				e.markLost(r, end, "its VM is down")
-			}
+			e.giveUp(w, runs, e.endOf(w, now), "VM down", "its VM is down")
 		}
 	}
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -639,7 +639,7 @@
 	if !w.drainingSince.IsZero() {
 		end, w.drainingSince = endedAsPlanned, time.Time{}
 	}
-	runs := slices.DeleteFunc(w.allRuns(), func(r *run) bool { return listsRun(rep, r.runKey) })
+	runs := slices.DeleteFunc(w.allRuns(), func(r *run) bool { return r.endNoted || listsRun(rep, r.runKey) })
 	e.noteEnd(w, end, "restarted", runs)
 	w.processed, w.acked = 0, 0
 	w.lease = w.lease.Next()
@@ -671,6 +671,7 @@
 		if w.reachable || len(w.runs) == 0 {
 			continue
 		}
+		e.dropLateStarts(w, now)
 		if w.lease.Known() && !w.lease.Expired(now) {
 			continue
 		}
@@ -679,11 +680,49 @@
 		}
 		end := e.endOf(w, now)
 		runs := w.allRuns()
-		e.Logger.Info("lease of unreachable worker expired", append(w.leaseFields(now), zap.Int("runs", len(runs)), zap.Bool("reported", w.reported))...)
-		e.Metrics.leaseExpired(w.lease.Source())
-		e.noteEnd(w, end, "lease expired", runs)
-		for _, r := range runs {
-			e.markLost(r, end, "lease expired while the worker was unreachable")
+		if slices.ContainsFunc(runs, func(r *run) bool { return !r.endNoted }) {
+			e.Logger.Info("lease of unreachable worker expired", append(w.leaseFields(now), zap.Int("runs", len(runs)), zap.Bool("reported", w.reported))...)
+			e.Metrics.leaseExpired(w.lease.Source())
+		}
+		e.giveUp(w, runs, end, "lease expired", "lease expired while the worker was unreachable")
+	}
+}
+
+// unansweredStartTime is how long after its start was first sent an attempt without an answer is kept
+// for the next life of its worker, which may carry the start out. A task whose turn has come may
+// wait for 7 s while nothing else fails.
+const unansweredStartTime = 6 * time.Second
+
+// mayStartLate reports whether the next life of the worker may still carry out a start of the attempt
+// that got no answer.
+func (r *run) mayStartLate(now time.Time) bool {
+	return r.unanswered > 0 && !r.sentAt.IsZero() && now.Sub(r.orderedAt) < unansweredStartTime
+}
+
+// giveUp gives up attempts of a worker that has ended or whose lease has expired. One that its next
+// life may still start is stopped there first.
+func (e *Engine) giveUp(w *worker, runs []*run, end workerEnd, workerReason, reason string) {
+	runs = slices.DeleteFunc(runs, func(r *run) bool { return r.endNoted })
+	e.noteEnd(w, end, workerReason, runs)
+	now := e.Clock.Now()
+	for _, r := range runs {
+		if !r.mayStartLate(now) {
+			e.markLost(r, end, reason)
+			continue
+		}
+		r.endNoted = true
+		e.stop(r)
+		if s := r.step(); s != nil && s.Gang {
+			e.stopGang(r, reason)
+		}
+	}
+}
+
+// dropLateStarts gives up the attempts of a worker that were kept for its next life for long enough.
+func (e *Engine) dropLateStarts(w *worker, now time.Time) {
+	for _, r := range w.allRuns() {
+		if r.endNoted && !r.mayStartLate(now) {
+			e.markLost(r, e.endOf(w, now), "no later life of its worker has answered")
 		}
 	}
 }
