--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -461,3 +461,43 @@
 	c.await(e, "00000000000000bb", msjob.Completed)
 	require.Less(t, time.Since(at), 7*time.Second)
 }
+
+// The task of a start without an answer runs elsewhere, as its worker has not come back for long. A life
+// that begins then carries the start out before the leader's first answered call to it.
+func TestTaskRunsOnceWhenALateStartReachesALifeThatBeginsMuchLater(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 1)
+	first := c.all()[0]
+	first.FirstClock = time.Hour
+	var mu sync.Mutex
+	var late *msworker.Start
+	c.configure = func(g *Engine) {
+		start := g.Orders.Start
+		g.Orders.Start = func(ctx context.Context, entry msworker.Worker, s msworker.Start) (time.Duration, error) {
+			mu.Lock()
+			if late == nil {
+				late = &s
+			}
+			mine := late.Task == s.Task && late.Attempt == s.Attempt
+			mu.Unlock()
+			if mine {
+				first.SetDown(true) // The worker crashes; the start is still under way.
+				return 0, &msworker.Error{Worker: entry.ID, Reason: msworker.Unknown}
+			}
+			return start(ctx, entry, s)
+		}
+	}
+	_ = c.entry("a")
+	c.submit(&msjob.Job{ID: "00000000000000bb", Team: "fitters", Spec: "run=3s", Steps: []msjob.Step{step(1)}})
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return late != nil }, eventually, time.Millisecond)
+	c.vms.Add(msworker.VM{Name: "vm-second", Pool: "booth", Rack: "r9", Up: true, Capacity: msjob.Resources{CPU: 4000, Memory: 8000}})
+	require.Eventually(t, func() bool {
+		runs := c.journal.Runs()
+		return len(runs) == 1 && runs[0].Worker != first.Worker.ID
+	}, eventually, 5*time.Millisecond, "the task doesn't run elsewhere")
+	first.RestartAt(0)
+	first.SetDown(false)
+	_, err := first.Start(t.Context(), *late)
+	require.NoError(t, err)
+	c.requireNoDuplicates()
+}
