msscheduler: stored ends of an earlier life acknowledge none of the next one

What callers would see: tasks that are done run again, after a worker has restarted under its ID while the leader stored its ends.

Cause: ends are numbered anew with each life of a worker. The leader collects the latest number of each worker with the records that it stores, and acknowledges it once they are stored. When the report of the next life came in between, the number of the earlier life was taken for one of the next, over a connection and with a token of that life. The worker forgot ends that nobody had seen, and their tasks counted as lost. The class: a number of one process is taken for that of another, here within the leader.

Change: the batch says which life the number is of.

--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -451,7 +451,17 @@
 	// records go onto the stream of progress.
 	records []msjournal.Record
 	starts  []*run
-	acked   map[*worker]int64
+	// acked has the latest end of each worker whose effect is in records.
+	acked map[*worker]handledEnd
+}
+
+// handledEnd is the number of an end on one life of a worker. Each life numbers its ends anew.
+type handledEnd struct {
+	processStart, seq int64
+}
+
+func newBatch() batch {
+	return batch{acked: map[*worker]handledEnd{}}
 }
 
 // pass makes all decisions that the known state calls for. The caller holds mu.
@@ -460,7 +470,7 @@
 	e.syncWorkers(now)
 	e.syncZones(now)
 	e.expireLeases(now)
-	b := batch{acked: map[*worker]int64{}}
+	b := newBatch()
 	e.evacuate(now)
 	e.checkInterference(now)
 	e.evacuateZones(now)
@@ -499,7 +509,7 @@
 	e.collectExpired(b, now)
 	for _, w := range e.workersByID() {
 		if w.processed > w.acked {
-			b.acked[w] = w.processed
+			b.acked[w] = handledEnd{processStart: w.processStart, seq: w.processed}
 		}
 	}
 	e.publishWaves()
--- a/msscheduler/store.go
+++ b/msscheduler/store.go
@@ -102,9 +102,9 @@
 		e.failUnstored(id)
 	}
 	if len(refused) == 0 {
-		for w, n := range b.acked {
-			if n > w.acked {
-				w.acked = n
+		for w, end := range b.acked {
+			if end.processStart == w.processStart && end.seq > w.acked {
+				w.acked = end.seq
 				w.signalStored()
 			}
 		}
