msscheduler: a pace without an answer is sent again

What callers would see: a backfill task that works slowly, or not at all, beside tasks that leave it room.

Cause: a pace without an answer may have been carried out. The leader took the attempt to work at the speed before, so when that was the wanted one again, it sent nothing.

Change: the speed is unknown then, and the next report sends the wanted one.

Measured: TestPaceWithoutAnAnswerIsSentAgain fails without the change: nothing is sent.

--- a/msscheduler/otherlife_test.go
+++ b/msscheduler/otherlife_test.go
@@ -1,6 +1,7 @@
 package msscheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -30,3 +31,38 @@
 	require.NoError(t, e.commit(t.Context(), b))
 	require.EqualValues(t, 1, w.acked)
 }
+
+// backfillRun adds an attempt of a backfill task that runs on w.
+func backfillRun(e *Engine, w *worker) *run {
+	r := planned(e, w)
+	r.state = runStarted
+	r.job.def.Steps[0].Backfill = true
+	return r
+}
+
+// A pace was carried out and its answer lost. The leader took the attempt to work at its speed before,
+// and when the worker had room again, it left it paced down for good.
+func TestPaceWithoutAnAnswerIsSentAgain(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.ctx = t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	r := backfillRun(e, w)
+	e.Orders.Throttle = func(context.Context, msworker.Worker, msworker.Throttle) (time.Duration, error) {
+		return 0, &msworker.Error{Worker: w.ID, Reason: msworker.Unknown}
+	}
+	e.throttleRun(t.Context(), r, 0)
+	sent := make(chan int, 1)
+	e.Orders.Throttle = func(_ context.Context, _ msworker.Worker, p msworker.Throttle) (time.Duration, error) {
+		sent <- p.Percent
+		return time.Second, nil
+	}
+	e.throttleWorker(w, e.Clock.Now())
+	e.group.Wait()
+	require.Len(t, sent, 1)
+	require.Equal(t, fullPercent, <-sent)
+	e.throttleWorker(w, e.Clock.Now())
+	e.group.Wait()
+	require.Empty(t, sent)
+}
--- a/msscheduler/pace.go
+++ b/msscheduler/pace.go
@@ -60,7 +60,10 @@
 		r.throttlePercent = percent
 		return
 	}
-	if msworker.ReasonOf(err) == msworker.Fenced {
+	switch msworker.ReasonOf(err) {
+	case msworker.Unknown:
+		r.throttlePercent = unknownPercent
+	case msworker.Fenced:
 		e.fenced(r.w, token, err)
 	}
 }
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -74,7 +74,8 @@
 	// progressedAt is when percent last rose.
 	progressedAt time.Time
 	// servingAt is when a long-running task was last seen serving.
-	servingAt       time.Time
+	servingAt time.Time
+	// throttlePercent is the speed that the worker was told, or unknownPercent.
 	throttlePercent int
 	// throttlePending is set while a throttle request is in flight.
 	throttlePending bool
@@ -187,7 +188,11 @@
 	}
 }
 
-const fullPercent = 100
+const (
+	fullPercent = 100
+	// unknownPercent is the speed of an attempt that may have been told one without an answer.
+	unknownPercent = -1
+)
 
 // adoptRuns adds the attempts that a job's stored progress shows as assigned.
 func (e *Engine) adoptRuns(j *job) {
