msscheduler: the next leader sets the pace of the attempts that it adopts

What callers would see: after a change of leader, a backfill task that the leader before had paced down works on at that speed, down to none, until it counts as stalled.

Cause: what one leader has told a worker isn't known to the next one, which took each attempt to work at full speed and so sent no pace until its own wanted speed fell.

Change: the speed of an adopted backfill attempt is unknown, and the first report sends the wanted one, one call each. It begins at full speed, as for an attempt that starts.

Measured: TestNextLeaderSetsThePaceOfAdoptedAttempts fails without the change: nothing is sent.

--- a/msscheduler/otherlife_test.go
+++ b/msscheduler/otherlife_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
 
@@ -66,3 +67,27 @@
 	e.group.Wait()
 	require.Empty(t, sent)
 }
+
+// The leader before had paced a task down. The next one took it to work at full speed, and never sent
+// another pace.
+func TestNextLeaderSetsThePaceOfAdoptedAttempts(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.ctx = t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	j := e.jobs["0000000000000000"]
+	j.def.Steps[0].Backfill = true
+	j.p.Occurrence(j.def, 0).Steps[0][0] = msjob.Task{Phase: msjob.Assigned, Attempt: 1, Worker: w.ID}
+	e.adoptRuns(j)
+	var paces []int
+	e.Orders.Throttle = func(_ context.Context, _ msworker.Worker, p msworker.Throttle) (time.Duration, error) {
+		paces = append(paces, p.Percent)
+		return time.Second, nil
+	}
+	for range 2 {
+		e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{Clock: time.Second, Running: []msworker.Run{{Task: msjob.TaskID{Job: j.def.ID}, Attempt: 1}}})
+		e.group.Wait()
+	}
+	require.Equal(t, []int{fullPercent}, paces)
+}
--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -190,7 +190,8 @@
 
 const (
 	fullPercent = 100
-	// unknownPercent is the speed of an attempt that may have been told one without an answer.
+	// unknownPercent is the speed of an attempt that may have been told one without an answer, or by
+	// an earlier leader.
 	unknownPercent = -1
 )
 
@@ -207,6 +208,9 @@
 				n := e.newRun(j, id, t.Attempt, e.workerFor(t.Worker))
 				// The earlier leader may have sent the start without an answer.
 				n.state, n.uncertain, n.adopted, n.unanswered = runAdopted, true, true, 1
+				if j.def.Steps[s].Backfill {
+					n.throttlePercent = unknownPercent
+				}
 				e.addRun(n)
 			}
 		}
