msentry: what a request to an earlier boot of a VM found doesn't count for the next one

What callers would see: requests wait or are refused for up to a minute beside a VM that has restarted and takes them.

Cause: the result of a request was noted under the VM's name alone. A "leaving", or a failed connection, of the boot before that arrived after the list of VMs had shown the restart left out the next boot; an answer of the boot before ended its backoff. The class: an answer of one process is taken for that of another.

Change: results count only if the VM has the address and boot that the request was granted for. Tests name the VM as listed instead of by its name; what they check is as before.

--- a/msentry/due_test.go
+++ b/msentry/due_test.go
@@ -34,7 +34,7 @@
 	h.p.updateEntitlements(h.now)
 	require.Equal(t, 3, h.p.sched.TargetSlots(h.now))
 	require.Equal(t, 3, h.slotEntitlements())
-	h.p.vms.setLeaving("vm-1", h.now)
+	h.p.vms.setLeaving(h.vm("vm-1"), h.now)
 	h.now = h.now.Add(time.Second)
 	h.p.updateEntitlements(h.now)
 	require.Zero(t, h.p.ledger.Counts(msstate.SlotResource("vm-1")).Entitlement)
--- a/msentry/pool_test.go
+++ b/msentry/pool_test.go
@@ -43,10 +43,10 @@
 				}
 			},
 			"leave": func(t *rapid.T) {
-				h.p.vms.setLeaving(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm"), h.now)
+				h.p.vms.setLeaving(h.vm(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm")), h.now)
 			},
 			"fail": func(t *rapid.T) {
-				h.p.vms.recordFailure(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm"), h.now, h.now)
+				h.p.vms.recordFailure(h.vm(rapid.SampledFrom(h.p.vmNames).Draw(t, "vm")), h.now, h.now)
 			},
 			"tick": func(t *rapid.T) {
 				h.now = h.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
@@ -93,6 +93,11 @@
 	return h
 }
 
+// vm returns the VM as last listed.
+func (h *poolHarness) vm(name string) mslog.VM {
+	return h.p.vms.vms[name].vm
+}
+
 // collect moves granted requests from waiting to running, and removes expired ones.
 func (h *poolHarness) collect() {
 	kept := h.waiting[:0]
@@ -171,7 +176,7 @@
 
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	h := newPoolHarness()
-	h.p.vms.setLeaving("vm-1", h.now)
+	h.p.vms.setLeaving(h.vm("vm-1"), h.now)
 	for id := range uint64(4) {
 		ticket, err := h.p.enqueue(msteam.Waiter{ID: id + 1, Team: "a", Arrived: h.now}, h.now)
 		require.NoError(t, err)
--- a/msentry/run.go
+++ b/msentry/run.go
@@ -154,7 +154,7 @@
 		rq.releaseWhenDone(g, started, until, ue.Sent)
 		return ue
 	}
-	e.vms.recordAnswer(g.vm.Name)
+	e.vms.recordAnswer(g.vm)
 	whole := rq.relayResponse(res, cl)
 	cancel()
 	rq.releaseWhenDone(g, started, until, !whole)
@@ -173,7 +173,7 @@
 
 // checkSend is called once the upstream is connected, just before the first byte is sent.
 func (rq *request) checkSend(g grant) error {
-	if rq.e.vms.recordConnected(g.vm.Name) {
+	if rq.e.vms.recordConnected(g.vm) {
 		rq.e.dispatchAll()
 	}
 	if fresh, _ := rq.e.view.Fresh(rq.e.now()); !fresh {
@@ -212,11 +212,11 @@
 	now := e.now()
 	switch {
 	case err.Reason == msupstream.ReasonLeaving:
-		if e.vms.setLeaving(g.vm.Name, now) {
+		if e.vms.setLeaving(g.vm, now) {
 			e.Log.Info("upstream is leaving", zap.String("vm", g.vm.Name))
 		}
 	case !err.Sent && isFailureOfVM(err.Reason):
-		e.vms.recordFailure(g.vm.Name, began, now)
+		e.vms.recordFailure(g.vm, began, now)
 	}
 	if err.Sent {
 		e.sender.DropAddress(g.vm.Address)
--- a/msentry/vms.go
+++ b/msentry/vms.go
@@ -130,6 +130,16 @@
 	return s
 }
 
+// presentState returns the state of the VM, or nil if it has another address or boot by now: what
+// is learned of a VM that has restarted doesn't hold for its next boot. The caller holds mu.
+func (t *vmTable) presentState(vm mslog.VM) *vmState {
+	s := t.vms[vm.Name]
+	if s == nil || s.vm.Address != vm.Address || s.vm.BootID != vm.BootID {
+		return nil
+	}
+	return s
+}
+
 // usable returns the VM and whether it may be given new work at now. For needed see
 // vmBackoff.
 func (t *vmTable) usable(name string, now time.Time, needed bool) (mslog.VM, bool) {
@@ -168,11 +178,11 @@
 
 // setLeaving records that the VM reported to this entry that it is leaving, and returns
 // whether that is new.
-func (t *vmTable) setLeaving(name string, now time.Time) bool {
+func (t *vmTable) setLeaving(vm mslog.VM, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.stateOf(name)
-	if now.Before(s.leavingUntil) {
+	s := t.presentState(vm)
+	if s == nil || now.Before(s.leavingUntil) {
 		return false
 	}
 	s.leavingUntil = now.Add(leavingTTL)
@@ -232,11 +242,11 @@
 // recordFailure records an attempt to use the VM that began at began and failed, and
 // starts its backoff. Attempts that were under way during another failure say
 // nothing more than that one.
-func (t *vmTable) recordFailure(name string, began, now time.Time) {
+func (t *vmTable) recordFailure(vm mslog.VM, began, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.stateOf(name)
-	if began.Before(s.failedAt) {
+	s := t.presentState(vm)
+	if s == nil || began.Before(s.failedAt) {
 		return
 	}
 	s.failures++
@@ -246,20 +256,26 @@
 
 // recordConnected ends the VM's pause, and returns whether there may have been one. The
 // next one grows on until the VM answers a request: it may refuse them all.
-func (t *vmTable) recordConnected(name string) bool {
+func (t *vmTable) recordConnected(vm mslog.VM) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.stateOf(name)
+	s := t.presentState(vm)
+	if s == nil {
+		return false
+	}
 	s.failedAt = time.Time{}
 	s.triedUntil = time.Time{}
 	return s.failures > 0
 }
 
 // recordAnswer ends the VM's backoff.
-func (t *vmTable) recordAnswer(name string) {
+func (t *vmTable) recordAnswer(vm mslog.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.stateOf(name)
+	s := t.presentState(vm)
+	if s == nil {
+		return
+	}
 	s.failures = 0
 	s.triedUntil = time.Time{}
 }
--- a/msentry/vms_test.go
+++ b/msentry/vms_test.go
@@ -17,7 +17,7 @@
 	for _, vms := range []*vmTable{first, second} {
 		vms.set([]mslog.VM{{Name: "vm-1", Address: "x", State: mslog.VMLive}}, now)
 	}
-	require.True(t, first.setLeaving("vm-1", now))
+	require.True(t, first.setLeaving(first.vms["vm-1"].vm, now))
 	const heartbeat = time.Second
 	for range 3 * leavingTTL / heartbeat {
 		now = now.Add(heartbeat / 2)
@@ -54,7 +54,7 @@
 	h.now = h.now.Add(time.Millisecond)
 	for range connections {
 		for _, name := range h.p.vmNames {
-			h.p.vms.recordFailure(name, began, h.now)
+			h.p.vms.recordFailure(h.vm(name), began, h.now)
 		}
 	}
 }
@@ -81,7 +81,7 @@
 	h.now = h.now.Add(neededVMBackoff)
 	h.p.dispatch(h.now)
 	require.Equal(t, 2, h.enterAll(t), "each VM gets one request until it is connected")
-	require.True(t, h.p.vms.recordConnected("vm-1"))
+	require.True(t, h.p.vms.recordConnected(h.vm("vm-1")))
 	h.p.dispatch(h.now)
 	require.Equal(t, 3, h.enterAll(t))
 	require.Equal(t, "vm-1", h.running[2].vm)
@@ -92,7 +92,7 @@
 	h := newPoolHarness()
 	for range 8 {
 		h.now = h.now.Add(time.Millisecond)
-		h.p.vms.recordFailure("vm-1", h.now, h.now)
+		h.p.vms.recordFailure(h.vm("vm-1"), h.now, h.now)
 	}
 	h.now = h.now.Add(neededVMBackoff)
 	require.Equal(t, 2, h.enterAll(t, 1, 2))
@@ -106,7 +106,7 @@
 		h.p.vms.set([]mslog.VM{{Name: "vm-1", Address: "x", BootID: boot, State: mslog.VMLive}, {Name: "vm-2", Address: "y", BootID: boot, State: mslog.VMLive}}, h.now)
 	}
 	list("first")
-	h.p.vms.setLeaving("vm-1", h.now)
+	h.p.vms.setLeaving(h.vm("vm-1"), h.now)
 	h.p.vms.hearLeaving("vm-2", h.now)
 	list("first")
 	require.Zero(t, h.enterAll(t, 1, 2, 3))
@@ -120,8 +120,8 @@
 	h := newPoolHarness()
 	for range 8 {
 		h.p.vms.recordGrant("vm-1", h.now)
-		h.p.vms.recordConnected("vm-1")
-		h.p.vms.recordFailure("vm-1", h.now, h.now)
+		h.p.vms.recordConnected(h.vm("vm-1"))
+		h.p.vms.recordFailure(h.vm("vm-1"), h.now, h.now)
 	}
 	_, ok := h.p.vms.usable("vm-1", h.now.Add(maxVMBackoff/2), false)
 	require.False(t, ok)
