--- a/msscheduler/otherlife_test.go
+++ b/msscheduler/otherlife_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"marjoramspan/msjob"
+	"marjoramspan/msjournal"
 	"marjoramspan/msworker"
 )
 
@@ -33,6 +37,49 @@
 	require.EqualValues(t, 1, w.acked)
 }
 
+// The same, with tasks that end on the next life one after another.
+func TestTasksRunOnceWhenAWorkerRestartsWhileItsEndsAreStored(t *testing.T) {
+	t.Parallel()
+	w := newTestCluster(t, 1)
+	first := w.all()[0]
+	var held atomic.Bool
+	waiting, release := make(chan struct{}, 1), make(chan struct{})
+	w.configure = func(g *Engine) {
+		store := g.Log.Append
+		g.Log.Append = func(ctx context.Context, a msjournal.AppendRequest) (int64, error) {
+			if a.Stream == "progress" && held.CompareAndSwap(true, false) {
+				waiting <- struct{}{}
+				<-release
+			}
+			return store(context.WithoutCancel(ctx), a)
+		}
+	}
+	e := w.entry("a")
+	w.submit(&msjob.Job{ID: "00000000000000aa", Team: "fitters", Spec: "run=10ms", Steps: []msjob.Step{step(4)}})
+	w.await(e, "00000000000000aa", msjob.Completed)
+	w.submit(&msjob.Job{ID: "00000000000000ab", Team: "fitters", Spec: "run=200ms", Steps: []msjob.Step{step(1)}})
+	w.awaitRunning(1)
+	time.Sleep(50 * time.Millisecond) // The start has been stored and answered.
+	held.Store(true)
+	<-waiting
+	first.Restart()
+	require.Eventually(t, func() bool {
+		g := e.current()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.workers[first.Worker.ID].processed == 0
+	}, eventually, time.Millisecond)
+	close(release)
+	w.await(e, "00000000000000ab", msjob.Completed)
+	for i := range 4 {
+		w.submit(&msjob.Job{ID: "00000000000000b" + strconv.Itoa(i), Team: "fitters", Spec: fmt.Sprintf("run=%dms", 100+4*i), Steps: []msjob.Step{step(1)}})
+	}
+	for i := range 4 {
+		w.await(e, "00000000000000b"+strconv.Itoa(i), msjob.Completed)
+	}
+	w.requireNoDuplicates()
+}
+
 // backfillRun adds an attempt of a backfill task that runs on w.
 func backfillRun(e *Engine, w *worker) *run {
 	r := planned(e, w)
