--- a/msscheduler/otherlife_test.go
+++ b/msscheduler/otherlife_test.go
@@ -138,3 +138,68 @@
 	}
 	require.Equal(t, []int{fullPercent}, paces)
 }
+
+// A life that was given up while it was cut off, and answers again once its calls are too old to
+// arrive, has seen the tokens of that time. A lower one ended the term of its own leader.
+func TestWorkerThatWasCutOffForLongIsCalledWithAHighEnoughToken(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 2, 1, 1, 0)
+	e.Term = validTerm(t)
+	now := e.Clock.Now()
+	e.syncWorkers(now)
+	w := e.workers["w-0000"]
+	w.lease.Sent(e.tokenFor(w))
+	w.reachable = false
+	require.Eventually(t, func() bool { return e.tokenFor(w) > e.Term.Epoch }, eventually, time.Millisecond)
+	seen := w.token
+	e.handleReport(w, now, seen, msworker.Report{Clock: 2 * time.Second})
+	e.dropWorker(w, now)
+	e.dropWorker(e.workers["w-0001"], now.Add(msworker.MaxCallDelay+time.Second))
+	require.GreaterOrEqual(t, e.tokenFor(e.workerFor("w-0000")), seen)
+}
+
+// An attempt that the next life runs too was taken to work at the speed that the earlier life had been
+// told, and disturbed what serves beside it.
+func TestPaceOfAnEarlierLifeDoesNotCountForTheNext(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.ctx = t.Context()
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	r := backfillRun(e, w)
+	r.uncertain = true
+	_, slowed := w.throttle.Decide(2, e.Clock.Now())
+	require.True(t, slowed)
+	var paces []int
+	e.Orders.Throttle = func(_ context.Context, _ msworker.Worker, p msworker.Throttle) (time.Duration, error) {
+		paces = append(paces, p.Percent)
+		return time.Second, nil
+	}
+	listed := []msworker.Run{{Task: r.task, Attempt: r.attempt}}
+	for life := range int64(2) {
+		e.handleReport(w, e.Clock.Now(), e.Term.Epoch, msworker.Report{ProcessStart: life, Clock: time.Second, Running: listed})
+		e.group.Wait()
+	}
+	require.Same(t, r, e.runs[r.runKey])
+	require.Equal(t, []int{50, 50}, paces)
+}
+
+// A start with a ticket for the earlier life was refused after new advice had come, which was thrown
+// away, and asked for again.
+func TestTicketOfAnEarlierLifeLeavesNewAdviceInPlace(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	r := planned(e, w)
+	r.state, r.ticket = runOrdered, "earlier"
+	k := stepKey{job: r.task.Job}
+	e.adviceByStep[k] = &advice{tickets: map[string]string{w.ID: "present"}}
+	refused := &msworker.Error{Worker: w.ID, Reason: msworker.NoTicket}
+	require.True(t, e.handleStartAnswer(r, w.presentLife(), w.token, refused))
+	require.NotNil(t, e.adviceByStep[k])
+	r = planned(e, w)
+	r.state, r.ticket = runOrdered, "present"
+	require.True(t, e.handleStartAnswer(r, w.presentLife(), w.token, refused))
+	require.Nil(t, e.adviceByStep[k])
+}
