--- a/msscheduler/task.go
+++ b/msscheduler/task.go
@@ -79,7 +79,8 @@
 	// progressedAt is when percent last rose.
 	progressedAt time.Time
 	// servingAt is when a long-running task was last seen serving.
-	servingAt       time.Time
+	servingAt time.Time
+	// throttlePercent is the speed that the worker was told, or unknownPercent.
 	throttlePercent int
 	// throttlePending is set while a throttle request is in flight.
 	throttlePending bool
@@ -192,7 +193,12 @@
 	}
 }
 
-const fullPercent = 100
+const (
+	fullPercent = 100
+	// unknownPercent is the speed of an attempt that may have been told one without an answer, or by
+	// an earlier leader.
+	unknownPercent = -1
+)
 
 // adoptRuns adds the attempts that a job's stored progress shows as assigned.
 func (e *Engine) adoptRuns(j *job) {
@@ -207,6 +213,9 @@
 				n := e.newRun(j, id, t.Attempt, e.workerFor(t.Worker))
 				// The earlier leader may have sent the start without an answer.
 				n.state, n.uncertain, n.adopted, n.unanswered = runAdopted, true, true, 1
+				if j.def.Steps[s].Backfill {
+					n.throttlePercent = unknownPercent
+				}
 				e.addRun(n)
 			}
 		}
