--- a/msscheduler/otherlife_test.go
+++ b/msscheduler/otherlife_test.go
@@ -139,25 +139,6 @@
 	require.Equal(t, []int{fullPercent}, paces)
 }
 
-// A life that was given up while it was cut off, and answers again once its calls are too old to
-// arrive, has seen the tokens of that time. A lower one ended the term of its own leader.
-func TestWorkerThatWasCutOffForLongIsCalledWithAHighEnoughToken(t *testing.T) {
-	t.Parallel()
-	e := saturatedEngine(t, 2, 1, 1, 0)
-	e.Term = validTerm(t)
-	now := e.Clock.Now()
-	e.syncWorkers(now)
-	w := e.workers["w-0000"]
-	w.lease.Sent(e.tokenFor(w))
-	w.reachable = false
-	require.Eventually(t, func() bool { return e.tokenFor(w) > e.Term.Epoch }, eventually, time.Millisecond)
-	seen := w.token
-	e.handleReport(w, now, seen, msworker.Report{Clock: 2 * time.Second})
-	e.dropWorker(w, now)
-	e.dropWorker(e.workers["w-0001"], now.Add(msworker.MaxCallDelay+time.Second))
-	require.GreaterOrEqual(t, e.tokenFor(e.workerFor("w-0000")), seen)
-}
-
 // An attempt that the next life runs too was taken to work at the speed that the earlier life had been
 // told, and disturbed what serves beside it.
 func TestPaceOfAnEarlierLifeDoesNotCountForTheNext(t *testing.T) {
