msscheduler: a refused ticket leaves newer advice in place

What callers would see: a job that waits for one more call to the advisor after a restart.

Cause: the refusal of a ticket of the earlier life threw away the advice of its step, also where a newer one had come since.

Change: it throws the advice away that the ticket is of.

Measured: TestTicketOfAnEarlierLifeLeavesNewAdviceInPlace, listed since, passes.

--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -207,7 +207,10 @@
 	case msworker.Unhealthy:
 		r.w.pauses.Reject(mspause.Unhealthy, now, unhealthyPause)
 	case msworker.NoTicket:
-		delete(e.adviceByStep, stepKey{r.task.Job, r.task.Occurrence, r.task.Step})
+		k := stepKey{r.task.Job, r.task.Occurrence, r.task.Step}
+		if a := e.adviceByStep[k]; a != nil && a.tickets[r.w.ID] == r.ticket {
+			delete(e.adviceByStep, k)
+		}
 	case msworker.Invalid:
 		r.job.delay(r.task, now.Add(invalidPause))
 	}
