msscheduler: the pace of an earlier life doesn't count for the next one

What callers would see: a task that is disturbed by one which was to be slowed down.

Cause: an attempt that the next life runs too was taken to work at the speed that the earlier life had been told, so that the wanted one wasn't sent.

Change: after a restart the speed isn't known until the next pace is answered.

Measured: TestPaceOfAnEarlierLifeDoesNotCountForTheNext, listed since, passes.

--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -646,6 +646,11 @@
 	w.failures, w.stalls = mspause.Failures{}, mspause.Stalls{}
 	// An order to the VM has ended the life before, or its answer sets these again.
 	w.reserved, w.moving, w.maintenanceSince = false, false, time.Time{}
+	for _, r := range w.runs {
+		if r.throttlePercent != fullPercent {
+			r.throttlePercent = unknownPercent
+		}
+	}
 	for _, r := range runs {
 		switch {
 		case r.state == runStarted && !r.uncertain:
