--- a/models/lives.pml
+++ b/models/lives.pml
@@ -233,7 +233,7 @@
 }
 
 /* LAST_END is the end in a start to a worker that doesn't answer. */
-#ifdef BROKEN_CODE_BOUND_SENT
+#ifdef BROKEN_BOUND_SENT
 #define LAST_END latest
 #else
 #define LAST_END granted
@@ -268,7 +268,7 @@
 	:: unfenced ->
 		unfenced = !FENCES(n);
 		e = ON(class, earlierClass, earlier);
-#ifndef BROKEN_CODE_UNFENCED_BOUND
+#ifndef BROKEN_UNFENCED_BOUND
 		e = (unfenced && e == AHEAD -> AHEAD + DELAY : e);
 #endif
 		latest = MORE(latest, e)
