--- a/models/lives.pml
+++ b/models/lives.pml
@@ -16,8 +16,8 @@
  * lives.broken-frozen-start.pml the same by a leader that was frozen.
  * Left out: drift of clocks, answers to renewals that arrive late, ends other than lapses.
  *
- * A file lives.broken-NAME.pml takes one rule or the assumption away; in broken-code-NAME.pml
- * the rule is that of the code. lives-terms.pml has the change of leader.
+ * A file lives.broken-NAME.pml takes one rule or the assumption away. lives-terms.pml has the
+ * change of leader.
  * docs/proofs/lives-model.md says which code each step stands for, and where it differs.
  */
 
