msserver: what a client still sends is read before its connection is closed

A client that sent a header over the limit got "connection reset by peer" instead of 431: the connection was closed with unread bytes, which resets it, and a client that still sends fails before it reads the answer.

The connection is half-closed after the answer, and up to 4 MiB are read for 0.5 s. This happens in Close, so that net/http doesn't hold the parsed header meanwhile.

--- a/msserver/guard.go
+++ b/msserver/guard.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,9 @@
 	closedLogInterval = 10 * time.Second
 	// readAhead is how many bytes net/http may read of a body along with its header.
 	readAhead = 4 << 10
+	// lingerTime and lingerBytes bound what is read after a header was refused.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 4 << 20
 
 	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -104,6 +108,8 @@
 	phase       phase
 	since       time.Time
 	headerBytes int64
+	// lingers is set if Close must let the client read an answer that it doesn't await.
+	lingers atomic.Bool
 }
 
 func (g *Guard) clock() msclock.Clock {
@@ -282,7 +288,9 @@
 	if n == 0 || c.guard.received(c, n) {
 		return n, err
 	}
-	_, _ = io.WriteString(c, headerTooLarge) // The client may have disconnected.
+	if _, err := io.WriteString(c, headerTooLarge); err == nil {
+		c.lingers.Store(true)
+	}
 	// net/http closes the connection after this error without a response of its own.
 	return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 }
@@ -297,12 +305,22 @@
 
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
+	if c.lingers.CompareAndSwap(true, false) {
+		c.linger()
+	}
 	c.guard.mu.Lock()
 	delete(c.guard.conns, c)
 	c.guard.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// linger reads what the client still sends. A connection that is closed with unread bytes is reset,
+// and a client that still sends its header then fails before it reads the answer.
+func (c *guardedConn) linger() {
+	_, _ = c.CloseWrite(), c.SetReadDeadline(msclock.System{}.Now().Add(lingerTime)) // Fail only on closed connections.
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // CloseWrite lets net/http send the end of a response before it closes the connection.
 func (c *guardedConn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/msserver/guard_test.go
+++ b/msserver/guard_test.go
@@ -128,6 +128,20 @@
 	requireStatus(t, dial(t, addr, request), http.StatusRequestHeaderFieldsTooLarge)
 }
 
+// A connection was closed with unread bytes of a header, so that it was reset, and the client lost
+// the answer.
+func TestAnswerToALongHeaderIsNotLostByAReset(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	limits.Store(&Limits{MaxHeaderBytes: 16 << 10})
+	_, addr := guarded(t, &limits, nil)
+	for _, size := range []int{64 << 10, 1 << 20} {
+		conn := dial(t, addr, "GET / HTTP/1.1\r\nHost: a\r\nX-Pad: "+strings.Repeat("x", size)+"\r\n\r\n")
+		requireStatus(t, conn, http.StatusRequestHeaderFieldsTooLarge)
+		_, err := conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "the connection must be closed")
+	}
+}
+
 func TestSweepClosesWhatIsOverdue(t *testing.T) {
 	var limits atomic.Pointer[Limits]
 	limits.Store(&Limits{HeaderTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute})
