msserver: a crowd that sends chunks of a byte doesn't keep others waiting

1,500 callers of a VM of 284 MB sent chunks of a byte, stopped short of the end and stayed open. An ordinary request beside them was answered 503 or 504 after 6 to 8 s. Such chunks take far more time to decode than to receive, and each connection that had some to decode used time slices of 10 ms. All other goroutines, those that follow the log among them, waited behind hundreds of these for each step.

A read of a body that returns few bytes yields, so that a connection decodes one buffer of 4 KiB at a time.

--- a/msserver/guard.go
+++ b/msserver/guard.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,9 @@
 	closedLogInterval = 10 * time.Second
 	// readAhead is how many bytes net/http may read of a body along with its header.
 	readAhead = 4 << 10
+	// smallRead is the most bytes of a body that a read returns if net/http's buffer is full of
+	// chunks of a few bytes.
+	smallRead = readAhead / 2
 	// lingerTime and lingerBytes bound what is read after a header was refused.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 4 << 20
@@ -343,5 +347,10 @@
 		b.done = true
 		b.conn.guard.enter(b.conn, phaseAnswer)
 	}
+	if err == nil && n <= smallRead {
+		// Small chunks take far more time to decode than to receive. Many connections with some
+		// to decode would each use a whole time slice of the Go scheduler.
+		runtime.Gosched()
+	}
 	return n, err
 }
