--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -707,7 +707,11 @@
 // giveUp gives up attempts of a worker that has ended or whose lease has expired. One that its next
 // life may still start is stopped there first.
 func (e *Engine) giveUp(w *worker, runs []*run, end workerEnd, workerReason, reason string) {
+	given := len(runs)
 	runs = slices.DeleteFunc(runs, func(r *run) bool { return r.endNoted })
+	if len(runs) == 0 && given > 0 {
+		return
+	}
 	e.noteEnd(w, end, workerReason, runs)
 	now := e.Clock.Now()
 	for _, r := range runs {
