--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -427,3 +427,161 @@
 	defer mu.Unlock()
 	require.Zero(t, repeated)
 }
+
+// fleetOfEight returns an engine with eight idle workers, each in a rack of its own, and as many
+// jobs.
+func fleetOfEight(t *testing.T) *Engine {
+	t.Helper()
+	e := saturatedEngine(t, 8, 1, 1, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	e.ctx = ctx
+	e.syncWorkers(e.Clock.Now())
+	for _, w := range e.workers {
+		w.Rack, w.entry.Rack, w.processStart = w.ID, w.ID, 1
+	}
+	return e
+}
+
+// startedOn returns an attempt of a job's task that a worker has run for the given time.
+func startedOn(e *Engine, job, index int, worker string, ran time.Duration) *run {
+	j := e.jobs[fmt.Sprintf("%016x", job)]
+	id := msjob.TaskID{Job: j.def.ID, Index: index}
+	task := &j.p.Occurrence(j.def, 0).Steps[0][index]
+	task.Phase = msjob.Assigned
+	task.Attempt++
+	r := e.newRun(j, id, task.Attempt, e.workers[worker])
+	r.state, r.reportedAt = runStarted, e.Clock.Now()
+	r.confirmedAt = r.reportedAt.Add(-ran)
+	e.addRun(r)
+	return r
+}
+
+// restartTogether lets workers restart under their IDs at the same moment. Their next reports
+// arrive in the given order.
+func restartTogether(e *Engine, ids ...string) {
+	now := e.Clock.Now()
+	for _, id := range ids {
+		e.workers[id].reachable, e.workers[id].unreachableSince = false, now
+	}
+	for _, id := range ids {
+		w := e.workers[id]
+		e.handleReport(w, now, e.Term.Epoch, msworker.Report{ProcessStart: w.processStart + 1000, Clock: time.Second})
+	}
+}
+
+// A sound task whose workers restarted twice, each time together with others, was given up.
+func TestTaskOnWorkersThatRestartTogetherIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	const recently, earlier = 10 * time.Millisecond, 3 * time.Second
+	for name, c := range map[string]struct {
+		// first and second are the workers that restart together, in the order of their reports.
+		// The task runs on the first of them in from.
+		first, second []string
+		from          [2]string
+		beside        func(e *Engine)
+	}{
+		"soak seed 732": {
+			first: []string{"w-0005", "w-0007"}, second: []string{"w-0006", "w-0002", "w-0000", "w-0004"}, from: [2]string{"w-0005", "w-0002"},
+			beside: func(e *Engine) { startedOn(e, 1, 0, "w-0006", earlier) },
+		},
+		"twice within a second, as in soak seeds 507 and 515": {
+			first: []string{"w-0003", "w-0007", "w-0005", "w-0001"}, second: []string{"w-0006", "w-0000"}, from: [2]string{"w-0003", "w-0000"},
+		},
+		"its worker reports first": {
+			first: []string{"w-0003"}, second: []string{"w-0000", "w-0002", "w-0004"}, from: [2]string{"w-0003", "w-0000"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := fleetOfEight(t)
+			startedOn(e, 0, 1, c.from[0], recently)
+			restartTogether(e, c.first...)
+			startedOn(e, 0, 1, c.from[1], recently)
+			if c.beside != nil {
+				c.beside(e)
+			}
+			restartTogether(e, c.second...)
+			j := e.jobs["0000000000000000"]
+			require.False(t, j.p.State.Final())
+			require.Equal(t, 2, j.p.Occurrences[0].Steps[0][1].MaxCrashes())
+		})
+	}
+}
+
+// Without answers, it is the list of VMs that shows that workers have ended.
+func TestTaskOnWorkersWhoseVMsGoDownTogetherIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	e := fleetOfEight(t)
+	var vms []msworker.VM
+	for i := range 8 {
+		w := e.workers[fmt.Sprintf("w-%04d", i)]
+		vms = append(vms, msworker.VM{Name: "vm-" + strconv.Itoa(i), Pool: w.Pool, Rack: w.Rack, Worker: w.ID, Up: true})
+	}
+	e.applyVMs(vms, e.Clock.Now())
+	for _, down := range [][]int{{0, 3}, {1, 2, 4}} {
+		startedOn(e, 0, 0, vms[down[0]].Worker, 10*time.Millisecond).orderedAt = e.Clock.Now()
+		for _, i := range down {
+			e.workers[vms[i].Worker].reachable, e.workers[vms[i].Worker].unreachableSince = false, e.Clock.Now()
+			vms[i].Up = false
+		}
+		e.applyVMs(append([]msworker.VM(nil), vms...), e.Clock.Now().Add(time.Millisecond))
+	}
+	j := e.jobs["0000000000000000"]
+	require.False(t, j.p.State.Final())
+	require.Equal(t, 2, j.p.Occurrences[0].Steps[0][0].MaxCrashes())
+}
+
+// Tasks that crash their workers at the same time, all of them, are given up at the second crash.
+func TestTasksThatCrashTheirWorkersTogetherAreGivenUp(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		ran  time.Duration
+		jobs []int
+	}{
+		"one task":                        {10 * time.Millisecond, []int{0}},
+		"a step":                          {10 * time.Millisecond, []int{0, 0, 0, 0}},
+		"a step, some time after a start": {1200 * time.Millisecond, []int{0, 0, 0, 0}},
+		"several jobs":                    {10 * time.Millisecond, []int{0, 1, 2, 3}},
+		"several jobs of several tasks":   {10 * time.Millisecond, []int{0, 0, 1, 1, 2, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := fleetOfEight(t)
+			for crash := range 2 {
+				var ids []string
+				for i, job := range c.jobs {
+					require.False(t, e.jobs[fmt.Sprintf("%016x", job)].p.State.Final(), "given up after %d crashes", crash)
+					ids = append(ids, fmt.Sprintf("w-%04d", (i+crash)%8))
+					startedOn(e, job, i, ids[i], c.ran)
+				}
+				restartTogether(e, ids...)
+			}
+			for _, job := range c.jobs {
+				require.Equal(t, msjob.Failed, e.jobs[fmt.Sprintf("%016x", job)].p.State)
+			}
+		})
+	}
+}
+
+// A long-running task that crashes its workers is delayed from the second crash on, also if all
+// tasks of its step do.
+func TestLongRunningTasksThatCrashTheirWorkersTogetherAreDelayed(t *testing.T) {
+	t.Parallel()
+	e := fleetOfEight(t)
+	j := e.jobs["0000000000000000"]
+	j.def.Steps[0].LongRunning = true
+	for crash := range 2 {
+		var ids []string
+		for i := range 4 {
+			ids = append(ids, fmt.Sprintf("w-%04d", (i+crash)%8))
+			startedOn(e, 0, i, ids[i], 10*time.Millisecond)
+		}
+		restartTogether(e, ids...)
+	}
+	require.False(t, j.p.State.Final())
+	for i := range 4 {
+		require.Equal(t, 2, j.p.Occurrences[0].Steps[0][i].Crashes)
+		require.Contains(t, j.retryAt, msjob.TaskID{Job: j.def.ID, Index: i})
+	}
+}
