mscrash, msscheduler: ends that several workers share prove nothing against a task

Cause: each end of a worker counted as evidence against what had just started there, unless half of its rack had ended too. Workers of several racks that restart at the same moment, most of them idle, were as many single crashes.

mscrash.SharedFailure decides over a table of ends. An end proves nothing, as that of a rack's failure, if it came together with that of a worker that no task explains: one that was idle, or whose tasks had run for longer than the suspects and are of other jobs. Workers that have each just started a task, of one job or of many, are no such sign, so that tasks that crash their workers together are still found. Ends are dated by failed calls, by the list of VMs, and by when the next life began. What an earlier leader started may have just started.

--- a/msscheduler/crash.go
+++ b/msscheduler/crash.go
@@ -1,11 +1,14 @@
 package msscheduler
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"marjoramspan/mscrash"
 	"marjoramspan/msjob"
 	"marjoramspan/msworker"
 )
@@ -88,45 +91,165 @@
 // that crashes its workers is given up or, if it is long-running, delayed. The caller holds mu
 // and then drops the attempts.
 func (e *Engine) noteEnd(w *worker, end workerEnd, reason string, runs []*run) {
+	e.noteEndBefore(w, end, reason, runs, time.Time{})
+}
+
+// noteEndBefore is noteEnd for a worker whose next life began at nextBornAt, by its own clock.
+func (e *Engine) noteEndBefore(w *worker, end workerEnd, reason string, runs []*run, nextBornAt time.Time) {
+	c := causesOf(runs)
+	planned := end == endedAsPlanned || end == cutOff
+	var life mscrash.End
+	if !planned {
+		life = e.recordEnd(w, c, nextBornAt)
+	}
 	if len(runs) == 0 {
 		return
 	}
-	var recent []string
-	recentJobs, youngJobs := map[*job]bool{}, map[*job]bool{}
+	rackFails := !planned && e.rackFails(w)
+	shared := rackFails || !planned && mscrash.SharedFailure(life, e.otherEnds)
+	e.Metrics.workerEnded(end)
+	e.Logger.Info("worker ended", zap.String("worker", w.ID), zap.String("vm", w.VM), zap.String("end", end.String()),
+		zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Strings("recent", c.recentTasks), zap.Bool("rack-fails", rackFails), zap.Bool("shared-failure", shared))
+	if planned {
+		return
+	}
+	alone := len(c.jobs) == 1 && end != endedUnknown && !shared
+	for _, r := range runs {
+		e.recordCrash(r, evidenceAgainst(r, end, c.likely(r), shared), alone && c.likely(r))
+	}
+}
+
+// causes are the attempts on a worker that may have ended it: those that had just started or, if
+// there are none, young ones.
+type causes struct {
+	recentTasks []string
+	jobs        []string
+	// startedAt is when the first of them that has been confirmed was.
+	startedAt time.Time
+	// inherited says that there are attempts of an earlier leader that may have just started as
+	// well.
+	inherited bool
+}
+
+// causesOf returns the likely causes of the end of a worker among its attempts.
+func causesOf(runs []*run) causes {
+	var c causes
 	for _, r := range runs {
 		if r.mayHaveStarted() && r.recent() {
-			recent = append(recent, r.task.String())
-			recentJobs[r.job] = true
+			c.recentTasks = append(c.recentTasks, r.task.String())
 		}
-		if r.mayHaveStarted() && r.young() {
-			youngJobs[r.job] = true
+		c.inherited = c.inherited || r.adopted && r.confirmedRuntime() < maxYoungRuntime
+	}
+	for _, r := range runs {
+		if !r.mayHaveStarted() || !c.likely(r) {
+			continue
+		}
+		if !slices.Contains(c.jobs, r.task.Job) {
+			c.jobs = append(c.jobs, r.task.Job)
+		}
+		if !r.confirmedAt.IsZero() && (c.startedAt.IsZero() || r.confirmedAt.Before(c.startedAt)) {
+			c.startedAt = r.confirmedAt
 		}
 	}
-	e.Metrics.workerEnded(end)
-	e.Logger.Info("worker ended", zap.String("worker", w.ID), zap.String("vm", w.VM), zap.String("end", end.String()),
-		zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Strings("recent", recent))
-	if end == endedAsPlanned || end == cutOff {
-		return
+	return c
+}
+
+// recent reports whether the causes had just started.
+func (c *causes) recent() bool {
+	return len(c.recentTasks) > 0
+}
+
+// likely reports whether no other attempt is a more likely cause than the given one.
+func (c *causes) likely(r *run) bool {
+	if c.recent() {
+		return r.recent()
 	}
-	likely, suspects := (*run).recent, recentJobs
-	if len(recent) == 0 {
-		likely, suspects = (*run).young, youngJobs
+	return r.young()
+}
+
+// endedLife is the recorded end of a life of a worker.
+type endedLife struct {
+	mscrash.End
+	processStart int64
+	at           time.Time
+}
+
+// maxEndAge is how long the end of a worker is kept. The attempts of another that ended together
+// with it may be given up as late as its lease ends.
+const maxEndAge = 30 * time.Second
+
+// recordEnd records the end of a worker's present life, of which only some attempts may be known
+// to have ended with it so far.
+func (e *Engine) recordEnd(w *worker, c causes, nextBornAt time.Time) mscrash.End {
+	now := e.Clock.Now()
+	if e.ended == nil {
+		e.ended = map[string]endedLife{}
 	}
-	rackFails := e.rackFails(w)
-	alone := len(suspects) == 1 && end != endedUnknown && !rackFails
-	for _, r := range runs {
-		e.recordCrash(r, evidenceAgainst(r, end, likely(r), rackFails), alone && likely(r))
+	life := endedLife{End: e.endSeen(w, c), processStart: w.processStart, at: now}
+	life.NextBornAt = nextBornAt
+	if before, ok := e.ended[w.ID]; ok && before.processStart == w.processStart {
+		life.LostAt, life.ListedAt, life.at = before.LostAt, before.ListedAt, before.at
+		life.Jobs, life.Recent, life.Older = append(life.Jobs, before.Jobs...), life.Recent || before.Recent, life.Older || before.Older
+	}
+	e.ended[w.ID] = life
+	return life.End
+}
+
+// forgetEnds drops the recorded ends that are too old to matter.
+func (e *Engine) forgetEnds(now time.Time) {
+	maps.DeleteFunc(e.ended, func(_ string, l endedLife) bool { return now.Sub(l.at) > maxEndAge })
+}
+
+// endSeen returns the end of a worker's present life, as far as it has been seen.
+func (e *Engine) endSeen(w *worker, c causes) mscrash.End {
+	end := mscrash.End{Worker: w.ID, ListedAt: e.fleet.workerEndedAt[w.ID], Jobs: c.jobs, Recent: c.recent() || c.inherited}
+	endedBy := e.Clock.Now()
+	if !w.reachable {
+		end.LostAt, endedBy = w.unreachableSince, w.unreachableSince
+	}
+	end.Older = !c.startedAt.IsZero() && endedBy.Sub(c.startedAt) >= msjob.MinTrialTime
+	return end
+}
+
+// otherEnds yields the ends of workers that were recorded lately, and then those of workers that
+// don't answer or whose VM is down, which may have ended.
+func (e *Engine) otherEnds(yield func(mscrash.End) bool) {
+	for _, l := range e.ended {
+		if !yield(l.End) {
+			return
+		}
+	}
+	for id, w := range e.workers {
+		l, ended := e.ended[id]
+		if ended && (w.reachable || l.processStart == w.processStart) || !e.mayHaveCrashed(w) {
+			continue
+		}
+		if !yield(e.endSeen(w, causesOf(w.allRuns()))) {
+			return
+		}
+	}
+}
+
+// mayHaveCrashed reports whether a worker whose end isn't recorded may have ended, without an
+// order or a notice. One that the list of VMs shows since is cut off.
+func (e *Engine) mayHaveCrashed(w *worker) bool {
+	if w.terminated || w.Draining || w.moving || !w.maintenanceSince.IsZero() || !w.registered && !w.reported {
+		return false
+	}
+	if _, ok := e.fleet.workerEndedAt[w.ID]; ok {
+		return true
 	}
+	return !w.reachable && (!w.listed.Up || !w.listedAt.After(w.unreachableSince))
 }
 
 // evidenceAgainst returns how likely an attempt is the cause of the end of its worker. likely
-// says that no other attempt there is a more likely one. The failure of a rack explains the
-// end by itself.
-func evidenceAgainst(r *run, end workerEnd, likely, rackFails bool) msjob.CrashEvidence {
+// says that no other attempt there is a more likely one. A failure that several workers share
+// explains the end by itself.
+func evidenceAgainst(r *run, end workerEnd, likely, shared bool) msjob.CrashEvidence {
 	switch {
-	case !likely, rackFails && !r.isolated:
+	case !likely, shared && !r.isolated:
 		return msjob.CrashUnlikely
-	case rackFails, end == endedUnknown, r.confirmedAt.IsZero():
+	case shared, end == endedUnknown, r.confirmedAt.IsZero():
 		return msjob.CrashUnconfirmed
 	}
 	return msjob.CrashConfirmed
@@ -157,7 +280,7 @@
 }
 
 // rackFailureSpan is the time within which the VMs of a rack that fails are seen to be down.
-const rackFailureSpan = time.Second
+const rackFailureSpan = mscrash.Span
 
 // recordCrash counts the end of a worker against an attempt that may have run there. alone
 // says that no other job had a likely cause there.
--- a/msscheduler/crash_test.go
+++ b/msscheduler/crash_test.go
@@ -585,3 +585,14 @@
 		require.Contains(t, j.retryAt, msjob.TaskID{Job: j.def.ID, Index: i})
 	}
 }
+
+// A new leader doesn't know how long the tasks that it finds have run. The end of a worker that ran
+// one was taken for a failure that ends of other workers then shared.
+func TestEndUnderTasksOfAnEarlierLeaderIsNoSharedFailure(t *testing.T) {
+	t.Parallel()
+	e := fleetOfEight(t)
+	startedOn(e, 1, 0, "w-0007", 500*time.Millisecond).adopted = true
+	startedOn(e, 0, 0, "w-0001", 10*time.Millisecond)
+	restartTogether(e, "w-0007", "w-0001")
+	require.Equal(t, 1, e.jobs["0000000000000000"].p.Occurrences[0].Steps[0][0].Crashes)
+}
--- a/msscheduler/engine.go
+++ b/msscheduler/engine.go
@@ -125,6 +125,8 @@
 	workers                  map[string]*worker
 	// dropped has the leases of workers that were dropped lately, by ID.
 	dropped map[string]droppedLease
+	// ended has the ends of workers that were noted lately, by ID.
+	ended map[string]endedLife
 	// registryVersion is the version of the registry that workers has, and
 	// registryPending is set while workers has any that the registry lacks or may lack.
 	registryVersion int64
--- a/msscheduler/vm.go
+++ b/msscheduler/vm.go
@@ -30,6 +30,8 @@
 	// endedAt is when a list first showed that a VM's worker had ended, neither moved nor
 	// maintained.
 	endedAt map[string]time.Time
+	// workerEndedAt is the same by the worker's ID.
+	workerEndedAt map[string]time.Time
 	// downSince is since when lists have shown a VM down, neither moved nor maintained.
 	downSince map[string]time.Time
 	// awaySince is since when lists have shown a VM not up. orderedAt is when an order to move or
@@ -73,6 +75,12 @@
 		before[f.vms[i].Name] = &f.vms[i]
 	}
 	ended, down, away := map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+	workers := map[string]time.Time{}
+	for id, at := range f.workerEndedAt {
+		if now.Sub(at) < rackFailureSpan {
+			workers[id] = at
+		}
+	}
 	for i := range vms {
 		vm := &vms[i]
 		if !vm.Up && !vm.Moving && !vm.Maintained {
@@ -94,10 +102,10 @@
 		}
 		old := before[vm.Name]
 		if old != nil && old.Up && old.Worker != "" && old.Worker != vm.Worker && old.Pool == vm.Pool && !vm.Maintained && !vm.Moving {
-			ended[vm.Name] = now
+			ended[vm.Name], workers[old.Worker] = now, now
 		}
 	}
-	f.vms, f.readAt, f.endedAt, f.downSince, f.awaySince = vms, asked, ended, down, away
+	f.vms, f.readAt, f.endedAt, f.workerEndedAt, f.downSince, f.awaySince = vms, asked, ended, workers, down, away
 }
 
 // manageVMs refreshes the VM list, runs maintenance waves and resizes pools until ctx is
@@ -174,6 +182,7 @@
 	now := e.Clock.Now()
 	e.fleet.set(vms, asked, now)
 	e.releaseUnmoved(asked)
+	e.forgetEnds(now)
 	of := make(map[string]*msworker.VM, len(vms))
 	for i := range vms {
 		of[vms[i].Worker] = &vms[i]
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -640,7 +640,7 @@
 		end, w.drainingSince = endedAsPlanned, time.Time{}
 	}
 	runs := slices.DeleteFunc(w.allRuns(), func(r *run) bool { return r.endNoted || listsRun(rep, r.runKey) })
-	e.noteEnd(w, end, "restarted", runs)
+	e.noteEndBefore(w, end, "restarted", runs, time.UnixMilli(rep.ProcessStart))
 	w.processed, w.acked = 0, 0
 	w.lease = w.lease.Next()
 	w.failures, w.stalls = mspause.Failures{}, mspause.Stalls{}
