platform, Makefile: soaks with restarts alone, and with calls that reach the next life late

The soak with restarts never showed it.

Cause: with all faults at once the pool is full, so nothing starts in the two seconds after a restart in which the longest lease outlasts what the leader counts. And each call without an answer was carried out when it arrived, or never.

Change: RESTARTS=alone has restarts and cuts alone, in series, with half of the load. LATE=1 lets calls to workers about to restart get no answer and be carried out 0.2 to 12 s later, by whichever life is there then.

--- a/Makefile
+++ b/Makefile
@@ -85,10 +85,11 @@
 	bin/marjorammeasure --seed $(SEED)
 
 # soak runs the real programs under faults; it ends non-zero on a breach. With RESTARTS=1 workers
-# restart and are cut off.
+# restart and are cut off beside other faults, with RESTARTS=alone without any. With LATE=1 and either
+# of these, calls to workers about to restart may be carried out late.
 soak: FOR ?= 60s
 soak:
-	SOAK_RESTARTS=$(RESTARTS) SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) SOAK_LOGS=$(CURDIR)/soak-logs go test -run '^TestSoak$$' -count=1 -timeout 30m -v ./platform
+	SOAK_RESTARTS=$(RESTARTS) SOAK_LATE=$(LATE) SOAK_SEED=$(SEED) SOAK_FOR=$(FOR) SOAK_LOGS=$(CURDIR)/soak-logs go test -run '^TestSoak$$' -count=1 -timeout 30m -v ./platform
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
