msstandin: an acknowledgement counts for the end of the present life only

Trace: the leader was frozen from 22:20:03.309 to 05.541, and the first end came at 03.368, so it could not have been acknowledged; the worker restarted, the next leader found nothing there and started the attempt again, at 03.941.

Change: a mark goes to the latest entry, as a life runs an attempt once. An end that is acknowledged still makes each later start a duplicate.

Measured: TestAcknowledgementOnTheNextLifeIsNotOfTheEarlierEnd fails without the change.

--- a/msstandin/jobjournal_test.go
+++ b/msstandin/jobjournal_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"marjoramspan/msclock"
 	"marjoramspan/msjob"
+	"marjoramspan/msworker"
 )
 
 // An end that was acknowledged makes a later start a duplicate, whenever it was acknowledged.
@@ -39,3 +41,26 @@
 	j.ack(first, "w-1")
 	require.Empty(t, j.Doubled(), "after an end that was acknowledged once the lease had lapsed")
 }
+
+// An attempt whose end nobody knows of ran again on the next life of its worker. The acknowledgement of
+// the second end counted for the first one too, and the second run as one after a known end.
+func TestAcknowledgementOnTheNextLifeIsNotOfTheEarlierEnd(t *testing.T) {
+	t.Parallel()
+	clock := msclock.NewFake(time.Unix(1000, 0))
+	var journal JobJournal
+	w := &JobWorker{Worker: msworker.Worker{ID: "w-1"}, Clock: clock, Journal: &journal}
+	for life := range 2 {
+		_, err := w.Start(t.Context(), msworker.Start{Task: msjob.TaskID{Job: "00000000000000aa"}, Attempt: 1, Spec: "run=20ms", Until: time.Minute, Token: 1})
+		require.NoError(t, err)
+		clock.Advance(time.Second)
+		_, err = w.Hold(t.Context(), msworker.LeaseRenewal{Token: 1, Acked: int64(life)})
+		require.NoError(t, err)
+		if life == 0 {
+			w.Restart()
+		}
+	}
+	runs := journal.Runs()
+	require.False(t, runs[0].Acked)
+	require.True(t, runs[1].Acked)
+	require.Empty(t, journal.Doubled())
+}
--- a/msstandin/jobworker.go
+++ b/msstandin/jobworker.go
@@ -508,9 +508,11 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for i := range j.runs {
+	// A life runs an attempt once; an earlier entry is of an earlier life.
+	for i := len(j.runs) - 1; i >= 0; i-- {
 		if r := &j.runs[i]; r.Task == k.task && r.Attempt == k.attempt && r.Worker == worker {
 			change(r)
+			return
 		}
 	}
 }
