--- a/msscheduler/order.go
+++ b/msscheduler/order.go
@@ -182,7 +182,7 @@
 	reason := msworker.ReasonOf(err)
 	switch reason {
 	case msworker.Fenced:
-		e.fenced(r.w, token, err)
+		e.callFenced(r.w, token, err)
 		return token >= r.w.token
 	case msworker.Stale:
 		// The worker has had the attempt: its next report lists the end, or the attempt
@@ -296,7 +296,7 @@
 		r.answeredAt = e.Clock.Now()
 		return true
 	case msworker.ReasonOf(err) == msworker.Fenced:
-		e.fenced(r.w, token, err)
+		e.callFenced(r.w, token, err)
 		return token >= r.w.token
 	case msworker.ReasonOf(err) == msworker.Stale:
 		r.answeredAt = e.Clock.Now()
--- a/msscheduler/pace.go
+++ b/msscheduler/pace.go
@@ -64,6 +64,6 @@
 	case msworker.Unknown:
 		r.throttlePercent = unknownPercent
 	case msworker.Fenced:
-		e.fenced(r.w, token, err)
+		e.callFenced(r.w, token, err)
 	}
 }
--- a/msscheduler/worker.go
+++ b/msscheduler/worker.go
@@ -78,7 +78,8 @@
 	// processSeenAt is when that process was first seen.
 	processSeenAt time.Time
 	lease         msworker.Lease
-	// token is the fencing token of calls to the worker.
+	// token is the fencing token of the latest call to the worker. That of the latest call with
+	// numbers of the present life may be lower; lease knows it.
 	token int64
 	runs  map[runKey]*run
 	used  msjob.Resources
@@ -394,28 +395,7 @@
 func (e *Engine) requestReport(ctx context.Context, w *worker) bool {
 	e.mu.Lock()
 	now := e.Clock.Now()
-	renewal := msworker.LeaseRenewal{Token: e.tokenFor(w)}
-	// A worker that doesn't answer may still receive calls. It is only asked for its report
-	// then, so that its lease ends.
-	if w.reachable {
-		renewal.Acked = w.acked
-		w.lease.Sent(renewal.Token)
-	}
-	if w.lease.Known() && w.reachable && e.mayRenew() {
-		renewal.Until = w.lease.Grant(now, e.leaseDuration())
-	}
-	if w.reported && w.reachable {
-		renewal.Wait = reportWait
-		if w.mixesServingAndBackfill() || w.runsSuspect() || now.Before(w.isolatedUntil) {
-			renewal.Wait = servingReportWait
-		}
-		if len(w.runs) == 0 {
-			renewal.Wait = idleReportWait
-		}
-		if !w.lease.Fenced() {
-			renewal.Wait = unfencedReportWait
-		}
-	}
+	renewal := e.renewalFor(w, now)
 	life := w.presentLife()
 	reportCtx, cancel := context.WithTimeout(ctx, renewal.Wait+reportTimeoutMargin)
 	request := &reportRequest{cancel: cancel}
@@ -443,6 +423,32 @@
 	return true
 }
 
+// renewalFor returns the next report request to a worker. One that doesn't answer may still receive
+// calls, so it is only asked for its report, and its lease ends. The caller holds mu.
+func (e *Engine) renewalFor(w *worker, now time.Time) msworker.LeaseRenewal {
+	renewal := msworker.LeaseRenewal{Token: e.tokenFor(w)}
+	if !w.reachable {
+		return renewal
+	}
+	renewal.Acked = w.acked
+	w.lease.Sent(renewal.Token)
+	if w.lease.Known() && e.mayRenew() {
+		renewal.Until = w.lease.Grant(now, e.leaseDuration())
+	}
+	switch {
+	case !w.reported:
+	case !w.lease.Fenced():
+		renewal.Wait = unfencedReportWait
+	case len(w.runs) == 0:
+		renewal.Wait = idleReportWait
+	case w.mixesServingAndBackfill() || w.runsSuspect() || now.Before(w.isolatedUntil):
+		renewal.Wait = servingReportWait
+	default:
+		renewal.Wait = reportWait
+	}
+	return renewal
+}
+
 // tokenFor returns the fencing token of the next call to a worker. The caller holds mu.
 func (e *Engine) tokenFor(w *worker) int64 {
 	w.token = max(w.token, e.Term.Epoch)
@@ -454,9 +460,9 @@
 	return w.token
 }
 
-// fenced handles the rejection of a call with the given token. One of this term's own later calls
+// callFenced handles the rejection of a call with the given token. One of this term's own later calls
 // may have overtaken it, or else another leader has called the worker, and the term ends.
-func (e *Engine) fenced(w *worker, token int64, err error) {
+func (e *Engine) callFenced(w *worker, token int64, err error) {
 	if token >= w.token {
 		e.endTerm(err)
 	}
@@ -483,7 +489,7 @@
 func (e *Engine) reportFailed(w *worker, token int64, err error) {
 	switch msworker.ReasonOf(err) {
 	case msworker.Fenced:
-		e.fenced(w, token, err)
+		e.callFenced(w, token, err)
 	case msworker.OtherInstance:
 		// Another worker has the address. If this one was cut off and its address
 		// reassigned, its attempts may still run, so they are kept until its lease ends.
--- a/msworker/lease.go
+++ b/msworker/lease.go
@@ -70,8 +70,8 @@
 	l.observed, l.clock, l.observedAt = true, clock, now
 }
 
-// Answered records that this life has answered a call with the given token, after the latest
-// reading of its clock. maxLease is the longest lease that a worker holds.
+// Answered records that this life has answered a call with the given token. The clock reading of
+// that answer is to be observed first. maxLease is the longest lease that a worker holds.
 func (l *Lease) Answered(token int64, maxLease time.Duration) {
 	if !l.unfenced {
 		return
