--- a/msscheduler/latecalls_test.go
+++ b/msscheduler/latecalls_test.go
@@ -501,3 +501,27 @@
 	require.NoError(t, err)
 	c.requireNoDuplicates()
 }
+
+// A connection that outlived a life took a start to the next one, which answered it after it had answered
+// a report request. That report doesn't list the attempt, which was dropped while it runs there.
+func TestStartThatTheNextLifeAnsweredAfterItsReportIsNotDropped(t *testing.T) {
+	t.Parallel()
+	e := saturatedEngine(t, 1, 1, 1, 0)
+	e.Term, e.ctx = validTerm(t), t.Context()
+	e.Settings.MaxLease = testMaxLease
+	e.Orders.Stop = func(context.Context, msworker.Worker, msworker.Stop) (time.Duration, error) { return time.Second, nil }
+	e.syncWorkers(e.Clock.Now())
+	w := e.workers["w-0000"]
+	w.reported, w.reachable = false, false
+	e.handleReport(w, e.Clock.Now(), e.tokenFor(w), msworker.Report{ProcessStart: 5, Clock: time.Hour})
+	r := planned(e, w)
+	r.state = runOrdered
+	requested := e.Clock.Now()
+	e.Orders.Start = func(context.Context, msworker.Worker, msworker.Start) (time.Duration, error) { return time.Second, nil }
+	e.startRun(t.Context(), r)
+	require.Equal(t, runStarted, r.state)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.handleReport(w, requested, w.token, msworker.Report{ProcessStart: 6, Clock: time.Second})
+	require.Contains(t, e.runs, r.runKey)
+}
