--- a/review/rig2/case_advice_test.go
+++ b/review/rig2/case_advice_test.go
@@ -43,7 +43,7 @@
 	}
 	for i := range n {
 		submit("/first/", fmt.Sprintf("00000000000001%02x", i), job(60*time.Second, 1, 8000))
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(83 * time.Millisecond)
 	}
 	time.Sleep(8 * time.Second)
 	id := "00000000000000a1"
--- a/review/rig2/case_pending_test.go
+++ b/review/rig2/case_pending_test.go
@@ -25,9 +25,9 @@
 	at map[string]time.Time
 }
 
-// submitAt hands in n jobs at a rate, in turn at the first entries, and notes those that are
-// accepted. It returns once all are answered.
-func (r *rig) submitAt(a *accepted, prefix string, first, n, rate int, body map[string]any) {
+// submitAt hands in n jobs at a rate, in turn at all entries but a quiet one, and notes those that
+// are accepted. It returns once all are answered.
+func (r *rig) submitAt(a *accepted, quiet int, prefix string, first, n, rate int, body map[string]any) {
 	clients := make([]*http.Client, burstEntries)
 	for i := range clients {
 		clients[i] = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -39,9 +39,13 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			e := i % burstEntries
+			c := i % burstEntries
+			e := c
+			if e >= quiet {
+				e++
+			}
 			id := fmt.Sprintf("%016x", uint64(first+i)*0x9e3779b97f4a7c15)
-			status, _ := r.entries[e].call(clients[e], http.MethodPost, host, prefix+id, apiKey, body)
+			status, _ := r.entries[e].call(clients[c], http.MethodPost, host, prefix+id, apiKey, body)
 			r.event("submit", "entry", e, "job", id, "status", status)
 			if status == http.StatusOK {
 				a.mu.Lock()
@@ -67,7 +71,12 @@
 	r.addMinions(pool, 4, 8000)
 	r.addMinions("quick", 8, 64000)
 	r.addEntries(burstEntries+1, nil)
-	r.leader()
+	// The entry that schedules reads all streams.
+	quiet := burstEntries
+	if r.leader().n == quiet {
+		quiet--
+	}
+	r.event("quiet", "entry", quiet)
 	rate := burstRate
 	if !r.trouble {
 		rate = slowRate
@@ -75,19 +84,19 @@
 	n := int(burstTime.Seconds() * burstRate)
 	// The first burst is served at once.
 	quick := &accepted{at: map[string]time.Time{}}
-	r.submitAt(quick, "/quick/", 1, n, rate, job(50*time.Millisecond, 1, 100))
+	r.submitAt(quick, quiet, "/quick/", 1, n, rate, job(50*time.Millisecond, 1, 100))
 	r.event("first-burst-ended", "accepted", len(quick.at), "additional", r.additional())
 	time.Sleep(time.Until(r.begun.Add(66 * time.Second)))
 	// These fill the service of the second queue.
 	full := &accepted{at: map[string]time.Time{}}
-	r.submitAt(full, prefix, 100001, 4, 10, job(100*time.Second, 1, 8000))
+	r.submitAt(full, quiet, prefix, 100001, 4, 10, job(100*time.Second, 1, 8000))
 	time.Sleep(2 * time.Second)
 	waiting := &accepted{at: map[string]time.Time{}}
 	second := n
 	if !r.trouble {
 		second = n / 3
 	}
-	r.submitAt(waiting, prefix, 200001, second, rate, job(100*time.Second, 1, 8000))
+	r.submitAt(waiting, quiet, prefix, 200001, second, rate, job(100*time.Second, 1, 8000))
 	r.event("second-burst-ended", "accepted", len(waiting.at), "additional", r.additional())
 	// visible_ms and 2 s more.
 	time.Sleep(5200 * time.Millisecond)
--- a/review/rig2/rig_test.go
+++ b/review/rig2/rig_test.go
@@ -467,6 +467,7 @@
 	mu    sync.Mutex
 	state map[string]string // of machines that are not up
 	fence map[string]int64
+	moves int
 }
 
 func (v *machines) set(machine, state string) {
@@ -480,8 +481,7 @@
 
 func (v *machines) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
-		// No machine is moved in these scripts.
-		reply(w, http.StatusConflict, map[string]any{"reason": "busy"})
+		v.order(w, r)
 		return
 	}
 	rows := []map[string]any{}
@@ -499,3 +499,71 @@
 	}
 	reply(w, http.StatusOK, map[string]any{"machines": rows, "next_token": ""})
 }
+
+// migration is how long a machine takes to another service.
+const migration = 1500 * time.Millisecond
+
+// order carries out the order to move a machine. No machine has its upkeep in these scripts.
+func (v *machines) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || r.URL.Path != "/machine-move" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	token, _ := strconv.ParseInt(r.Header.Get("Fencing-Token"), 10, 64)
+	v.rig.mu.Lock()
+	var m *minion
+	for _, c := range v.rig.minions {
+		if c.machine == o.Machine {
+			m = c
+		}
+	}
+	v.rig.mu.Unlock()
+	v.mu.Lock()
+	if v.fence == nil {
+		v.fence = map[string]int64{}
+	}
+	stale, state := token < v.fence[o.Machine], v.state[o.Machine]
+	if m != nil && !stale {
+		v.fence[o.Machine] = token
+	}
+	v.mu.Unlock()
+	switch {
+	case m == nil:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case stale:
+		reply(w, http.StatusConflict, map[string]any{"reason": "fence"})
+		return
+	case m.pool == o.Pool:
+		reply(w, http.StatusOK, map[string]any{})
+		return
+	case state != "":
+		reply(w, http.StatusConflict, map[string]any{"reason": "busy"})
+		return
+	}
+	v.rig.event("move", "machine", o.Machine, "from", m.pool, "to", o.Pool)
+	v.set(o.Machine, "moving")
+	m.crash()
+	v.rig.store.put("keyed.servers", m.id, nil)
+	v.rig.mu.Lock()
+	v.moves++
+	next := &minion{
+		rig: v.rig, id: fmt.Sprintf("%s-%d", o.Machine, v.moves), machine: m.machine, pool: o.Pool, labels: m.labels, capacity: m.capacity,
+		maxLease: m.maxLease, stopGrace: m.stopGrace, onOrder: m.onOrder, takesStrayOrders: m.takesStrayOrders,
+	}
+	for i, c := range v.rig.minions {
+		if c == m {
+			v.rig.minions[i] = next
+		}
+	}
+	v.rig.mu.Unlock()
+	time.AfterFunc(migration, func() {
+		must(next.start())
+		v.set(next.machine, "")
+	})
+	reply(w, http.StatusOK, map[string]any{})
+}
