--- a/review/rig2/store_test.go
+++ b/review/rig2/store_test.go
@@ -279,14 +279,14 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > 500
-	if more {
-		keys = keys[:500]
-	}
-	items := []map[string]any{}
+	items, size, more := []map[string]any{}, 0, false
 	for _, key := range keys {
 		offset := t.newest[key]
 		_, value := keyOf(t.records[offset])
+		if size += len(value); len(items) == 500 || len(items) > 0 && size > 1<<20 {
+			more = true
+			break
+		}
 		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(value), "offset": offset})
 	}
 	end := len(t.records)
