--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of cases 6 and later start. Run it after the build of the
-# deploy file.
+# Builds the stand-ins that the scripts of cases 6 and later start, into review/bin/, where a build of
+# the deploy file leaves them alone.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review-2
-go test -c -tags review -o target/review-2/rig ./review/rig2
+mkdir -p review/bin
+go test -c -tags review -o review/bin/rig-2 ./review/rig2
--- a/review/rig2/rig_test.go
+++ b/review/rig2/rig_test.go
@@ -76,7 +76,6 @@
 	}
 	r.event("result", "code", code)
 	r.close()
-	fmt.Println("result:", code)
 	os.Exit(code)
 }
 
@@ -117,13 +116,8 @@
 		return nil, err
 	}
 	r := &rig{begun: time.Now(), dir: dir, trouble: os.Getenv("TROUBLE") != "0", onMain: make(chan func())}
-	name := os.Getenv("RECORD")
-	if name == "" {
-		name = filepath.Join(dir, "record.txt")
-	}
-	if r.record, err = os.Create(name); err != nil {
-		return nil, err
-	}
+	// The record of what was sent, answered and run is the output, which run.sh writes to record.txt.
+	r.record = os.Stdout
 	r.vms.rig = r
 	return r, nil
 }
@@ -374,7 +368,6 @@
 	} else {
 		fmt.Println("logs:", r.dir)
 	}
-	_ = r.record.Close()
 }
 
 // route is a queue of the config.
