Review case 12: keep the hopeless job within its share of its queue

The gang was the only job of its queue, where poison has a share of 0.056 of a class. 19 sound jobs of the queue come before it now.

--- a/review/rig3/cases_test.go
+++ b/review/rig3/cases_test.go
@@ -195,6 +195,13 @@
 	if c.trouble {
 		members, memory = gangMembers, 300000/gangMembers
 	}
+	// The gang is one of 20 jobs of its queue.
+	for range jobs {
+		small := step{"count": 1, "cpu": 500, "mem_mb": 100, "est_runtime_ms": 200}
+		if s := e.submit("/plan/"+newID(), []stepSpec{{RunMS: 200, CPU: 500}}, small); s != 200 {
+			return nil, fmt.Errorf("a sound job was answered with %d", s)
+		}
+	}
 	gang := newID()
 	if s := e.submit("/plan/"+gang, []stepSpec{{RunMS: 1000, CPU: 1}}, step{"count": members, "cpu": 1, "mem_mb": memory, "est_runtime_ms": 1000, "gang": true}); s != 200 {
 		return nil, fmt.Errorf("the gang was answered with %d", s)
