--- a/review/rig3/cases_test.go
+++ b/review/rig3/cases_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -15,11 +17,11 @@
 )
 
 func init() {
-	cases["pending"] = casePending
 	cases["renamed-route"] = caseRenamedRoute
 	cases["longer-wave"] = caseLongerWave
 	cases["hopeless-gang"] = caseHopelessGang
 	cases["wide-job"] = caseWideJob
+	cases["handover"] = caseHandover
 }
 
 // deploy starts three entries and seven minions of one service. The first minion has label b, the
@@ -43,61 +45,6 @@
 	return all, err
 }
 
-// casePending cuts off the only minion with a label, hands in jobs that need it, and asks an entry in
-// touch how many jobs have not begun.
-func casePending(c *caseRun) ([]string, error) {
-	const (
-		jobs    = 8
-		cutTime = 5500 * time.Millisecond
-		// visible is visible_ms and the 2 s of the rule.
-		visible = 5 * time.Second
-	)
-	minions, err := c.deploy()
-	if err != nil {
-		return nil, err
-	}
-	e, err := c.follower()
-	if err != nil {
-		return nil, err
-	}
-	special := minions[0]
-	cutAt := time.Now()
-	if c.trouble {
-		c.log.say("minion %s is cut off for %v", special.id, cutTime)
-		c.fleet.locked(func() { special.cut = true })
-		time.AfterFunc(cutTime, func() {
-			c.fleet.locked(func() { special.cut = false })
-			c.log.say("minion %s is back", special.id)
-		})
-	}
-	var ids []string
-	for range jobs {
-		id := newID()
-		if e.submit("/plan/"+id, []stepSpec{{RunMS: 9000, CPU: 500}}, step{"count": 1, "cpu": 500, "mem_mb": 100, "est_runtime_ms": 9000, "constraints": "b"}) == 200 {
-			ids = append(ids, id)
-		}
-	}
-	acceptedAt := time.Now()
-	time.Sleep(time.Until(acceptedAt.Add(visible + 50*time.Millisecond)))
-	var broken []string
-	for time.Since(cutAt) < cutTime-100*time.Millisecond {
-		_, answer := e.call("GET", "/plan/", nil)
-		n, ok := answer["pending"].(float64)
-		waiting := 0
-		for _, id := range ids {
-			if len(c.fleet.runsOf(id)) == 0 {
-				waiting++
-			}
-		}
-		if ok && 2*int(n) < waiting {
-			broken = append(broken, fmt.Sprintf("pending is %d while %d jobs that were accepted over 5 s before have not begun", int(n), waiting))
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	time.Sleep(2 * time.Second)
-	return broken, nil
-}
-
 // caseRenamedRoute stores a config in which the route of an accepted job has another name, and asks for
 // the job.
 func caseRenamedRoute(c *caseRun) ([]string, error) {
@@ -302,3 +249,95 @@
 	}
 	return broken, nil
 }
+
+// caseHandover leaves a start unanswered, stops the entry that has sent it, and cuts off its minion, which
+// crashes, starts again under its id and carries the start out.
+func caseHandover(c *caseRun) ([]string, error) {
+	const (
+		late    = 3500 * time.Millisecond
+		cutTime = 4500 * time.Millisecond
+		down    = 1200 * time.Millisecond
+	)
+	c.configure(route{name: "r-plan", path: "plan"})
+	var mu sync.Mutex
+	var watched string
+	begun := make(chan *minion, 1)
+	delay := func(m *minion, task string) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if watched == "" || !strings.HasPrefix(task, watched) {
+			return 0
+		}
+		watched = ""
+		begun <- m
+		return late
+	}
+	for i := range 8 {
+		m := c.fleet.add(fmt.Sprintf("m-%d", i), "plan", fmt.Sprintf("r%d-1", i/2), 8000, 16000, "a")
+		m.delays = delay
+	}
+	if err := c.start(3); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second)
+	e, err := c.follower()
+	if err != nil {
+		return nil, err
+	}
+	if s := e.submit("/plan/"+newID(), []stepSpec{{RunMS: 600, CPU: 1000}}, step{"count": 40, "cpu": 1000, "mem_mb": 100, "est_runtime_ms": 600}); s != 200 {
+		return nil, fmt.Errorf("the first job was answered with %d", s)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	id := newID()
+	if c.trouble {
+		mu.Lock()
+		watched = id
+		mu.Unlock()
+	}
+	if s := e.submit("/plan/"+id, []stepSpec{{RunMS: 10000, CPU: 8000}}, step{"count": 1, "cpu": 8000, "mem_mb": 100, "est_runtime_ms": 10000}); s != 200 {
+		return nil, fmt.Errorf("the job was answered with %d", s)
+	}
+	if c.trouble {
+		m := <-begun
+		if err := c.disturb(m, cutTime, down); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(14 * time.Second)
+	var broken []string
+	all := c.fleet.runsOf(id)
+	for i, a := range all {
+		c.log.say("run %d of %s on %s, life %d: %s", a.attempt, a.task, a.minion, a.life, a.how)
+		for _, b := range all[i+1:] {
+			if a.task == b.task && (a.end.IsZero() || b.start.Before(a.end)) {
+				broken = append(broken, fmt.Sprintf("attempt %d of %s begins on %s while attempt %d runs on %s", b.attempt, b.task, b.minion, a.attempt, a.minion))
+			}
+		}
+	}
+	return broken, nil
+}
+
+// disturb cuts off a minion, which crashes behind the cut and starts again, and meanwhile stops the entry
+// that leads and starts it again. With STOP=0 the entry is left alone.
+func (c *caseRun) disturb(m *minion, cutTime, down time.Duration) error {
+	l, err := c.leader()
+	if err != nil {
+		return err
+	}
+	c.log.say("minion %s is cut off for %v", m.id, cutTime)
+	c.fleet.locked(func() { m.cut = true })
+	time.AfterFunc(cutTime, func() {
+		c.fleet.locked(func() { m.cut = false })
+		c.log.say("the cut of minion %s is over", m.id)
+	})
+	time.Sleep(200 * time.Millisecond)
+	if os.Getenv("STOP") != "0" {
+		go l.restart()
+	}
+	time.Sleep(time.Second)
+	m.crash()
+	time.Sleep(down)
+	m.begin()
+	c.log.say("minion %s starts again, life %d", m.id, m.life)
+	return nil
+}
--- a/review/rig3/minion_test.go
+++ b/review/rig3/minion_test.go
@@ -75,6 +75,9 @@
 	upkeep     bool
 	kept       map[int64]bool
 	orderFence int64
+	// delays, if set, says how late a start is carried out, by whichever life is there then. Such a
+	// start gets no answer. 0 means at once.
+	delays func(m *minion, task string) time.Duration
 }
 
 type endRow struct {
@@ -213,6 +216,12 @@
 		reply(w, http.StatusMisdirectedRequest, map[string]any{"clock_ms": 0})
 		return
 	}
+	if d := m.delayOf(r.URL.Path, o); d > 0 {
+		m.f.log.say("minion %s leaves the start of %s %d unanswered", m.id, o.Task, o.Attempt)
+		time.AfterFunc(d, func() { m.applyLate(o) })
+		<-r.Context().Done()
+		return
+	}
 	status, answer := m.apply(r, r.URL.Path, o, life)
 	if status == 0 {
 		m.f.mu.Lock()
@@ -226,6 +235,22 @@
 	reply(w, status, answer)
 }
 
+func (m *minion) delayOf(path string, o order) time.Duration {
+	if m.delays == nil || path != "/run-start" {
+		return 0
+	}
+	return m.delays(m, o.Task)
+}
+
+// applyLate carries out a start that got no answer.
+func (m *minion) applyLate(o order) {
+	m.f.mu.Lock()
+	life := m.life
+	m.f.mu.Unlock()
+	status, answer := m.apply(nil, "/run-start", o, life)
+	m.f.log.say("minion %s carries out the start of %s %d late, in life %d: %d %v", m.id, o.Task, o.Attempt, life, status, answer["reason"])
+}
+
 func (m *minion) apply(r *http.Request, path string, o order, life int) (int, map[string]any) {
 	m.f.mu.Lock()
 	defer m.f.mu.Unlock()
--- a/review/rig3/rig_test.go
+++ b/review/rig3/rig_test.go
@@ -121,6 +121,9 @@
 	done     chan struct{}
 }
 
+// grace is grace_s of the settings.
+const grace = 6 * time.Second
+
 const (
 	host = "desk.example"
 	key  = "key-of-a"
@@ -270,6 +273,29 @@
 	e.cmd = nil
 }
 
+// restart stops the process as the platform does, and starts it again.
+func (e *entry) restart() {
+	e.mu.Lock()
+	cmd, done := e.cmd, e.done
+	e.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	e.rig.log.say("%s gets SIGTERM", e.name)
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(grace):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+	e.rig.log.say("%s has ended", e.name)
+	time.Sleep(500 * time.Millisecond)
+	if err := e.start(); err != nil {
+		e.rig.log.say("%s doesn't start: %v", e.name, err)
+	}
+}
+
 // anonymous returns the memory of the process in bytes, without what it maps of files.
 func (e *entry) anonymous() int64 {
 	e.mu.Lock()
